Rename the package platform to net

The folder platform/ will hold the adapter to the users' platform; the package with the loop, HTTP and links gets a name of its own. No change of behaviour.

--- a/lib/api/answers.c
+++ b/lib/api/answers.c
@@ -3,7 +3,7 @@
 
 #include <string.h>
 
-#include "platform/json_util.h"
+#include "net/json_util.h"
 
 #define TYPE_JSON "application/json"
 #define TYPE_PROBLEM "application/problem+json"
--- a/lib/platform/http_client.c
+++ b/lib/net/http_client.c
@@ -1,5 +1,5 @@
 /** @file http_client.c HTTP/1.1 requests by h2o's client on libuv. */
-#include "platform/http_client.h"
+#include "net/http_client.h"
 
 #include <h2o.h>
 #include <h2o/http1client.h>
--- a/lib/platform/http_client.h
+++ b/lib/net/http_client.h
@@ -2,11 +2,11 @@
  * @file http_client.h
  * HTTP/1.1 requests to addresses given as IP numbers, over kept connections.
  */
-#ifndef MT_PLATFORM_HTTP_CLIENT_H
-#define MT_PLATFORM_HTTP_CLIENT_H
+#ifndef MT_NET_HTTP_CLIENT_H
+#define MT_NET_HTTP_CLIENT_H
 
 #include "kernel/name.h"
-#include "platform/loop.h"
+#include "net/loop.h"
 
 /** Largest body of an answer, in bytes. */
 #define MT_HTTP_BODY_MAX_BYTES (64u * 1024u * 1024u)
--- a/lib/platform/http_ports.c
+++ b/lib/net/http_ports.c
@@ -1,7 +1,7 @@
 /** @file http_ports.c The platform's services over HTTP and JSON. */
-#include "platform/http_ports.h"
+#include "net/http_ports.h"
 
-#include "platform/server_codec.h"
+#include "net/server_codec.h"
 
 #define LOG_TIMEOUT_MS 3000u
 #define LIST_TIMEOUT_MS 2000u
--- a/lib/platform/http_ports.h
+++ b/lib/net/http_ports.h
@@ -3,13 +3,13 @@
  * The platform's log service, host list and backend servers over HTTP and
  * JSON, as docs/PLATFORM.md describes them.
  */
-#ifndef MT_PLATFORM_HTTP_PORTS_H
-#define MT_PLATFORM_HTTP_PORTS_H
+#ifndef MT_NET_HTTP_PORTS_H
+#define MT_NET_HTTP_PORTS_H
 
 #include "kernel/kernel.h"
-#include "platform/http_client.h"
-#include "platform/log_port.h"
-#include "platform/server_port.h"
+#include "net/http_client.h"
+#include "net/log_port.h"
+#include "net/server_port.h"
 
 typedef struct mt_http_ports_t mt_http_ports_t;
 
--- a/lib/platform/http_server.c
+++ b/lib/net/http_server.c
@@ -1,5 +1,5 @@
 /** @file http_server.c HTTP service by h2o on libuv. */
-#include "platform/http_server.h"
+#include "net/http_server.h"
 
 #include <h2o.h>
 #include <h2o/http1.h>
--- a/lib/platform/http_server.h
+++ b/lib/net/http_server.h
@@ -3,11 +3,11 @@
  * A small face over h2o: one handler for all requests, answers that may come
  * later, and a graceful stop.
  */
-#ifndef MT_PLATFORM_HTTP_SERVER_H
-#define MT_PLATFORM_HTTP_SERVER_H
+#ifndef MT_NET_HTTP_SERVER_H
+#define MT_NET_HTTP_SERVER_H
 
 #include "kernel/name.h"
-#include "platform/loop.h"
+#include "net/loop.h"
 
 typedef struct mt_http_server_t mt_http_server_t;
 
--- a/lib/platform/json_util.c
+++ b/lib/net/json_util.c
@@ -1,5 +1,5 @@
 /** @file json_util.c Typed access to jansson values. */
-#include "platform/json_util.h"
+#include "net/json_util.h"
 
 #include <string.h>
 
--- a/lib/platform/json_util.h
+++ b/lib/net/json_util.h
@@ -4,8 +4,8 @@
  * getter returns false when the member is missing, has the wrong type or is
  * out of range, and then leaves the target untouched.
  */
-#ifndef MT_PLATFORM_JSON_UTIL_H
-#define MT_PLATFORM_JSON_UTIL_H
+#ifndef MT_NET_JSON_UTIL_H
+#define MT_NET_JSON_UTIL_H
 
 #include <jansson.h>
 
--- a/lib/platform/log_codec.c
+++ b/lib/net/log_codec.c
@@ -1,6 +1,6 @@
 /** @file log_codec.c JSON bodies of the log service. */
-#include "platform/http_ports.h"
-#include "platform/json_util.h"
+#include "net/http_ports.h"
+#include "net/json_util.h"
 
 char *mt_log_records_encode(GPtrArray *records)
 {
--- a/lib/platform/log_port.h
+++ b/lib/net/log_port.h
@@ -3,8 +3,8 @@
  * What the product needs from the platform's append-only log service.
  * Contract: docs/PLATFORM.md, "Log service".
  */
-#ifndef MT_PLATFORM_LOG_PORT_H
-#define MT_PLATFORM_LOG_PORT_H
+#ifndef MT_NET_LOG_PORT_H
+#define MT_NET_LOG_PORT_H
 
 #include <glib.h>
 #include <stdbool.h>
--- a/lib/platform/loop.c
+++ b/lib/net/loop.c
@@ -1,5 +1,5 @@
 /** @file loop.c The libuv loop and the timer service. */
-#include "platform/loop.h"
+#include "net/loop.h"
 
 #include <glib.h>
 
--- a/lib/platform/loop.h
+++ b/lib/net/loop.h
@@ -2,8 +2,8 @@
  * @file loop.h
  * The one libuv loop of a process, driving the timer service.
  */
-#ifndef MT_PLATFORM_LOOP_H
-#define MT_PLATFORM_LOOP_H
+#ifndef MT_NET_LOOP_H
+#define MT_NET_LOOP_H
 
 #include <uv.h>
 
--- a/lib/platform/peer_links.c
+++ b/lib/net/peer_links.c
@@ -1,5 +1,5 @@
 /** @file peer_links.c TCP links between entry hosts. */
-#include "platform/peer_links.h"
+#include "net/peer_links.h"
 
 #include <string.h>
 
--- a/lib/platform/peer_links.h
+++ b/lib/net/peer_links.h
@@ -4,11 +4,11 @@
  * and receives on those that it accepted. A link begins with a Hello; one
  * with a malformed frame is dropped and counted.
  */
-#ifndef MT_PLATFORM_PEER_LINKS_H
-#define MT_PLATFORM_PEER_LINKS_H
+#ifndef MT_NET_PEER_LINKS_H
+#define MT_NET_PEER_LINKS_H
 
 #include "kernel/kernel.h"
-#include "platform/loop.h"
+#include "net/loop.h"
 #include "wire/codec.h"
 
 #define MT_PEER_PROTOCOL 1u
--- a/lib/platform/ports.c
+++ b/lib/net/ports.c
@@ -1,6 +1,6 @@
 /** @file ports.c Memory of the port types. */
-#include "platform/log_port.h"
-#include "platform/server_port.h"
+#include "net/log_port.h"
+#include "net/server_port.h"
 
 static void clear_entry(gpointer data)
 {
--- a/lib/platform/server_codec.c
+++ b/lib/net/server_codec.c
@@ -1,9 +1,9 @@
 /** @file server_codec.c JSON bodies of the backend server's protocol. */
-#include "platform/server_codec.h"
+#include "net/server_codec.h"
 
 #include <string.h>
 
-#include "platform/json_util.h"
+#include "net/json_util.h"
 
 static const char *const op_names[MT_SERVER_OPS] = {
 	"lease",      "renew", "start",	 "release",
--- a/lib/platform/server_codec.h
+++ b/lib/net/server_codec.h
@@ -4,10 +4,10 @@
  * encoders return a new string; the decoders return false on a body that
  * breaks the contract and then leave nothing to free.
  */
-#ifndef MT_PLATFORM_SERVER_CODEC_H
-#define MT_PLATFORM_SERVER_CODEC_H
+#ifndef MT_NET_SERVER_CODEC_H
+#define MT_NET_SERVER_CODEC_H
 
-#include "platform/server_port.h"
+#include "net/server_port.h"
 
 char *mt_server_request_encode(const mt_server_request_t *request);
 bool mt_server_request_decode(mt_str_t body, mt_server_request_t *request);
--- a/lib/platform/server_port.h
+++ b/lib/net/server_port.h
@@ -3,8 +3,8 @@
  * What the product needs from a backend server: tasks under leases, fenced
  * by (boot, token). Contract: docs/PLATFORM.md, "Backend server".
  */
-#ifndef MT_PLATFORM_SERVER_PORT_H
-#define MT_PLATFORM_SERVER_PORT_H
+#ifndef MT_NET_SERVER_PORT_H
+#define MT_NET_SERVER_PORT_H
 
 #include <glib.h>
 #include <stdbool.h>
--- a/lib/node/appender.h
+++ b/lib/node/appender.h
@@ -10,7 +10,7 @@
 #define MT_NODE_APPENDER_H
 
 #include "kernel/kernel.h"
-#include "platform/log_port.h"
+#include "net/log_port.h"
 
 /** Records of a lower priority wait for those of a higher one. */
 typedef enum mt_priority_t {
--- a/lib/node/fleet.h
+++ b/lib/node/fleet.h
@@ -9,7 +9,7 @@
 #define MT_NODE_FLEET_H
 
 #include "kernel/kernel.h"
-#include "platform/server_port.h"
+#include "net/server_port.h"
 #include "settings/settings.h"
 
 /** A server that is not listed for this long counts as gone for good. */
--- a/lib/node/tail.h
+++ b/lib/node/tail.h
@@ -6,7 +6,7 @@
 #define MT_NODE_TAIL_H
 
 #include "kernel/kernel.h"
-#include "platform/log_port.h"
+#include "net/log_port.h"
 #include "wire/codec.h"
 
 typedef struct mt_tail_handler_t {
--- a/programs/ctl/cmd_lists.c
+++ b/programs/ctl/cmd_lists.c
@@ -5,7 +5,7 @@
 #include "ctl.h"
 #include "node/appender.h"
 #include "node/config.h"
-#include "platform/http_ports.h"
+#include "net/http_ports.h"
 
 #define APPEND_SPACING_MS 10u
 #define APPEND_QUEUE_RECORDS 16u
--- a/programs/ctl/ctl.h
+++ b/programs/ctl/ctl.h
@@ -10,7 +10,7 @@
 
 #include "kernel/kernel.h"
 #include "lists/lists.h"
-#include "platform/http_client.h"
+#include "net/http_client.h"
 
 /** Exit codes, also in docs/OPERATIONS.md. */
 typedef enum mt_exit_t {
--- a/programs/hostd/main.c
+++ b/programs/hostd/main.c
@@ -5,8 +5,8 @@
 #include <string.h>
 
 #include "node/node.h"
-#include "platform/http_ports.h"
-#include "platform/peer_links.h"
+#include "net/http_ports.h"
+#include "net/peer_links.h"
 #include "service.h"
 
 #define EXIT_BAD_SETTINGS 2
--- a/programs/hostd/service.h
+++ b/programs/hostd/service.h
@@ -7,7 +7,7 @@
 #define MT_HOSTD_SERVICE_H
 
 #include "node/node.h"
-#include "platform/http_server.h"
+#include "net/http_server.h"
 
 typedef struct mt_service_t mt_service_t;
 
--- a/tests/model/fleet_model.c
+++ b/tests/model/fleet_model.c
@@ -3,7 +3,7 @@
 
 #include <string.h>
 
-#include "platform/json_util.h"
+#include "net/json_util.h"
 
 /** What a task's payload asks of the model. */
 typedef struct mt_script_t {
--- a/tests/model/fleet_model.h
+++ b/tests/model/fleet_model.h
@@ -13,7 +13,7 @@
 #define MT_TESTS_FLEET_MODEL_H
 
 #include "kernel/timers.h"
-#include "platform/server_port.h"
+#include "net/server_port.h"
 
 typedef struct mt_fleet_model_t mt_fleet_model_t;
 
--- a/tests/model/log_model.h
+++ b/tests/model/log_model.h
@@ -6,7 +6,7 @@
 #ifndef MT_TESTS_LOG_MODEL_H
 #define MT_TESTS_LOG_MODEL_H
 
-#include "platform/log_port.h"
+#include "net/log_port.h"
 
 typedef struct mt_log_model_t mt_log_model_t;
 
--- a/tests/scripts/mutants.sh
+++ b/tests/scripts/mutants.sh
@@ -87,7 +87,7 @@
 	's/carry_jobs\(keeper, now, retention\);/(void)carry_jobs;/'
 mutant "edit from an old version taken" lib/lists/lists.c \
 	's/if \(lists->complete && edit->base_version == version\)/if (lists->complete)/'
-mutant "partial result taken as whole" lib/platform/server_codec.c \
+mutant "partial result taken as whole" lib/net/server_codec.c \
 	's/whole = !strcmp\(computed, digest\);/whole = true;/'
 mutant "moved job finished by its old data centre" lib/jobs/jobs.c \
 	's/outcome->epoch != job->epoch \|\|//'
--- a/tests/standin/main.c
+++ b/tests/standin/main.c
@@ -13,10 +13,10 @@
 
 #include "model/fleet_model.h"
 #include "model/log_model.h"
-#include "platform/http_ports.h"
-#include "platform/http_server.h"
-#include "platform/json_util.h"
-#include "platform/server_codec.h"
+#include "net/http_ports.h"
+#include "net/http_server.h"
+#include "net/json_util.h"
+#include "net/server_codec.h"
 
 #define BODY_MAX_BYTES (4u * 1024u * 1024u)
 #define TICK_MS 10u
--- a/tests/unit/script_parse.c
+++ b/tests/unit/script_parse.c
@@ -2,8 +2,8 @@
 #include <string.h>
 
 #include "api/job_request.h"
-#include "platform/http_ports.h"
-#include "platform/server_codec.h"
+#include "net/http_ports.h"
+#include "net/server_codec.h"
 #include "settings/settings.h"
 #include "unit/script.h"
 
