--- /dev/null
+++ b/lib/dag/backend.c
@@ -0,0 +1,38 @@
+/** @file backend.c Clock and lease of one backend server. */
+#include "dag/backend.h"
+
+/** A server's clock may run this much slower than ours, in permille. */
+#define CLOCK_DRIFT_PERMILLE 25u
+
+/** For timers that fire late and clocks that were read late. */
+#define LAPSE_MARGIN_MS 300u
+
+uint64_t mt_backend_clock(const mt_backend_t *backend, mt_ms_t now)
+{
+	return backend->clock_ms + (now - backend->clock_at);
+}
+
+bool mt_backend_is_heard(const mt_backend_t *backend, mt_ms_t now,
+			 mt_ms_t window_ms)
+{
+	return backend->taken_over && now - backend->answered_at <= window_ms;
+}
+
+void mt_backend_note_clock(mt_backend_t *backend, uint64_t clock_ms,
+			   mt_ms_t now)
+{
+	if (!clock_ms)
+		return;
+	backend->clock_known = true;
+	backend->clock_ms = clock_ms;
+	backend->clock_at = now;
+}
+
+void mt_backend_note_lease(mt_backend_t *backend, mt_ms_t now, mt_ms_t lease_ms)
+{
+	mt_ms_t span = lease_ms + (now - backend->clock_at);
+	mt_ms_t drift = span * CLOCK_DRIFT_PERMILLE / 1000;
+	mt_ms_t lapse_at = now + lease_ms + drift + LAPSE_MARGIN_MS;
+
+	backend->lapse_at = MAX(backend->lapse_at, lapse_at);
+}
--- /dev/null
+++ b/lib/dag/backend_port.h
@@ -0,0 +1,115 @@
+/**
+ * @file backend_port.h
+ * Commands to backend servers: start a task, stop it, and hold, which renews
+ * the lease of everything that runs and returns what runs and what has ended.
+ */
+#ifndef MT_DAG_BACKEND_PORT_H
+#define MT_DAG_BACKEND_PORT_H
+
+#include "kernel/name.h"
+#include "kernel/timers.h"
+
+/** Names one task of one occurrence of a job. */
+typedef struct mt_task_key_t {
+	uint64_t job;
+	uint32_t occurrence;
+	uint32_t step;
+	uint32_t index;
+} mt_task_key_t;
+
+typedef enum mt_command_result_t {
+	MT_COMMAND_DONE,
+	MT_COMMAND_FENCED,    /**< the server has seen a higher term */
+	MT_COMMAND_OLD_RUN,   /**< this run or a later one ended there */
+	MT_COMMAND_LATE,      /**< the lease asked for is over already */
+	MT_COMMAND_NO_ROOM,   /**< the task does not fit */
+	MT_COMMAND_NO_TICKET, /**< the step's ticket is missing or too old */
+	MT_COMMAND_REJECTED,  /**< the request is malformed */
+	MT_COMMAND_BUSY,      /**< the server is unhealthy; nothing was done */
+	MT_COMMAND_REBORN,    /**< another lifetime answers at this address */
+	MT_COMMAND_NOT_SENT,  /**< no connection; nothing was done */
+	MT_COMMAND_UNKNOWN,   /**< no answer; it may have been done */
+} mt_command_result_t;
+
+typedef enum mt_end_t {
+	MT_END_DONE,
+	MT_END_FAILED,
+	MT_END_STOPPED,
+	MT_END_LAPSED,
+	MT_END_BROKEN, /**< another member of the gang ended */
+	MT_END_ALONE,  /**< the gang was not complete in time */
+} mt_end_t;
+
+typedef struct mt_running_t {
+	mt_task_key_t task;
+	uint32_t run;
+	mt_str_t checkpoint;
+	uint32_t percent;
+} mt_running_t;
+
+typedef struct mt_ended_t {
+	uint64_t number; /**< rises within a lifetime of the server */
+	mt_task_key_t task;
+	uint32_t run;
+	mt_end_t end;
+	mt_str_t checkpoint;
+} mt_ended_t;
+
+/** Answer to a command; the lists come with hold only. */
+typedef struct mt_backend_answer_t {
+	mt_command_result_t result;
+	uint64_t clock_ms; /**< the server's steady clock; 0: not told */
+	int64_t born_ms;   /**< start of this lifetime; 0: not told */
+	const mt_running_t *running;
+	size_t n_running;
+	const mt_ended_t *ended;
+	size_t n_ended;
+} mt_backend_answer_t;
+
+typedef void (*mt_backend_cb)(void *ctx, const mt_backend_answer_t *answer);
+
+/** Where a server listens, and which lifetime is meant. */
+typedef struct mt_backend_target_t {
+	mt_name_t id;
+	mt_name_t address;
+	uint16_t port;
+} mt_backend_target_t;
+
+typedef struct mt_start_command_t {
+	mt_task_key_t task;
+	uint32_t run;
+	uint64_t term;
+	uint64_t due_ms; /**< end of the lease on the server's clock */
+	const char *payload;
+	const char *checkpoint; /**< NULL or empty: none */
+	const char *ticket;	/**< NULL: none */
+} mt_start_command_t;
+
+typedef struct mt_stop_command_t {
+	mt_task_key_t task;
+	uint32_t run;
+	uint64_t term;
+} mt_stop_command_t;
+
+typedef struct mt_hold_command_t {
+	uint64_t term;
+	uint64_t last_seen; /**< ends up to this one may be forgotten */
+	uint64_t due_ms;    /**< 0: do not renew */
+	mt_ms_t wait_ms;    /**< wait this long for an end */
+} mt_hold_command_t;
+
+/** Callbacks never come before the call has returned. */
+typedef struct mt_backend_port_t {
+	void *self;
+	void (*start)(void *self, const mt_backend_target_t *target,
+		      const mt_start_command_t *command, mt_backend_cb cb,
+		      void *ctx);
+	void (*stop)(void *self, const mt_backend_target_t *target,
+		     const mt_stop_command_t *command, mt_backend_cb cb,
+		     void *ctx);
+	void (*hold)(void *self, const mt_backend_target_t *target,
+		     const mt_hold_command_t *command, mt_backend_cb cb,
+		     void *ctx);
+} mt_backend_port_t;
+
+#endif
--- /dev/null
+++ b/lib/dag/catalog.c
@@ -0,0 +1,142 @@
+/** @file catalog.c Queues and client accounts. */
+#include "dag/catalog.h"
+
+#include <string.h>
+
+static void free_queue(gpointer data)
+{
+	mt_queue_t *queue = data;
+
+	g_free(queue->path_prefix);
+	g_free(queue);
+}
+
+static void free_account(gpointer data)
+{
+	mt_client_account_t *account = data;
+
+	g_ptr_array_unref(account->keys);
+	g_free(account);
+}
+
+mt_catalog_t *mt_catalog_new(uint64_t version)
+{
+	mt_catalog_t *catalog = g_new0(mt_catalog_t, 1);
+
+	catalog->version = version;
+	catalog->queues = g_ptr_array_new_with_free_func(free_queue);
+	catalog->accounts = g_ptr_array_new_with_free_func(free_account);
+	catalog->by_key = g_hash_table_new(g_str_hash, g_str_equal);
+	catalog->standby =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return catalog;
+}
+
+void mt_catalog_free(mt_catalog_t *catalog)
+{
+	if (!catalog)
+		return;
+	g_hash_table_destroy(catalog->by_key);
+	g_hash_table_destroy(catalog->standby);
+	g_ptr_array_unref(catalog->queues);
+	g_ptr_array_unref(catalog->accounts);
+	g_free(catalog);
+}
+
+mt_queue_t *mt_catalog_add_queue(mt_catalog_t *catalog)
+{
+	mt_queue_t *queue = g_new0(mt_queue_t, 1);
+
+	g_ptr_array_add(catalog->queues, queue);
+	return queue;
+}
+
+mt_client_account_t *mt_catalog_add_account(mt_catalog_t *catalog)
+{
+	mt_client_account_t *account = g_new0(mt_client_account_t, 1);
+
+	account->keys = g_ptr_array_new_with_free_func(g_free);
+	g_ptr_array_add(catalog->accounts, account);
+	return account;
+}
+
+void mt_catalog_add_key(mt_catalog_t *catalog, mt_client_account_t *account,
+			const char *key)
+{
+	char *copy = g_strdup(key);
+
+	g_ptr_array_add(account->keys, copy);
+	g_hash_table_insert(catalog->by_key, copy, account);
+}
+
+static mt_str_t without_port(mt_str_t host)
+{
+	const char *colon = memchr(host.data, ':', host.len);
+
+	if (host.len && colon)
+		host.len = (size_t)(colon - host.data);
+	return host;
+}
+
+static bool is_host(const mt_queue_t *queue, mt_str_t host)
+{
+	return queue->host.len == host.len &&
+	       !g_ascii_strncasecmp(queue->host.text, host.data, host.len);
+}
+
+const mt_queue_t *mt_catalog_route(const mt_catalog_t *catalog, mt_str_t host,
+				   mt_str_t path)
+{
+	const mt_queue_t *best = NULL;
+	size_t best_len = 0;
+
+	host = without_port(host);
+	for (guint i = 0; i < catalog->queues->len; i++) {
+		const mt_queue_t *queue = catalog->queues->pdata[i];
+		size_t len = strlen(queue->path_prefix);
+
+		if ((best && len <= best_len) || !is_host(queue, host))
+			continue;
+		if (!mt_str_has_prefix(path, mt_str_from(queue->path_prefix)))
+			continue;
+		best = queue;
+		best_len = len;
+	}
+	return best;
+}
+
+const mt_queue_t *mt_catalog_queue(const mt_catalog_t *catalog,
+				   const char *name)
+{
+	for (guint i = 0; i < catalog->queues->len; i++) {
+		const mt_queue_t *queue = catalog->queues->pdata[i];
+
+		if (!strcmp(queue->name.text, name))
+			return queue;
+	}
+	return NULL;
+}
+
+const mt_client_account_t *mt_catalog_account(const mt_catalog_t *catalog,
+					      const char *name)
+{
+	for (guint i = 0; i < catalog->accounts->len; i++) {
+		const mt_client_account_t *account =
+			catalog->accounts->pdata[i];
+
+		if (!strcmp(account->name.text, name))
+			return account;
+	}
+	return NULL;
+}
+
+const mt_client_account_t *
+mt_catalog_account_of_key(const mt_catalog_t *catalog, mt_str_t key)
+{
+	char *text = g_strndup(key.data, key.len);
+	const mt_client_account_t *account =
+		g_hash_table_lookup(catalog->by_key, text);
+
+	g_free(text);
+	return account;
+}
--- /dev/null
+++ b/lib/dag/directory.c
@@ -0,0 +1,125 @@
+/** @file directory.c The platform's list of backend servers. */
+#include "dag/directory.h"
+
+#include "dag/follower.h"
+
+#define WAIT_MS 2000u
+
+struct mt_directory_t {
+	mt_kernel_t *kernel;
+	const mt_store_port_t *store;
+	mt_directory_format_t format;
+	mt_directory_watcher_t watcher;
+	mt_follower_t *follower;
+	GHashTable *seen;     /**< ids of listed servers, mt_name_t */
+	GHashTable *snapshot; /**< ids of the snapshot under way, or NULL */
+};
+
+mt_directory_t *mt_directory_new(mt_kernel_t *kernel,
+				 const mt_store_port_t *store,
+				 const mt_directory_format_t *format)
+{
+	mt_directory_t *directory = g_new0(mt_directory_t, 1);
+
+	directory->kernel = kernel;
+	directory->store = store;
+	directory->format = *format;
+	return directory;
+}
+
+static GHashTable *new_set(void)
+{
+	return g_hash_table_new_full(mt_name_hash, mt_name_key_equal, g_free,
+				     NULL);
+}
+
+static void remove_server(mt_directory_t *directory, const mt_name_t *id)
+{
+	mt_name_t gone = *id;
+
+	if (g_hash_table_remove(directory->seen, &gone))
+		directory->watcher.on_gone(directory->watcher.ctx, &gone);
+}
+
+static void on_record(void *ctx, const mt_store_record_t *record)
+{
+	mt_directory_t *directory = ctx;
+	mt_backend_info_t info = {0};
+	mt_name_t id;
+
+	if (!record->key.len || record->key.len > MT_NAME_MAX_BYTES)
+		return;
+	id = mt_name_from(record->key);
+	if (!record->value.len) {
+		remove_server(directory, &id);
+		return;
+	}
+	if (!directory->format.decode(record, &info)) {
+		mt_kernel_count(directory->kernel,
+				"server_reports_unreadable_total");
+		mt_log(directory->kernel, MT_LOG_WARNING, "directory",
+		       "report of server %s cannot be used", id.text);
+		remove_server(directory, &id);
+		return;
+	}
+	info.target.id = id;
+	if (directory->snapshot)
+		g_hash_table_add(directory->snapshot, mt_name_dup(&id));
+	g_hash_table_add(directory->seen, mt_name_dup(&id));
+	directory->watcher.on_server(directory->watcher.ctx, &info);
+}
+
+/** What a new snapshot does not hold is gone. */
+static void drop_unlisted(mt_directory_t *directory)
+{
+	GList *ids = g_hash_table_get_keys(directory->seen);
+
+	for (GList *at = ids; at; at = at->next) {
+		if (!g_hash_table_contains(directory->snapshot, at->data))
+			remove_server(directory, at->data);
+	}
+	g_list_free(ids);
+}
+
+static void on_snapshot(void *ctx, bool begins)
+{
+	mt_directory_t *directory = ctx;
+
+	if (!begins)
+		drop_unlisted(directory);
+	if (directory->snapshot)
+		g_hash_table_destroy(directory->snapshot);
+	directory->snapshot = begins ? new_set() : NULL;
+}
+
+void mt_directory_open(mt_directory_t *directory,
+		       const mt_directory_watcher_t *watcher)
+{
+	mt_follower_handler_t handler = {directory, on_record, on_snapshot,
+					 NULL};
+
+	mt_directory_close(directory);
+	directory->watcher = *watcher;
+	directory->seen = new_set();
+	directory->follower =
+		mt_follower_new(directory->kernel, directory->store,
+				directory->format.topic, WAIT_MS, &handler);
+}
+
+void mt_directory_close(mt_directory_t *directory)
+{
+	if (!directory->follower)
+		return;
+	mt_follower_stop(directory->follower);
+	directory->follower = NULL;
+	g_hash_table_destroy(directory->seen);
+	if (directory->snapshot)
+		g_hash_table_destroy(directory->snapshot);
+	directory->snapshot = NULL;
+}
+
+bool mt_directory_is_synced(const mt_directory_t *directory)
+{
+	return directory->follower &&
+	       mt_follower_is_synced(directory->follower);
+}
--- /dev/null
+++ b/lib/dag/election.c
@@ -0,0 +1,67 @@
+/** @file election.c When this host tries to become the scheduler. */
+#include "dag/election.h"
+
+/** A leader of whom nothing is read for so long is taken to be lost. */
+#define SILENCE_MS 1500u
+
+/** A store that did not answer for so long may have hidden the leader. */
+#define READ_GAP_MS 1600u
+
+/** After a release the nearest host claims first. */
+#define RELEASE_WAIT_MS 20u
+
+#define BACK_OFF_MS 300u
+
+void mt_election_init(mt_election_t *election, const mt_name_t *incarnation,
+		      mt_ms_t now)
+{
+	*election = (mt_election_t){
+		.incarnation = *incarnation, .sign_at = now, .read_at = now};
+}
+
+void mt_election_on_leader(mt_election_t *election, const MtDag__Leader *leader,
+			   mt_ms_t now)
+{
+	if (leader->term < election->term)
+		return;
+	election->term = leader->term;
+	election->leader = mt_name(leader->incarnation);
+	election->leader_host = mt_name(leader->host);
+	election->released = leader->released;
+	election->sign_at = now;
+}
+
+void mt_election_on_sign(mt_election_t *election, mt_ms_t now)
+{
+	election->sign_at = now;
+}
+
+void mt_election_on_read(mt_election_t *election, mt_ms_t now)
+{
+	if (now - election->read_at > READ_GAP_MS)
+		election->sign_at = now;
+	election->read_at = now;
+}
+
+bool mt_election_is_leader(const mt_election_t *election)
+{
+	return !election->released && election->leader.len &&
+	       mt_name_equal(&election->leader, &election->incarnation);
+}
+
+bool mt_election_should_claim(const mt_election_t *election, mt_ms_t now)
+{
+	mt_ms_t wait = SILENCE_MS;
+
+	if (mt_election_is_leader(election) || now < election->claim_after ||
+	    now - election->read_at > READ_GAP_MS)
+		return false;
+	if (!election->leader.len || election->released)
+		wait = RELEASE_WAIT_MS;
+	return now - election->sign_at >= wait + election->rank_ms;
+}
+
+void mt_election_back_off(mt_election_t *election, mt_ms_t now)
+{
+	election->claim_after = now + BACK_OFF_MS;
+}
--- /dev/null
+++ b/lib/dag/ends.c
@@ -0,0 +1,231 @@
+/** @file ends.c What servers report: runs that go on, and runs that ended. */
+#include "dag/engine_internal.h"
+
+/** Failed runs of different jobs in a row after which a server is avoided. */
+#define FAIL_STREAK_MAX 2u
+
+#define AVOID_MIN_MS 4000u
+#define AVOID_MAX_MS 32000u
+
+static void note_failure(mt_engine_t *engine, mt_backend_t *backend)
+{
+	mt_ms_t avoid = AVOID_MIN_MS;
+
+	backend->fail_streak++;
+	if (backend->fail_streak < FAIL_STREAK_MAX)
+		return;
+	for (unsigned i = FAIL_STREAK_MAX;
+	     i < backend->fail_streak && avoid < AVOID_MAX_MS; i++)
+		avoid *= 2;
+	backend->avoid_until = mt_engine_now(engine) + avoid;
+	mt_kernel_event(engine->deps.kernel, "server_avoided",
+			"\"server\":\"%s\",\"failures\":%u,\"for_ms\":%u",
+			backend->info.target.id.text, backend->fail_streak,
+			(unsigned)avoid);
+}
+
+static void fail_job(mt_engine_t *engine, mt_dag_job_t *job)
+{
+	job->state = MT_DAG__STATE__FAILED;
+	job->dirty = true;
+	mt_kernel_event(engine->deps.kernel, "job_failed",
+			"\"job\":\"%016" G_GINT64_MODIFIER
+			"x\",\"reason\":\"attempts used up\"",
+			job->id);
+	mt_engine_stop_tasks(engine, job);
+}
+
+/**
+ * The rest of a gang cannot go on without a member.
+ * @param all false: members that run end by themselves
+ */
+static void stop_gang(mt_engine_t *engine, mt_dag_step_t *step, bool all)
+{
+	for (uint32_t i = 0; i < step->spec->count; i++) {
+		mt_dag_task_t *task = &step->tasks[i];
+
+		if (!task->server || task->phase == MT_TASK_DONE)
+			continue;
+		if (all || task->phase == MT_TASK_PLACED)
+			mt_orders_stop(engine, task);
+	}
+}
+
+void mt_ends_lost(mt_engine_t *engine, mt_dag_task_t *task, const char *why)
+{
+	mt_dag_step_t *step = task->step;
+
+	mt_kernel_event(
+		engine->deps.kernel, "run_lost",
+		"\"job\":\"%016" G_GINT64_MODIFIER
+		"x\",\"step\":%u,\"task\":%u,\"run\":%u,\"server\":\"%s\","
+		"\"reason\":\"%s\"",
+		step->job->id, step->number, task->index, task->run,
+		task->server ? task->server->info.target.id.text : "", why);
+	mt_work_unplace(task);
+	if (step->spec->gang && step->n_done < step->spec->count)
+		stop_gang(engine, step, true);
+	mt_engine_wake(engine);
+}
+
+void mt_ends_reborn(mt_engine_t *engine, mt_backend_t *backend, int64_t born_ms)
+{
+	mt_kernel_event(engine->deps.kernel, "server_restarted",
+			"\"server\":\"%s\",\"tasks\":%u",
+			backend->info.target.id.text, backend->tasks->len);
+	backend->born_ms = born_ms;
+	backend->clock_known = false;
+	backend->taken_over = false;
+	backend->lapse_at = 0;
+	backend->ends_read = 0;
+	backend->ends_stored = 0;
+	backend->ends_told = 0;
+	while (backend->tasks->len)
+		mt_ends_lost(engine, backend->tasks->pdata[0],
+			     "server restarted");
+	mt_engine_wake(engine);
+}
+
+/** Ends whose run is the one in hand change the task. */
+static void take_end(mt_engine_t *engine, mt_backend_t *backend,
+		     mt_dag_task_t *task, mt_end_t end)
+{
+	mt_dag_job_t *job = task->step->job;
+
+	job->begun = true;
+	if (end == MT_END_DONE) {
+		backend->fail_streak = 0;
+		mt_work_finish(task);
+	} else if (end == MT_END_FAILED) {
+		note_failure(engine, backend);
+		if (!mt_work_fail(task))
+			fail_job(engine, job);
+		else if (task->step->spec->gang)
+			stop_gang(engine, task->step, false);
+	} else {
+		mt_work_unplace(task);
+		if (task->step->spec->gang)
+			stop_gang(engine, task->step, end != MT_END_BROKEN);
+	}
+	mt_work_update_state(job);
+}
+
+static void on_end(mt_engine_t *engine, mt_backend_t *backend,
+		   const mt_ended_t *ended)
+{
+	mt_dag_job_t *job = mt_engine_job(engine, ended->task.job);
+	mt_dag_task_t *task = job ? mt_work_task(job, &ended->task) : NULL;
+
+	mt_kernel_event(engine->deps.kernel, "run_ended",
+			"\"job\":\"%016" G_GINT64_MODIFIER
+			"x\",\"step\":%u,\"task\":%u,\"run\":%u,"
+			"\"server\":\"%s\",\"end\":%d,\"known\":%s",
+			ended->task.job, ended->task.step, ended->task.index,
+			ended->run, backend->info.target.id.text, ended->end,
+			task && task->run == ended->run ? "true" : "false");
+	if (!task || task->run != ended->run)
+		return;
+	if (task->server && task->server != backend)
+		return;
+	mt_work_save(task, ended->checkpoint, mt_engine_now(engine));
+	if (task->phase == MT_TASK_DONE) {
+		mt_work_unplace(task);
+		return;
+	}
+	if (!task->server && ended->end != MT_END_DONE)
+		return;
+	take_end(engine, backend, task, ended->end);
+}
+
+static void on_running(mt_engine_t *engine, mt_backend_t *backend,
+		       const mt_running_t *running)
+{
+	mt_dag_job_t *job = mt_engine_job(engine, running->task.job);
+	mt_dag_task_t *task = job ? mt_work_task(job, &running->task) : NULL;
+	mt_ms_t now = mt_engine_now(engine);
+
+	if (!task || task->server != backend || task->run != running->run) {
+		mt_orders_stop_stray(engine, backend, &running->task,
+				     running->run);
+		return;
+	}
+	if (task->phase == MT_TASK_PLACED) {
+		task->phase = MT_TASK_RUNNING;
+		task->acked_at = now;
+		job->begun = true;
+		mt_work_update_state(job);
+	}
+	if (task->percent != running->percent) {
+		task->percent = running->percent;
+		task->moved_at = now;
+	}
+	mt_work_save(task, running->checkpoint, now);
+	if (task->stop_wanted || job->state >= MT_DAG__STATE__COMPLETED)
+		mt_orders_stop(engine, task);
+}
+
+static bool is_listed(const mt_backend_answer_t *answer,
+		      const mt_dag_task_t *task)
+{
+	mt_task_key_t key = mt_work_key(task);
+
+	for (size_t i = 0; i < answer->n_running; i++) {
+		const mt_running_t *running = &answer->running[i];
+
+		if (running->run == task->run && running->task.job == key.job &&
+		    running->task.occurrence == key.occurrence &&
+		    running->task.step == key.step &&
+		    running->task.index == key.index)
+			return true;
+	}
+	return false;
+}
+
+/**
+ * True when the server must know the run if it ever began: its start was
+ * confirmed before the hold was sent, or came from an earlier term and can
+ * no longer begin.
+ */
+static bool should_be_listed(const mt_engine_t *engine,
+			     const mt_backend_t *backend,
+			     const mt_dag_task_t *task)
+{
+	if (task->stop_acked_at)
+		return backend->hold_sent_at > task->stop_acked_at;
+	if (task->acked_at)
+		return backend->hold_sent_at > task->acked_at;
+	return task->start_durable && !task->start_in_flight &&
+	       task->placed_at <= engine->led_since;
+}
+
+/** Placed tasks that a server no longer knows are lost. */
+static void drop_missing(mt_engine_t *engine, mt_backend_t *backend,
+			 const mt_backend_answer_t *answer)
+{
+	for (guint i = backend->tasks->len; i-- > 0;) {
+		mt_dag_task_t *task;
+
+		if (i >= backend->tasks->len)
+			continue;
+		task = backend->tasks->pdata[i];
+		if (should_be_listed(engine, backend, task) &&
+		    !is_listed(answer, task))
+			mt_ends_lost(engine, task, "unknown to its server");
+	}
+}
+
+void mt_ends_take(mt_engine_t *engine, mt_backend_t *backend,
+		  const mt_backend_answer_t *answer)
+{
+	for (size_t i = 0; i < answer->n_ended; i++) {
+		if (answer->ended[i].number <= backend->ends_read)
+			continue;
+		on_end(engine, backend, &answer->ended[i]);
+		backend->ends_read = answer->ended[i].number;
+	}
+	for (size_t i = 0; i < answer->n_running; i++)
+		on_running(engine, backend, &answer->running[i]);
+	drop_missing(engine, backend, answer);
+	if (answer->n_ended)
+		mt_engine_wake(engine);
+}
--- /dev/null
+++ b/lib/dag/engine.c
@@ -0,0 +1,536 @@
+/** @file engine.c The scheduler's office, its jobs and what it stores. */
+#include "dag/engine_internal.h"
+
+/** The leader shows itself in the store at least this often. */
+#define BEAT_MS 500u
+
+#define TICK_MS 100u
+
+/**
+ * A former leader may renew leases until it has missed the store for this
+ * long; what it left on a server that does not answer is waited for.
+ */
+#define FORMER_LEADER_MS 4000u
+
+/** Ended jobs are removed from the store at this pace. */
+#define SWEEP_MS 5000u
+#define SWEEP_MAX_JOBS 50u
+
+/** Records that one write makes durable, and what waits for it. */
+typedef struct mt_flush_t {
+	mt_engine_t *engine;
+	GArray *starts; /**< mt_flushed_start_t */
+	GArray *ends;	/**< mt_flushed_end_t */
+} mt_flush_t;
+
+typedef struct mt_flushed_start_t {
+	mt_task_key_t key;
+	uint32_t run;
+} mt_flushed_start_t;
+
+typedef struct mt_flushed_end_t {
+	mt_backend_t *backend;
+	int64_t born_ms;
+	uint64_t number;
+} mt_flushed_end_t;
+
+static void turn(void *ctx);
+static void tick(void *ctx);
+
+mt_ms_t mt_engine_now(const mt_engine_t *engine)
+{
+	return mt_kernel_now(engine->deps.kernel);
+}
+
+mt_dag_job_t *mt_engine_job(const mt_engine_t *engine, uint64_t id)
+{
+	return g_hash_table_lookup(engine->jobs, &id);
+}
+
+bool mt_engine_is_leading(const mt_engine_t *engine)
+{
+	return engine->leading;
+}
+
+void mt_engine_wake(mt_engine_t *engine)
+{
+	if (engine->leading && !engine->turn_timer)
+		engine->turn_timer = mt_timers_after(
+			mt_kernel_timers(engine->deps.kernel), 0, turn, engine);
+}
+
+static void free_flush(gpointer data)
+{
+	mt_flush_t *flush = data;
+
+	g_array_unref(flush->starts);
+	g_array_unref(flush->ends);
+	g_free(flush);
+}
+
+static void free_backend(gpointer data)
+{
+	mt_backend_t *backend = data;
+
+	g_ptr_array_unref(backend->tasks);
+	g_free(backend);
+}
+
+static void free_job(gpointer data)
+{
+	mt_work_job_free(data);
+}
+
+mt_engine_t *mt_engine_new(const mt_engine_deps_t *deps)
+{
+	mt_engine_t *engine = g_new0(mt_engine_t, 1);
+
+	engine->deps = *deps;
+	engine->jobs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					     free_job);
+	engine->backends = g_hash_table_new_full(
+		mt_name_hash, mt_name_key_equal, NULL, free_backend);
+	engine->flushes = g_ptr_array_new_with_free_func(free_flush);
+	return engine;
+}
+
+/* Configuration. */
+
+static void refresh_queue(mt_engine_t *engine, mt_dag_job_t *job)
+{
+	const mt_queue_t *queue =
+		engine->catalog ? mt_catalog_queue(engine->catalog,
+						   job->queue.name.text)
+				: NULL;
+
+	if (!queue)
+		return;
+	job->queue = *queue;
+	job->queue.path_prefix = NULL;
+}
+
+void mt_engine_set_catalog(mt_engine_t *engine, const mt_catalog_t *catalog)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	engine->catalog = catalog;
+	g_hash_table_iter_init(&iter, engine->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		refresh_queue(engine, value);
+	mt_engine_wake(engine);
+}
+
+/* Servers. */
+
+static mt_backend_t *find_backend(mt_engine_t *engine, const mt_name_t *id)
+{
+	mt_backend_t *backend = g_hash_table_lookup(engine->backends, id);
+
+	if (backend)
+		return backend;
+	backend = g_new0(mt_backend_t, 1);
+	backend->info.target.id = *id;
+	backend->tasks = g_ptr_array_new();
+	backend->lapse_at = mt_engine_now(engine) + FORMER_LEADER_MS;
+	mt_backend_note_lease(backend, backend->lapse_at,
+			      engine->deps.bounds.lease_ms);
+	backend->clock_at = mt_engine_now(engine);
+	g_hash_table_insert(engine->backends, &backend->info.target.id,
+			    backend);
+	return backend;
+}
+
+static void on_server(void *ctx, const mt_backend_info_t *info)
+{
+	mt_engine_t *engine = ctx;
+	mt_backend_t *backend = find_backend(engine, &info->target.id);
+
+	backend->info = *info;
+	backend->listed = true;
+	if (!backend->born_ms)
+		backend->born_ms = info->born_ms;
+	else if (info->born_ms && info->born_ms > backend->born_ms)
+		mt_ends_reborn(engine, backend, info->born_ms);
+	mt_orders_hold(engine, backend);
+	mt_engine_wake(engine);
+}
+
+static void on_server_gone(void *ctx, const mt_name_t *id)
+{
+	mt_engine_t *engine = ctx;
+	mt_backend_t *backend = g_hash_table_lookup(engine->backends, id);
+
+	if (!backend)
+		return;
+	backend->listed = false;
+	mt_kernel_event(engine->deps.kernel, "server_unlisted",
+			"\"server\":\"%s\",\"tasks\":%u", id->text,
+			backend->tasks->len);
+	mt_engine_wake(engine);
+}
+
+static mt_backend_t *server_of_placement(void *ctx, const char *id,
+					 int64_t born_ms)
+{
+	mt_engine_t *engine = ctx;
+	mt_name_t name = mt_name(id);
+	mt_backend_t *backend = find_backend(engine, &name);
+
+	backend->born_ms = MAX(backend->born_ms, born_ms);
+	return backend;
+}
+
+/* Jobs. */
+
+void mt_engine_stop_tasks(mt_engine_t *engine, mt_dag_job_t *job)
+{
+	for (uint32_t i = 0; i < job->n_steps; i++) {
+		mt_dag_step_t *step = &job->steps[i];
+
+		for (uint32_t k = 0; k < step->spec->count; k++) {
+			if (step->tasks[k].phase != MT_TASK_DONE)
+				mt_orders_stop(engine, &step->tasks[k]);
+		}
+	}
+	mt_engine_wake(engine);
+}
+
+static void cancel_job(mt_engine_t *engine, mt_dag_job_t *job)
+{
+	if (job->cancelled)
+		return;
+	job->cancelled = true;
+	mt_work_update_state(job);
+	mt_engine_stop_tasks(engine, job);
+}
+
+static void add_job(void *ctx, const mt_table_job_t *entry)
+{
+	mt_engine_t *engine = ctx;
+	mt_dag_job_t *job;
+	mt_str_t value;
+
+	if (!entry->job || mt_engine_job(engine, entry->id))
+		return;
+	value = mt_bytes_view(entry->job);
+	job = mt_work_job_new(mt_dag__job__unpack(NULL, value.len,
+						  (const uint8_t *)value.data),
+			      mt_engine_now(engine));
+	g_hash_table_insert(engine->jobs, &job->id, job);
+	refresh_queue(engine, job);
+	if (entry->progress &&
+	    !mt_work_unpack(job, mt_bytes_view(entry->progress),
+			    server_of_placement, engine, mt_engine_now(engine)))
+		mt_log(engine->deps.kernel, MT_LOG_ERR, "engine",
+		       "progress of job %016" G_GINT64_MODIFIER
+		       "x does not fit its steps",
+		       job->id);
+	if (entry->cancelled)
+		cancel_job(engine, job);
+	mt_engine_wake(engine);
+}
+
+static void on_job_cancelled(void *ctx, const mt_table_job_t *entry)
+{
+	mt_engine_t *engine = ctx;
+	mt_dag_job_t *job = mt_engine_job(engine, entry->id);
+
+	if (job)
+		cancel_job(engine, job);
+}
+
+/* Storing. */
+
+static void after_start(mt_engine_t *engine, const mt_flushed_start_t *start)
+{
+	mt_dag_job_t *job = mt_engine_job(engine, start->key.job);
+	mt_dag_task_t *task = job ? mt_work_task(job, &start->key) : NULL;
+
+	if (!task || task->run != start->run || task->phase != MT_TASK_PLACED ||
+	    !task->server)
+		return;
+	task->start_durable = true;
+	mt_orders_start(engine, task);
+}
+
+static void after_end(mt_engine_t *engine, const mt_flushed_end_t *end)
+{
+	if (end->backend->born_ms != end->born_ms)
+		return;
+	end->backend->ends_stored = MAX(end->backend->ends_stored, end->number);
+	mt_orders_hold(engine, end->backend);
+}
+
+static void on_flushed(void *ctx, mt_store_result_t result)
+{
+	mt_flush_t *flush = ctx;
+	mt_engine_t *engine = flush->engine;
+
+	if (result != MT_STORE_DONE) {
+		/* Another leader holds the office now. */
+		g_ptr_array_remove(engine->flushes, flush);
+		mt_engine_stop(engine);
+		return;
+	}
+	engine->stored_at = mt_engine_now(engine);
+	for (guint i = 0; i < flush->starts->len; i++)
+		after_start(engine, &g_array_index(flush->starts,
+						   mt_flushed_start_t, i));
+	for (guint i = 0; i < flush->ends->len; i++)
+		after_end(engine,
+			  &g_array_index(flush->ends, mt_flushed_end_t, i));
+	g_ptr_array_remove(engine->flushes, flush);
+}
+
+static mt_flush_t *new_flush(mt_engine_t *engine)
+{
+	mt_flush_t *flush = g_new0(mt_flush_t, 1);
+
+	flush->engine = engine;
+	flush->starts = g_array_new(FALSE, FALSE, sizeof(mt_flushed_start_t));
+	flush->ends = g_array_new(FALSE, FALSE, sizeof(mt_flushed_end_t));
+	g_ptr_array_add(engine->flushes, flush);
+	return flush;
+}
+
+static void collect_starts(mt_flush_t *flush, const mt_dag_job_t *job)
+{
+	for (uint32_t i = 0; i < job->n_steps; i++) {
+		const mt_dag_step_t *step = &job->steps[i];
+
+		for (uint32_t k = 0; step->n_placed && k < step->spec->count;
+		     k++) {
+			const mt_dag_task_t *task = &step->tasks[k];
+			mt_flushed_start_t start = {mt_work_key(task),
+						    task->run};
+
+			if (task->phase == MT_TASK_PLACED &&
+			    !task->start_durable)
+				g_array_append_val(flush->starts, start);
+		}
+	}
+}
+
+static void add_progress(mt_engine_t *engine, mt_dag_job_t *job)
+{
+	mt_record_key_t key = mt_record_key(MT_RECORD_PROGRESS, job->id);
+	GBytes *bytes = mt_work_pack(job);
+
+	mt_writer_add(engine->writer, mt_str_from(key.text),
+		      mt_bytes_view(bytes));
+	g_bytes_unref(bytes);
+	job->dirty = false;
+}
+
+static void collect_ends(mt_engine_t *engine, mt_flush_t *flush)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, engine->backends);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		mt_backend_t *backend = value;
+		mt_flushed_end_t end = {backend, backend->born_ms,
+					backend->ends_read};
+
+		if (backend->ends_read > backend->ends_stored)
+			g_array_append_val(flush->ends, end);
+	}
+}
+
+static bool is_over(const mt_dag_job_t *job)
+{
+	return mt_state_is_final(job->state) && !mt_work_n_placed(job);
+}
+
+/** Writes what has changed; jobs that are over are let go. */
+static void flush_changes(mt_engine_t *engine)
+{
+	mt_flush_t *flush = NULL;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, engine->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		mt_dag_job_t *job = value;
+
+		if (job->dirty) {
+			if (!flush)
+				flush = new_flush(engine);
+			collect_starts(flush, job);
+			add_progress(engine, job);
+		}
+		if (is_over(job))
+			g_hash_table_iter_remove(&iter);
+	}
+	if (!flush) {
+		/* Ends that change no job need no record, but ends that a
+		 * write under way covers do. */
+		if (!engine->flushes->len) {
+			flush = new_flush(engine);
+			collect_ends(engine, flush);
+			on_flushed(flush, MT_STORE_DONE);
+		}
+		return;
+	}
+	collect_ends(engine, flush);
+	engine->written_at = mt_engine_now(engine);
+	mt_writer_commit(engine->writer, true, on_flushed, flush);
+}
+
+static void write_leader(mt_engine_t *engine, bool released, mt_writer_cb cb,
+			 void *ctx)
+{
+	MtDag__Leader leader = MT_DAG__LEADER__INIT;
+	mt_record_key_t key = mt_record_key(MT_RECORD_LEADER, 0);
+	GBytes *bytes;
+
+	leader.host = engine->deps.host.text;
+	leader.incarnation = engine->deps.incarnation.text;
+	leader.term = engine->term;
+	leader.released = released;
+	bytes = mt_record_pack(&leader.base);
+	mt_writer_add(engine->writer, mt_str_from(key.text),
+		      mt_bytes_view(bytes));
+	g_bytes_unref(bytes);
+	engine->written_at = mt_engine_now(engine);
+	mt_writer_commit(engine->writer, true, cb, ctx);
+}
+
+static void on_beat(void *ctx, mt_store_result_t result)
+{
+	mt_engine_t *engine = ctx;
+
+	if (result != MT_STORE_DONE)
+		mt_engine_stop(engine);
+	else
+		engine->stored_at = mt_engine_now(engine);
+}
+
+static void beat(mt_engine_t *engine)
+{
+	if (mt_engine_now(engine) - engine->written_at >= BEAT_MS &&
+	    !mt_writer_pending(engine->writer))
+		write_leader(engine, false, on_beat, engine);
+}
+
+/* Turns and ticks. */
+
+static void turn(void *ctx)
+{
+	mt_engine_t *engine = ctx;
+
+	engine->turn_timer = 0;
+	if (!engine->leading)
+		return;
+	mt_planner_run(engine);
+	flush_changes(engine);
+}
+
+static void tick(void *ctx)
+{
+	mt_engine_t *engine = ctx;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!engine->leading)
+		return;
+	g_hash_table_iter_init(&iter, engine->backends);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		mt_orders_tick(engine, value);
+	beat(engine);
+	mt_engine_wake(engine);
+}
+
+/* Office. */
+
+void mt_engine_lead(mt_engine_t *engine, uint64_t term)
+{
+	mt_table_watcher_t on_jobs = {engine, add_job, on_job_cancelled};
+	mt_directory_watcher_t on_servers = {engine, on_server, on_server_gone};
+	mt_writer_deps_t writer = {engine->deps.kernel,
+				   engine->deps.store,
+				   MT_RECORDS_TOPIC,
+				   MT_SCHEDULER_PRODUCER,
+				   term,
+				   1};
+
+	mt_engine_stop(engine);
+	engine->leading = true;
+	engine->generation++;
+	engine->term = term;
+	engine->led_since = mt_engine_now(engine);
+	engine->stored_at = engine->led_since;
+	engine->written_at = engine->led_since;
+	engine->writer = mt_writer_new(&writer);
+	mt_table_each(engine->deps.table, add_job, engine);
+	mt_table_watch(engine->deps.table, &on_jobs);
+	mt_directory_open(engine->deps.directory, &on_servers);
+	engine->tick_timer = mt_timers_every(
+		mt_kernel_timers(engine->deps.kernel), TICK_MS, tick, engine);
+	mt_kernel_event(engine->deps.kernel, "office_won",
+			"\"term\":%" G_GUINT64_FORMAT ",\"jobs\":%u", term,
+			g_hash_table_size(engine->jobs));
+}
+
+void mt_engine_stop(mt_engine_t *engine)
+{
+	mt_timers_t *timers = mt_kernel_timers(engine->deps.kernel);
+
+	if (!engine->leading)
+		return;
+	mt_kernel_event(engine->deps.kernel, "office_left",
+			"\"term\":%" G_GUINT64_FORMAT, engine->term);
+	engine->leading = false;
+	engine->generation++;
+	mt_timers_cancel(timers, engine->turn_timer);
+	mt_timers_cancel(timers, engine->tick_timer);
+	engine->turn_timer = 0;
+	mt_table_watch(engine->deps.table, NULL);
+	mt_directory_close(engine->deps.directory);
+	mt_writer_close(engine->writer);
+	engine->writer = NULL;
+	g_ptr_array_set_size(engine->flushes, 0);
+	g_hash_table_remove_all(engine->jobs);
+	g_hash_table_remove_all(engine->backends);
+}
+
+typedef struct mt_release_t {
+	mt_engine_t *engine;
+	mt_timer_cb cb;
+	void *ctx;
+} mt_release_t;
+
+static void on_released(void *ctx, mt_store_result_t result)
+{
+	mt_release_t *release = ctx;
+
+	mt_kernel_event(release->engine->deps.kernel, "office_released",
+			"\"result\":%d", result);
+	mt_engine_stop(release->engine);
+	release->cb(release->ctx);
+	g_free(release);
+}
+
+void mt_engine_release(mt_engine_t *engine, mt_timer_cb cb, void *ctx)
+{
+	mt_release_t *release;
+
+	if (!engine->leading)
+		return;
+	release = g_new0(mt_release_t, 1);
+	release->engine = engine;
+	release->cb = cb;
+	release->ctx = ctx;
+	write_leader(engine, true, on_released, release);
+}
+
+char *mt_engine_summary(const mt_engine_t *engine)
+{
+	return g_strdup_printf("{\"leading\":%s,\"term\":%" G_GUINT64_FORMAT
+			       ",\"jobs\":%u,\"servers\":%u}\n",
+			       engine->leading ? "true" : "false", engine->term,
+			       g_hash_table_size(engine->jobs),
+			       g_hash_table_size(engine->backends));
+}
--- /dev/null
+++ b/lib/dag/engine_internal.h
@@ -0,0 +1,77 @@
+/**
+ * @file engine_internal.h
+ * Shared by the files of the scheduler: engine.c (office, jobs, storing),
+ * orders.c (commands to servers), ends.c (what servers report) and planner.c
+ * (view for the plan). Calls go engine -> planner -> orders -> ends.
+ */
+#ifndef MT_DAG_ENGINE_INTERNAL_H
+#define MT_DAG_ENGINE_INTERNAL_H
+
+#include "dag/engine.h"
+#include "dag/follower.h"
+#include "dag/work.h"
+#include "dag/writer.h"
+
+struct mt_engine_t {
+	mt_engine_deps_t deps;
+	const mt_catalog_t *catalog;
+	bool leading;
+	uint64_t term;
+	unsigned generation; /**< rises with each gain and loss of the office */
+	mt_ms_t led_since;
+	mt_writer_t *writer;
+	GHashTable *jobs;     /**< id to mt_dag_job_t */
+	GHashTable *backends; /**< id to mt_backend_t */
+	GPtrArray *flushes;   /**< mt_flush_t under way */
+	uint64_t turn_timer;
+	uint64_t tick_timer;
+	mt_ms_t stored_at;  /**< when the last write was acknowledged */
+	mt_ms_t written_at; /**< when the last write was handed in */
+};
+
+/** Has the scheduler look at everything again, soon. */
+void mt_engine_wake(mt_engine_t *engine);
+
+mt_dag_job_t *mt_engine_job(const mt_engine_t *engine, uint64_t id);
+mt_ms_t mt_engine_now(const mt_engine_t *engine);
+
+/** Stops all tasks of a job that has reached a final state. */
+void mt_engine_stop_tasks(mt_engine_t *engine, mt_dag_job_t *job);
+
+/* planner.c */
+
+/** Places what can start and marks what has to stop for it. */
+void mt_planner_run(mt_engine_t *engine);
+
+/* orders.c */
+
+/** Sends the start of a task whose placement is stored. */
+void mt_orders_start(mt_engine_t *engine, mt_dag_task_t *task);
+
+/** Has a placed or running task stopped; repeated until it is gone. */
+void mt_orders_stop(mt_engine_t *engine, mt_dag_task_t *task);
+
+/** Sends the next hold if the server needs one and none is under way. */
+void mt_orders_hold(mt_engine_t *engine, mt_backend_t *backend);
+
+/** Once per tick: leases that are over, orders to repeat. */
+void mt_orders_tick(mt_engine_t *engine, mt_backend_t *backend);
+
+/** Stops a run that belongs to no task any more. */
+void mt_orders_stop_stray(mt_engine_t *engine, mt_backend_t *backend,
+			  const mt_task_key_t *key, uint32_t run);
+
+/* ends.c */
+
+/** Takes the lists of an answered hold. */
+void mt_ends_take(mt_engine_t *engine, mt_backend_t *backend,
+		  const mt_backend_answer_t *answer);
+
+/** A run is over without a result that counts. */
+void mt_ends_lost(mt_engine_t *engine, mt_dag_task_t *task, const char *why);
+
+/** The server has begun a new lifetime: nothing of before runs there. */
+void mt_ends_reborn(mt_engine_t *engine, mt_backend_t *backend,
+		    int64_t born_ms);
+
+#endif
--- /dev/null
+++ b/lib/dag/follower.c
@@ -0,0 +1,239 @@
+/** @file follower.c Follows one topic of the store. */
+#include "dag/follower.h"
+
+#include <string.h>
+
+#define RETRY_MIN_MS 50u
+#define RETRY_MAX_MS 400u
+
+struct mt_follower_t {
+	mt_kernel_t *kernel;
+	const mt_store_port_t *store;
+	char *topic;
+	mt_ms_t wait_ms;
+	mt_follower_handler_t handler;
+	bool synced;
+	bool stopped;
+	bool have_answer;
+	uint64_t next;
+	uint64_t snapshot_end; /**< end of the topic at the first page */
+	char *snapshot_key;    /**< last key of the pages read; NULL: none */
+	mt_ms_t sent_at;
+	mt_ms_t fresh_at;
+	mt_ms_t round_trip;
+	mt_ms_t retry_ms;
+};
+
+typedef struct mt_sync_t {
+	mt_follower_t *follower;
+	mt_ms_t sent_at;
+	mt_follower_sync_cb cb;
+	void *ctx;
+} mt_sync_t;
+
+static void read_on(void *ctx);
+static void read_snapshot(void *ctx);
+
+mt_follower_t *mt_follower_new(mt_kernel_t *kernel,
+			       const mt_store_port_t *store, const char *topic,
+			       mt_ms_t wait_ms,
+			       const mt_follower_handler_t *handler)
+{
+	mt_follower_t *follower = g_new0(mt_follower_t, 1);
+
+	follower->kernel = kernel;
+	follower->store = store;
+	follower->topic = g_strdup(topic);
+	follower->wait_ms = wait_ms;
+	follower->handler = *handler;
+	follower->round_trip = MT_NEVER_MS;
+	follower->retry_ms = RETRY_MIN_MS;
+	read_snapshot(follower);
+	return follower;
+}
+
+static void note_answer(mt_follower_t *follower, mt_ms_t sent_at)
+{
+	follower->have_answer = true;
+	follower->fresh_at = MAX(follower->fresh_at, sent_at);
+	follower->retry_ms = RETRY_MIN_MS;
+}
+
+static void retry(mt_follower_t *follower, mt_timer_cb cb)
+{
+	mt_timers_after(mt_kernel_timers(follower->kernel),
+			mt_kernel_jitter(follower->kernel, follower->retry_ms),
+			cb, follower);
+	follower->retry_ms = MIN(follower->retry_ms * 2, RETRY_MAX_MS);
+}
+
+/** Hands over records that were not seen before. */
+static void apply(mt_follower_t *follower, const mt_store_page_t *page)
+{
+	for (size_t i = 0; i < page->count; i++) {
+		if (page->records[i].offset < follower->next)
+			continue;
+		follower->next = page->records[i].offset + 1;
+		follower->handler.on_record(follower->handler.ctx,
+					    &page->records[i]);
+	}
+	if (follower->handler.on_page)
+		follower->handler.on_page(follower->handler.ctx);
+}
+
+static void on_read(void *ctx, const mt_store_page_t *page)
+{
+	mt_follower_t *follower = ctx;
+
+	if (follower->stopped)
+		return;
+	if (page->result == MT_STORE_DONE) {
+		note_answer(follower, follower->sent_at);
+		apply(follower, page);
+		read_on(follower);
+		return;
+	}
+	if (page->result == MT_STORE_TRIMMED) {
+		mt_log(follower->kernel, MT_LOG_NOTICE, "follower",
+		       "%s: history was dropped, reading the newest records",
+		       follower->topic);
+		follower->synced = false;
+		read_snapshot(follower);
+		return;
+	}
+	retry(follower, read_on);
+}
+
+static void read_on(void *ctx)
+{
+	mt_follower_t *follower = ctx;
+
+	if (follower->stopped)
+		return;
+	follower->sent_at = mt_kernel_now(follower->kernel);
+	follower->store->read(follower->store->self, follower->topic,
+			      follower->next, follower->wait_ms, on_read,
+			      follower);
+}
+
+static void end_snapshot(mt_follower_t *follower)
+{
+	g_clear_pointer(&follower->snapshot_key, g_free);
+	follower->synced = true;
+	/* Records after the first page come again by reading on. */
+	follower->next = follower->snapshot_end;
+	if (follower->handler.on_snapshot)
+		follower->handler.on_snapshot(follower->handler.ctx, false);
+	if (follower->handler.on_page)
+		follower->handler.on_page(follower->handler.ctx);
+	read_on(follower);
+}
+
+static void begin_snapshot(mt_follower_t *follower, const mt_store_page_t *page)
+{
+	follower->snapshot_end = page->end;
+	if (follower->handler.on_snapshot)
+		follower->handler.on_snapshot(follower->handler.ctx, true);
+}
+
+static void on_newest(void *ctx, const mt_store_page_t *page)
+{
+	mt_follower_t *follower = ctx;
+	mt_ms_t now = mt_kernel_now(follower->kernel);
+
+	if (follower->stopped)
+		return;
+	if (page->result != MT_STORE_DONE) {
+		retry(follower, read_snapshot);
+		return;
+	}
+	note_answer(follower, follower->sent_at);
+	follower->round_trip =
+		MIN(follower->round_trip, now - follower->sent_at);
+	if (!follower->snapshot_key)
+		begin_snapshot(follower, page);
+	for (size_t i = 0; i < page->count; i++)
+		follower->handler.on_record(follower->handler.ctx,
+					    &page->records[i]);
+	if (!page->more || !page->count) {
+		end_snapshot(follower);
+		return;
+	}
+	g_free(follower->snapshot_key);
+	follower->snapshot_key =
+		g_strndup(page->records[page->count - 1].key.data,
+			  page->records[page->count - 1].key.len);
+	read_snapshot(follower);
+}
+
+static void read_snapshot(void *ctx)
+{
+	mt_follower_t *follower = ctx;
+
+	if (follower->stopped)
+		return;
+	follower->sent_at = mt_kernel_now(follower->kernel);
+	follower->store->newest(follower->store->self, follower->topic,
+				mt_str_from(follower->snapshot_key), on_newest,
+				follower);
+}
+
+static void on_sync(void *ctx, const mt_store_page_t *page)
+{
+	mt_sync_t *sync = ctx;
+	mt_follower_t *follower = sync->follower;
+	bool current = page->result == MT_STORE_DONE && !follower->stopped &&
+		       follower->synced;
+
+	if (current) {
+		note_answer(follower, sync->sent_at);
+		apply(follower, page);
+	}
+	sync->cb(sync->ctx, current);
+	g_free(sync);
+}
+
+void mt_follower_sync(mt_follower_t *follower, mt_follower_sync_cb cb,
+		      void *ctx)
+{
+	mt_sync_t *sync = g_new0(mt_sync_t, 1);
+
+	sync->follower = follower;
+	sync->sent_at = mt_kernel_now(follower->kernel);
+	sync->cb = cb;
+	sync->ctx = ctx;
+	follower->store->read(follower->store->self, follower->topic,
+			      follower->next, 0, on_sync, sync);
+}
+
+bool mt_follower_is_synced(const mt_follower_t *follower)
+{
+	return follower->synced;
+}
+
+uint64_t mt_follower_next(const mt_follower_t *follower)
+{
+	return follower->next;
+}
+
+mt_ms_t mt_follower_fresh_at(const mt_follower_t *follower)
+{
+	return follower->fresh_at;
+}
+
+mt_ms_t mt_follower_age(const mt_follower_t *follower)
+{
+	if (!follower->have_answer)
+		return MT_NEVER_MS;
+	return mt_kernel_now(follower->kernel) - follower->fresh_at;
+}
+
+mt_ms_t mt_follower_round_trip(const mt_follower_t *follower)
+{
+	return follower->round_trip;
+}
+
+void mt_follower_stop(mt_follower_t *follower)
+{
+	follower->stopped = true;
+}
--- /dev/null
+++ b/lib/dag/front.c
@@ -0,0 +1,335 @@
+/** @file front.c Serves callers. */
+#include "dag/front.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/** A caller that does not say how long it waits is answered by then. */
+#define TIMEOUT_DEFAULT_MS 3000u
+
+/** A reply leaves this long before the caller's timeout. */
+#define REPLY_MARGIN_MS 200u
+
+/** This host is not offered to callers when its records are older. */
+#define READY_AGE_MAX_MS 2500u
+
+/** A store that has not taken a write for so long refuses new ones. */
+#define WRITE_STALL_MS 800u
+
+#define RETRY_AFTER_S 1u
+
+struct mt_dag_front_t {
+	mt_dag_front_deps_t deps;
+	const mt_catalog_t *catalog;
+	unsigned open;
+};
+
+/** One call whose reply is due. */
+typedef struct mt_front_op_t {
+	mt_dag_front_t *front;
+	mt_front_cb cb; /**< NULL once replied */
+	void *ctx;
+	uint64_t timer;
+	uint64_t job;
+	mt_verb_t verb;
+	mt_ms_t since;
+} mt_front_op_t;
+
+mt_dag_front_t *mt_dag_front_new(const mt_dag_front_deps_t *deps)
+{
+	mt_dag_front_t *front = g_new0(mt_dag_front_t, 1);
+
+	front->deps = *deps;
+	return front;
+}
+
+void mt_dag_front_set_catalog(mt_dag_front_t *front,
+			      const mt_catalog_t *catalog)
+{
+	front->catalog = catalog;
+}
+
+unsigned mt_dag_front_open(const mt_dag_front_t *front)
+{
+	return front->open;
+}
+
+static bool is_current(const mt_dag_front_t *front, mt_ms_t age_max)
+{
+	return front->catalog && mt_follower_is_synced(front->deps.records) &&
+	       mt_follower_age(front->deps.config) <= age_max;
+}
+
+bool mt_dag_front_is_ready(const mt_dag_front_t *front)
+{
+	return is_current(front, READY_AGE_MAX_MS) &&
+	       mt_follower_age(front->deps.records) <= READY_AGE_MAX_MS;
+}
+
+static void reply_now(mt_front_cb cb, void *ctx, mt_outcome_t outcome)
+{
+	mt_front_reply_t reply = {outcome, MT_DAG__STATE__QUEUED, 0,
+				  RETRY_AFTER_S};
+
+	cb(ctx, &reply);
+}
+
+/* Calls that wait for the store. */
+
+static void reply_op(mt_front_op_t *op, mt_outcome_t outcome)
+{
+	mt_front_cb cb = op->cb;
+	mt_kernel_t *kernel = op->front->deps.kernel;
+
+	if (!cb)
+		return;
+	op->cb = NULL;
+	op->front->open--;
+	mt_timers_cancel(mt_kernel_timers(kernel), op->timer);
+	op->timer = 0;
+	mt_kernel_event(kernel, "call_answered",
+			"\"job\":\"%016" G_GINT64_MODIFIER
+			"x\",\"verb\":%d,\"outcome\":%d,\"took_ms\":%u,"
+			"\"config_version\":%" G_GUINT64_FORMAT
+			",\"config_age_ms\":%u",
+			op->job, op->verb, outcome,
+			(unsigned)(mt_kernel_now(kernel) - op->since),
+			op->front->catalog ? op->front->catalog->version : 0,
+			(unsigned)mt_follower_age(op->front->deps.config));
+	reply_now(cb, op->ctx, outcome);
+}
+
+static void on_op_timeout(void *ctx)
+{
+	mt_front_op_t *op = ctx;
+
+	op->timer = 0;
+	reply_op(op, MT_OUTCOME_UNKNOWN);
+}
+
+static mt_front_op_t *new_op(mt_dag_front_t *front, const mt_front_call_t *call,
+			     uint64_t job, mt_front_cb cb, void *ctx)
+{
+	mt_front_op_t *op = g_new0(mt_front_op_t, 1);
+	mt_ms_t timeout =
+		call->timeout_ms ? call->timeout_ms : TIMEOUT_DEFAULT_MS;
+
+	op->front = front;
+	op->cb = cb;
+	op->ctx = ctx;
+	op->job = job;
+	op->verb = call->verb;
+	op->since = mt_kernel_now(front->deps.kernel);
+	timeout = timeout > 2 * REPLY_MARGIN_MS ? timeout - REPLY_MARGIN_MS
+						: timeout / 2;
+	op->timer = mt_timers_after(mt_kernel_timers(front->deps.kernel),
+				    timeout, on_op_timeout, op);
+	front->open++;
+	return op;
+}
+
+/** The write's outcome is known; the op ends whether replied or not. */
+static void on_written(void *ctx, mt_store_result_t result)
+{
+	mt_front_op_t *op = ctx;
+
+	if (result == MT_STORE_DONE)
+		reply_op(op, op->verb == MT_VERB_SUBMIT ? MT_OUTCOME_ACCEPTED
+							: MT_OUTCOME_CANCELLED);
+	else if (result == MT_STORE_REFUSED)
+		reply_op(op, MT_OUTCOME_NOT_DONE);
+	else
+		reply_op(op, MT_OUTCOME_UNKNOWN);
+	g_free(op);
+}
+
+static void write_job(mt_dag_front_t *front, MtDag__Job *job, mt_front_op_t *op)
+{
+	mt_record_key_t key = mt_record_key(MT_RECORD_JOB, job->id);
+	GBytes *bytes = mt_record_pack(&job->base);
+
+	mt_writer_add(front->deps.writer, mt_str_from(key.text),
+		      mt_bytes_view(bytes));
+	g_bytes_unref(bytes);
+	mt_writer_commit(front->deps.writer, false, on_written, op);
+}
+
+static void write_cancel(mt_dag_front_t *front, uint64_t id, mt_front_op_t *op)
+{
+	mt_record_key_t key = mt_record_key(MT_RECORD_CANCEL, id);
+
+	mt_writer_add(front->deps.writer, mt_str_from(key.text), MT_STR("1"));
+	mt_writer_commit(front->deps.writer, false, on_written, op);
+}
+
+/* Submissions. */
+
+static void set_text(char **field, const char *text)
+{
+	if (*field != protobuf_c_empty_string)
+		free(*field);
+	*field = strdup(text);
+}
+
+static void describe(MtDag__Job *job, uint64_t id, const mt_queue_t *queue,
+		     const mt_client_account_t *account)
+{
+	job->id = id;
+	set_text(&job->queue, queue->name.text);
+	set_text(&job->service, queue->service.text);
+	set_text(&job->account, account ? account->name.text : "");
+	job->priority = queue->priority;
+	job->attempts_max = queue->attempts_max;
+	job->slack_permille = (uint32_t)(queue->slack_factor * 1000);
+	job->target_ms = queue->target_ms;
+}
+
+static void submit(mt_dag_front_t *front, const mt_front_call_t *call,
+		   uint64_t id, const mt_queue_t *queue,
+		   const mt_client_account_t *account, mt_front_cb cb,
+		   void *ctx)
+{
+	MtDag__Job *job;
+
+	if (mt_table_find(front->deps.table, id)) {
+		reply_now(cb, ctx, MT_OUTCOME_ACCEPTED);
+		return;
+	}
+	if (mt_writer_stalled_ms(front->deps.writer) > WRITE_STALL_MS) {
+		reply_now(cb, ctx, MT_OUTCOME_NOT_DONE);
+		return;
+	}
+	job = front->deps.decode_job(call->body);
+	if (!job) {
+		reply_now(cb, ctx, MT_OUTCOME_BAD_REQUEST);
+		return;
+	}
+	describe(job, id, queue, account);
+	write_job(front, job, new_op(front, call, id, cb, ctx));
+	mt_dag__job__free_unpacked(job, NULL);
+}
+
+/* Looks and cancellations. */
+
+static void show_job(const mt_table_job_t *job, mt_front_cb cb, void *ctx)
+{
+	mt_front_reply_t reply = {MT_OUTCOME_STATE, mt_table_state(job), 0, 0};
+
+	cb(ctx, &reply);
+}
+
+/** Ends the op with what the table says of its job. */
+static void finish_known(mt_front_op_t *op, const mt_table_job_t *job)
+{
+	mt_front_cb cb = op->cb;
+	bool is_final = mt_state_is_final(mt_table_state(job));
+
+	if (op->verb == MT_VERB_CANCEL && cb && !is_final) {
+		write_cancel(op->front, op->job, op);
+		return;
+	}
+	if (op->verb == MT_VERB_CANCEL) {
+		reply_op(op, MT_OUTCOME_CANCELLED);
+	} else if (cb) {
+		op->cb = NULL;
+		op->front->open--;
+		mt_timers_cancel(mt_kernel_timers(op->front->deps.kernel),
+				 op->timer);
+		show_job(job, cb, op->ctx);
+	}
+	g_free(op);
+}
+
+static void on_synced(void *ctx, bool current)
+{
+	mt_front_op_t *op = ctx;
+	const mt_table_job_t *job =
+		mt_table_find(op->front->deps.table, op->job);
+
+	if (job) {
+		finish_known(op, job);
+		return;
+	}
+	reply_op(op, current ? MT_OUTCOME_NO_JOB : MT_OUTCOME_NOT_DONE);
+	g_free(op);
+}
+
+static void look_up(mt_dag_front_t *front, const mt_front_call_t *call,
+		    uint64_t id, mt_front_cb cb, void *ctx)
+{
+	const mt_table_job_t *job = mt_table_find(front->deps.table, id);
+	mt_front_op_t *op;
+
+	if (job && call->verb == MT_VERB_SHOW) {
+		show_job(job, cb, ctx);
+		return;
+	}
+	op = new_op(front, call, id, cb, ctx);
+	if (job)
+		finish_known(op, job);
+	else
+		mt_follower_sync(front->deps.records, on_synced, op);
+}
+
+static void show_queue(const mt_dag_front_t *front, const mt_queue_t *queue,
+		       mt_front_cb cb, void *ctx)
+{
+	mt_front_reply_t reply = {MT_OUTCOME_PENDING, MT_DAG__STATE__QUEUED, 0,
+				  0};
+
+	reply.pending = mt_table_pending(front->deps.table, &queue->name);
+	cb(ctx, &reply);
+}
+
+/* Every call. */
+
+static void refuse(mt_dag_front_t *front, const char *reason,
+		   mt_outcome_t outcome, mt_front_cb cb, void *ctx)
+{
+	mt_kernel_event(
+		front->deps.kernel, "call_refused",
+		"\"reason\":\"%s\",\"config_version\":%" G_GUINT64_FORMAT
+		",\"config_age_ms\":%" G_GINT64_FORMAT,
+		reason, front->catalog ? front->catalog->version : 0,
+		(gint64)mt_follower_age(front->deps.config));
+	reply_now(cb, ctx, outcome);
+}
+
+void mt_dag_front_call(mt_dag_front_t *front, const mt_front_call_t *call,
+		       mt_front_cb cb, void *ctx)
+{
+	const mt_client_account_t *account;
+	const mt_queue_t *queue;
+	mt_str_t rest;
+	uint64_t id;
+
+	if (!is_current(front, front->deps.key_age_max_ms)) {
+		refuse(front, "configuration is not current",
+		       MT_OUTCOME_NOT_DONE, cb, ctx);
+		return;
+	}
+	queue = mt_catalog_route(front->catalog, call->host, call->path);
+	if (!queue) {
+		refuse(front, "no queue", MT_OUTCOME_NO_QUEUE, cb, ctx);
+		return;
+	}
+	account = mt_catalog_account_of_key(front->catalog, call->key);
+	if (!account && !queue->needs_no_key) {
+		refuse(front, "unknown key", MT_OUTCOME_BAD_KEY, cb, ctx);
+		return;
+	}
+	rest = (mt_str_t){call->path.data + strlen(queue->path_prefix),
+			  call->path.len - strlen(queue->path_prefix)};
+	if (!rest.len && call->verb == MT_VERB_SHOW)
+		show_queue(front, queue, cb, ctx);
+	else if (call->verb == MT_VERB_OTHER || !rest.len)
+		reply_now(cb, ctx, MT_OUTCOME_BAD_METHOD);
+	else if (!mt_job_id_from(rest, &id))
+		reply_now(cb, ctx,
+			  call->verb == MT_VERB_SUBMIT ? MT_OUTCOME_BAD_REQUEST
+						       : MT_OUTCOME_NO_JOB);
+	else if (call->verb == MT_VERB_SUBMIT)
+		submit(front, call, id, queue, account, cb, ctx);
+	else
+		look_up(front, call, id, cb, ctx);
+}
--- /dev/null
+++ b/lib/dag/host.c
@@ -0,0 +1,299 @@
+/** @file host.c One entry host. */
+#include "dag/host.h"
+
+#include <string.h>
+
+#include "dag/election.h"
+
+#define RECORDS_WAIT_MS 1000u
+#define CONFIG_WAIT_MS 1000u
+#define ELECTION_TICK_MS 50u
+
+/** A claim whose answer is lost is settled by reading on. */
+#define CLAIM_TIMEOUT_MS 1000u
+
+/** Hosts far from the store wait longer: round trips, and a part by chance. */
+#define RANK_ROUND_TRIPS 8u
+#define RANK_RANDOM_MS 60
+
+struct mt_dag_host_t {
+	mt_dag_host_deps_t deps;
+	mt_follower_t *records;
+	mt_follower_t *config;
+	mt_table_t *table;
+	mt_writer_t *writer;
+	mt_directory_t *directory;
+	mt_engine_t *engine;
+	mt_dag_front_t *front;
+	mt_catalog_t *catalog;
+	mt_election_t election;
+	bool claiming;
+	bool draining;
+	bool released;
+	bool config_lost; /**< the store was last seen not to answer */
+};
+
+static mt_ms_t now_of(const mt_dag_host_t *host)
+{
+	return mt_kernel_now(host->deps.kernel);
+}
+
+/* Configuration. */
+
+static void on_config(void *ctx, const mt_store_record_t *record)
+{
+	mt_dag_host_t *host = ctx;
+	mt_catalog_t *catalog;
+
+	if (!mt_str_equal(record->key, mt_str_from(host->deps.config.key)))
+		return;
+	catalog = host->deps.config.decode(record->value);
+	if (!catalog) {
+		mt_log(host->deps.kernel, MT_LOG_ERR, "host",
+		       "the configuration cannot be decoded");
+		return;
+	}
+	if (host->catalog && catalog->version <= host->catalog->version) {
+		mt_catalog_free(catalog);
+		return;
+	}
+	mt_kernel_event(host->deps.kernel, "config_applied",
+			"\"version\":%" G_GUINT64_FORMAT
+			",\"queues\":%u,\"accounts\":%u",
+			catalog->version, catalog->queues->len,
+			catalog->accounts->len);
+	mt_dag_front_set_catalog(host->front, catalog);
+	mt_engine_set_catalog(host->engine, catalog);
+	mt_catalog_free(host->catalog);
+	host->catalog = catalog;
+}
+
+/* Records and office. */
+
+static void on_leader_record(mt_dag_host_t *host, mt_str_t value)
+{
+	MtDag__Leader *leader = mt_dag__leader__unpack(
+		NULL, value.len, (const uint8_t *)value.data);
+
+	if (!leader) {
+		mt_log(host->deps.kernel, MT_LOG_ERR, "host",
+		       "a leader record cannot be decoded");
+		return;
+	}
+	mt_election_on_leader(&host->election, leader, now_of(host));
+	mt_dag__leader__free_unpacked(leader, NULL);
+}
+
+static void on_record(void *ctx, const mt_store_record_t *record)
+{
+	mt_dag_host_t *host = ctx;
+	mt_record_kind_t kind;
+	uint64_t job;
+
+	if (!mt_record_parse_key(record->key, &kind, &job))
+		return;
+	if (kind == MT_RECORD_LEADER)
+		on_leader_record(host, record->value);
+	else
+		mt_table_apply(host->table, record);
+	if (kind == MT_RECORD_PROGRESS)
+		mt_election_on_sign(&host->election, now_of(host));
+}
+
+/** Follows what the records say of the office. */
+static void on_page(void *ctx)
+{
+	mt_dag_host_t *host = ctx;
+	bool leads = mt_election_is_leader(&host->election);
+
+	mt_election_on_read(&host->election, now_of(host));
+	if (host->engine && mt_engine_is_leading(host->engine) && !leads)
+		mt_engine_stop(host->engine);
+	else if (host->engine && leads && !host->draining &&
+		 !mt_engine_is_leading(host->engine))
+		mt_engine_lead(host->engine, host->election.term);
+}
+
+static void on_claimed(void *ctx, mt_store_result_t result, uint64_t offset)
+{
+	mt_dag_host_t *host = ctx;
+
+	host->claiming = false;
+	mt_kernel_event(host->deps.kernel, "office_claimed",
+			"\"result\":%d,\"offset\":%" G_GUINT64_FORMAT, result,
+			offset);
+	if (result != MT_STORE_DONE)
+		mt_election_back_off(&host->election, now_of(host));
+}
+
+/**
+ * Claims the office by a record that counts only right after the last one
+ * that this host has read; its offset becomes the term.
+ */
+static void claim(mt_dag_host_t *host)
+{
+	MtDag__Leader leader = MT_DAG__LEADER__INIT;
+	mt_record_key_t key = mt_record_key(MT_RECORD_LEADER, 0);
+	mt_store_record_t record = {mt_str_from(key.text), {0}, 0};
+	mt_store_append_t append = {0};
+	GBytes *bytes;
+
+	leader.host = host->deps.host.text;
+	leader.incarnation = host->deps.incarnation.text;
+	/* Offset 0 would be no term; the epoch must rise above none. */
+	leader.term = mt_follower_next(host->records) + 1;
+	bytes = mt_record_pack(&leader.base);
+	record.value = mt_bytes_view(bytes);
+	append.topic = MT_RECORDS_TOPIC;
+	append.records = &record;
+	append.count = 1;
+	append.at = mt_follower_next(host->records);
+	append.producer = MT_SCHEDULER_PRODUCER;
+	append.epoch = leader.term;
+	append.sequence = 0;
+	append.timeout_ms = CLAIM_TIMEOUT_MS;
+	host->claiming = true;
+	host->deps.store->append(host->deps.store->self, &append, on_claimed,
+				 host);
+	g_bytes_unref(bytes);
+}
+
+static void watch_store(mt_dag_host_t *host)
+{
+	mt_ms_t age = mt_follower_age(host->config);
+	bool lost = age > host->deps.key_age_max_ms;
+
+	if (lost == host->config_lost)
+		return;
+	host->config_lost = lost;
+	mt_kernel_event(host->deps.kernel, lost ? "store_lost" : "store_back",
+			"\"age_ms\":%" G_GINT64_FORMAT, (gint64)age);
+}
+
+static void on_election_tick(void *ctx)
+{
+	mt_dag_host_t *host = ctx;
+	mt_ms_t round_trip = mt_follower_round_trip(host->records);
+
+	watch_store(host);
+	if (host->claiming || host->draining || !host->catalog ||
+	    !mt_follower_is_synced(host->records))
+		return;
+	if (!host->election.rank_ms)
+		host->election.rank_ms =
+			RANK_ROUND_TRIPS * round_trip +
+			(mt_ms_t)g_rand_int_range(
+				mt_kernel_rand(host->deps.kernel), 0,
+				RANK_RANDOM_MS);
+	if (mt_election_should_claim(&host->election, now_of(host)))
+		claim(host);
+}
+
+static mt_ms_t records_age(void *ctx)
+{
+	mt_dag_host_t *host = ctx;
+
+	return mt_follower_age(host->records);
+}
+
+/* Wiring. */
+
+static void make_writer(mt_dag_host_t *host)
+{
+	mt_writer_deps_t deps = {host->deps.kernel,
+				 host->deps.store,
+				 MT_RECORDS_TOPIC,
+				 host->deps.incarnation.text,
+				 1,
+				 0};
+
+	host->writer = mt_writer_new(&deps);
+}
+
+static void make_engine(mt_dag_host_t *host)
+{
+	mt_engine_deps_t deps = {0};
+
+	deps.kernel = host->deps.kernel;
+	deps.store = host->deps.store;
+	deps.backends = host->deps.backends;
+	deps.table = host->table;
+	deps.directory = host->directory;
+	deps.host = host->deps.host;
+	deps.incarnation = host->deps.incarnation;
+	deps.bounds = host->deps.bounds;
+	deps.wall_ms = host->deps.wall_ms;
+	deps.store_age_ms = records_age;
+	deps.store_age_ctx = host;
+	host->engine = mt_engine_new(&deps);
+}
+
+static void make_front(mt_dag_host_t *host)
+{
+	mt_dag_front_deps_t deps = {0};
+
+	deps.kernel = host->deps.kernel;
+	deps.table = host->table;
+	deps.writer = host->writer;
+	deps.records = host->records;
+	deps.config = host->config;
+	deps.decode_job = host->deps.decode_job;
+	deps.key_age_max_ms = host->deps.key_age_max_ms;
+	host->front = mt_dag_front_new(&deps);
+}
+
+mt_dag_host_t *mt_dag_host_new(const mt_dag_host_deps_t *deps)
+{
+	mt_dag_host_t *host = g_new0(mt_dag_host_t, 1);
+	mt_follower_handler_t on_records = {host, on_record, NULL, on_page};
+	mt_follower_handler_t on_configs = {host, on_config, NULL, NULL};
+
+	host->deps = *deps;
+	host->table = mt_table_new(deps->kernel);
+	host->directory =
+		mt_directory_new(deps->kernel, deps->store, deps->reports);
+	mt_election_init(&host->election, &deps->incarnation, now_of(host));
+	make_writer(host);
+	host->records =
+		mt_follower_new(deps->kernel, deps->store, MT_RECORDS_TOPIC,
+				RECORDS_WAIT_MS, &on_records);
+	host->config =
+		mt_follower_new(deps->kernel, deps->store, deps->config.topic,
+				CONFIG_WAIT_MS, &on_configs);
+	make_engine(host);
+	make_front(host);
+	mt_timers_every(mt_kernel_timers(deps->kernel), ELECTION_TICK_MS,
+			on_election_tick, host);
+	return host;
+}
+
+mt_dag_front_t *mt_dag_host_front(const mt_dag_host_t *host)
+{
+	return host->front;
+}
+
+bool mt_dag_host_is_ready(const mt_dag_host_t *host)
+{
+	return !host->draining && mt_dag_front_is_ready(host->front);
+}
+
+static void on_released(void *ctx)
+{
+	mt_dag_host_t *host = ctx;
+
+	host->released = true;
+}
+
+void mt_dag_host_drain(mt_dag_host_t *host)
+{
+	if (host->draining)
+		return;
+	host->draining = true;
+	host->released = !mt_engine_is_leading(host->engine);
+	mt_engine_release(host->engine, on_released, host);
+}
+
+bool mt_dag_host_is_drained(const mt_dag_host_t *host)
+{
+	return host->released && !mt_dag_front_open(host->front);
+}
--- /dev/null
+++ b/lib/dag/orders.c
@@ -0,0 +1,410 @@
+/** @file orders.c Commands to backend servers, and when they are repeated. */
+#include "dag/engine_internal.h"
+
+/** A hold waits so long for an end, and so renews the leases this often. */
+#define HOLD_WAIT_MS 1500u
+
+/** A server that was not heard for so long gets no new lease. */
+#define RENEW_WINDOW_MS 2500u
+
+/** Without the store for so long, this host may have lost the office. */
+#define STORE_AGE_MAX_MS 4000u
+
+/** Pause between attempts to reach a server that does not answer. */
+#define HOLD_RETRY_MS 150u
+#define HOLD_RETRY_MAX_MS 700u
+
+/** While ends wait for the store, leases are renewed at this pace. */
+#define HOLD_UNSTORED_MS 700u
+
+#define ORDER_RETRY_MS 250u
+
+/** A gang whose members are not all confirmed by then is started anew. */
+#define GANG_START_MS 1500u
+
+/** No placement on a server that refused one, for so long. */
+#define AVOID_BUSY_MS 3000u
+#define AVOID_ROOM_MS 600u
+
+/** An order under way; the task is looked up again when it is answered. */
+typedef struct mt_sent_order_t {
+	mt_engine_t *engine;
+	unsigned generation;
+	mt_task_key_t key;
+	uint32_t run;
+	mt_backend_t *backend;
+} mt_sent_order_t;
+
+static mt_sent_order_t *new_order(mt_engine_t *engine, mt_backend_t *backend,
+				  const mt_task_key_t *key, uint32_t run)
+{
+	mt_sent_order_t *order = g_new0(mt_sent_order_t, 1);
+
+	order->engine = engine;
+	order->generation = engine->generation;
+	order->key = *key;
+	order->run = run;
+	order->backend = backend;
+	return order;
+}
+
+/** The task of an answered order, unless it has moved on; frees the order. */
+static mt_dag_task_t *take_order(mt_sent_order_t *order)
+{
+	mt_dag_job_t *job;
+	mt_dag_task_t *task = NULL;
+
+	if (order->generation == order->engine->generation) {
+		job = mt_engine_job(order->engine, order->key.job);
+		task = job ? mt_work_task(job, &order->key) : NULL;
+	}
+	if (task && (task->run != order->run || task->server != order->backend))
+		task = NULL;
+	g_free(order);
+	return task;
+}
+
+static void avoid(mt_engine_t *engine, mt_backend_t *backend, mt_ms_t ms)
+{
+	mt_ms_t until = mt_engine_now(engine) + ms;
+
+	backend->avoid_until = MAX(backend->avoid_until, until);
+}
+
+static void log_order(mt_engine_t *engine, const char *event,
+		      const mt_dag_task_t *task, int result)
+{
+	mt_kernel_event(
+		engine->deps.kernel, event,
+		"\"job\":\"%016" G_GINT64_MODIFIER
+		"x\",\"step\":%u,\"task\":%u,\"run\":%u,\"server\":\"%s\","
+		"\"term\":%" G_GUINT64_FORMAT ",\"result\":%d,\"placed_ms\":%u",
+		task->step->job->id, task->step->number, task->index, task->run,
+		task->server->info.target.id.text, engine->term, result,
+		(unsigned)(mt_engine_now(engine) - task->placed_at));
+}
+
+/* Starts. */
+
+/** The start was refused for certain: the task waits for another server. */
+static void give_back(mt_engine_t *engine, mt_dag_task_t *task, mt_ms_t ms)
+{
+	avoid(engine, task->server, ms);
+	mt_ends_lost(engine, task, "start refused");
+}
+
+static void on_started(mt_engine_t *engine, mt_dag_task_t *task)
+{
+	mt_dag_job_t *job = task->step->job;
+
+	task->acked_at = mt_engine_now(engine);
+	if (task->phase == MT_TASK_PLACED)
+		task->phase = MT_TASK_RUNNING;
+	job->begun = true;
+	mt_work_update_state(job);
+	mt_orders_hold(engine, task->server);
+	mt_engine_wake(engine);
+}
+
+static void on_start_answer(void *ctx, const mt_backend_answer_t *answer)
+{
+	mt_sent_order_t *order = ctx;
+	mt_engine_t *engine = order->engine;
+	mt_dag_task_t *task = take_order(order);
+
+	if (!task)
+		return;
+	task->start_in_flight = false;
+	log_order(engine, "start_answered", task, answer->result);
+	mt_backend_note_clock(task->server, answer->clock_ms,
+			      mt_engine_now(engine));
+	switch (answer->result) {
+	case MT_COMMAND_DONE:
+		on_started(engine, task);
+		break;
+	case MT_COMMAND_NO_ROOM:
+		give_back(engine, task, AVOID_ROOM_MS);
+		break;
+	case MT_COMMAND_BUSY:
+		if (task->unsure)
+			break;
+		give_back(engine, task, AVOID_BUSY_MS);
+		break;
+	case MT_COMMAND_REJECTED:
+	case MT_COMMAND_NO_TICKET:
+		give_back(engine, task, AVOID_BUSY_MS);
+		break;
+	case MT_COMMAND_OLD_RUN:
+		/* It ended there; its end is in the list or was never run. */
+		task->acked_at = mt_engine_now(engine);
+		mt_orders_hold(engine, task->server);
+		break;
+	case MT_COMMAND_UNKNOWN:
+		task->unsure = true;
+		break;
+	default:
+		break;
+	}
+}
+
+void mt_orders_start(mt_engine_t *engine, mt_dag_task_t *task)
+{
+	mt_backend_t *backend = task->server;
+	mt_ms_t now = mt_engine_now(engine);
+	mt_task_key_t key = mt_work_key(task);
+	mt_start_command_t command = {key,
+				      task->run,
+				      engine->term,
+				      0,
+				      task->step->job->spec->payload,
+				      task->checkpoint,
+				      NULL};
+
+	if (!backend->clock_known) {
+		mt_orders_hold(engine, backend);
+		return;
+	}
+	command.due_ms =
+		mt_backend_clock(backend, now) + engine->deps.bounds.lease_ms;
+	mt_backend_note_lease(backend, now, engine->deps.bounds.lease_ms);
+	task->start_in_flight = true;
+	task->start_sent_at = now;
+	engine->deps.backends->start(
+		engine->deps.backends->self, &backend->info.target, &command,
+		on_start_answer, new_order(engine, backend, &key, task->run));
+}
+
+/* Stops. */
+
+static void on_stop_answer(void *ctx, const mt_backend_answer_t *answer)
+{
+	mt_sent_order_t *order = ctx;
+	mt_engine_t *engine = order->engine;
+	mt_dag_task_t *task = take_order(order);
+
+	if (!task)
+		return;
+	task->stop_in_flight = false;
+	log_order(engine, "stop_answered", task, answer->result);
+	if (answer->result != MT_COMMAND_DONE)
+		return;
+	task->stop_acked_at = mt_engine_now(engine);
+	mt_orders_hold(engine, task->server);
+}
+
+static void send_stop(mt_engine_t *engine, mt_backend_t *backend,
+		      const mt_task_key_t *key, uint32_t run)
+{
+	mt_stop_command_t command = {*key, run, engine->term};
+
+	engine->deps.backends->stop(
+		engine->deps.backends->self, &backend->info.target, &command,
+		on_stop_answer, new_order(engine, backend, key, run));
+}
+
+void mt_orders_stop(mt_engine_t *engine, mt_dag_task_t *task)
+{
+	mt_task_key_t key = mt_work_key(task);
+
+	if (!task->server)
+		return;
+	task->stop_wanted = true;
+	if (!task->start_durable) {
+		/* No start was ever sent. */
+		mt_work_unplace(task);
+		return;
+	}
+	if (task->stop_in_flight || !task->server->info.target.port)
+		return;
+	task->stop_in_flight = true;
+	send_stop(engine, task->server, &key, task->run);
+}
+
+void mt_orders_stop_stray(mt_engine_t *engine, mt_backend_t *backend,
+			  const mt_task_key_t *key, uint32_t run)
+{
+	mt_kernel_event(engine->deps.kernel, "stray_run_stopped",
+			"\"job\":\"%016" G_GINT64_MODIFIER
+			"x\",\"step\":%u,\"task\":%u,\"run\":%u,"
+			"\"server\":\"%s\"",
+			key->job, key->step, key->index, run,
+			backend->info.target.id.text);
+	send_stop(engine, backend, key, run);
+}
+
+/* Holds. */
+
+typedef struct mt_sent_hold_t {
+	mt_engine_t *engine;
+	unsigned generation;
+	mt_backend_t *backend;
+} mt_sent_hold_t;
+
+static void on_hold_timer(void *ctx)
+{
+	mt_sent_hold_t *hold = ctx;
+
+	if (hold->generation == hold->engine->generation) {
+		hold->backend->hold_delayed = false;
+		mt_orders_hold(hold->engine, hold->backend);
+	}
+	g_free(hold);
+}
+
+static void hold_later(mt_sent_hold_t *hold, mt_ms_t delay)
+{
+	hold->backend->hold_delayed = true;
+	mt_timers_after(mt_kernel_timers(hold->engine->deps.kernel), delay,
+			on_hold_timer, hold);
+}
+
+static void on_hold_failed(mt_sent_hold_t *hold,
+			   const mt_backend_answer_t *answer)
+{
+	mt_backend_t *backend = hold->backend;
+
+	backend->misses++;
+	if (backend->misses == 1)
+		mt_kernel_event(hold->engine->deps.kernel, "server_silent",
+				"\"server\":\"%s\",\"result\":%d,"
+				"\"tasks\":%u",
+				backend->info.target.id.text, answer->result,
+				backend->tasks->len);
+	hold_later(hold,
+		   MIN(HOLD_RETRY_MS * backend->misses, HOLD_RETRY_MAX_MS));
+}
+
+static void on_hold_answer(void *ctx, const mt_backend_answer_t *answer)
+{
+	mt_sent_hold_t *hold = ctx;
+	mt_engine_t *engine = hold->engine;
+	mt_backend_t *backend = hold->backend;
+	mt_ms_t now;
+
+	if (hold->generation != engine->generation) {
+		g_free(hold);
+		return;
+	}
+	backend->hold_in_flight = false;
+	now = mt_engine_now(engine);
+	if (answer->result != MT_COMMAND_DONE) {
+		on_hold_failed(hold, answer);
+		return;
+	}
+	g_free(hold);
+	if (answer->born_ms && backend->born_ms &&
+	    answer->born_ms != backend->born_ms)
+		mt_ends_reborn(engine, backend, answer->born_ms);
+	if (backend->misses)
+		mt_engine_wake(engine);
+	if (!backend->taken_over)
+		mt_engine_wake(engine);
+	backend->misses = 0;
+	backend->taken_over = true;
+	backend->answered_at = now;
+	mt_backend_note_clock(backend, answer->clock_ms, now);
+	mt_ends_take(engine, backend, answer);
+	mt_orders_hold(engine, backend);
+}
+
+static bool may_renew(const mt_engine_t *engine, const mt_backend_t *backend)
+{
+	mt_ms_t store_age =
+		engine->deps.store_age_ms(engine->deps.store_age_ctx);
+
+	return backend->clock_known && backend->tasks->len &&
+	       store_age <= STORE_AGE_MAX_MS &&
+	       mt_backend_is_heard(backend, mt_engine_now(engine),
+				   RENEW_WINDOW_MS);
+}
+
+static bool needs_hold(const mt_backend_t *backend)
+{
+	return backend->tasks->len || !backend->taken_over ||
+	       !backend->clock_known || backend->misses ||
+	       backend->ends_told < backend->ends_stored;
+}
+
+void mt_orders_hold(mt_engine_t *engine, mt_backend_t *backend)
+{
+	mt_ms_t now = mt_engine_now(engine);
+	mt_hold_command_t command = {engine->term, backend->ends_stored, 0, 0};
+	mt_sent_hold_t *hold;
+
+	if (backend->hold_in_flight || backend->hold_delayed ||
+	    !backend->info.target.port || !needs_hold(backend))
+		return;
+	if (!backend->listed && !backend->tasks->len)
+		return;
+	if (backend->ends_read > backend->ends_stored &&
+	    now - backend->hold_sent_at < HOLD_UNSTORED_MS)
+		return;
+	if (may_renew(engine, backend)) {
+		mt_ms_t lease = engine->deps.bounds.lease_ms;
+
+		command.due_ms = mt_backend_clock(backend, now) + lease;
+		mt_backend_note_lease(backend, now, lease);
+		if (backend->ends_read == backend->ends_stored)
+			command.wait_ms = HOLD_WAIT_MS;
+	}
+	hold = g_new0(mt_sent_hold_t, 1);
+	hold->engine = engine;
+	hold->generation = engine->generation;
+	hold->backend = backend;
+	backend->hold_in_flight = true;
+	backend->hold_sent_at = now;
+	backend->ends_told = backend->ends_stored;
+	engine->deps.backends->hold(engine->deps.backends->self,
+				    &backend->info.target, &command,
+				    on_hold_answer, hold);
+}
+
+/* What is repeated. */
+
+/** Members that wait for one that does not come are started anew. */
+static void tick_gang(mt_engine_t *engine, mt_dag_task_t *task, mt_ms_t now)
+{
+	mt_dag_step_t *step = task->step;
+
+	if (!step->spec->gang || task->stop_wanted ||
+	    task->phase != MT_TASK_PLACED || !task->start_durable ||
+	    now - task->placed_at < GANG_START_MS)
+		return;
+	for (uint32_t i = 0; i < step->spec->count; i++) {
+		if (step->tasks[i].server)
+			mt_orders_stop(engine, &step->tasks[i]);
+	}
+}
+
+static void tick_task(mt_engine_t *engine, mt_dag_task_t *task, mt_ms_t now)
+{
+	if (task->stop_wanted) {
+		if (!task->stop_acked_at)
+			mt_orders_stop(engine, task);
+		return;
+	}
+	if (task->phase == MT_TASK_PLACED && task->start_durable &&
+	    !task->start_in_flight && !task->acked_at &&
+	    now - task->start_sent_at >= ORDER_RETRY_MS &&
+	    task->placed_at > engine->led_since)
+		mt_orders_start(engine, task);
+	tick_gang(engine, task, now);
+}
+
+void mt_orders_tick(mt_engine_t *engine, mt_backend_t *backend)
+{
+	mt_ms_t now = mt_engine_now(engine);
+
+	for (guint i = backend->tasks->len; i-- > 0;) {
+		mt_dag_task_t *task;
+
+		if (i >= backend->tasks->len)
+			continue;
+		task = backend->tasks->pdata[i];
+		if (task->start_durable && now >= backend->lapse_at)
+			mt_ends_lost(engine, task, "lease over");
+		else
+			tick_task(engine, task, now);
+	}
+	mt_orders_hold(engine, backend);
+}
--- /dev/null
+++ b/lib/dag/planner.c
@@ -0,0 +1,565 @@
+/** @file planner.c The scheduler's view for the plan, and what follows. */
+#include "dag/engine_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/** Accelerators count as so many cores of lost work. */
+#define CORES_PER_GPU 8.0
+
+/** A guaranteed job takes room on several racks after this wait. */
+#define GUARANTEED_SPREAD_MS 900u
+
+/** Others accept slower places after this multiple of their estimate. */
+#define SPREAD_ESTIMATES 2u
+
+/** Gangs without room that keep what becomes free, at once. */
+#define RESERVING_MAX 2u
+#define RESERVE_AFTER_MS 2000u
+
+/** Fixed part of the cost of a stop, in core-seconds a core. */
+#define STOP_COST_S 0.3
+
+/** One unit of the plan and the step that it comes from. */
+typedef struct mt_candidate_step_t {
+	mt_dag_step_t *step;
+	uint32_t count;
+	bool guaranteed;
+	int64_t latest_ms; /**< own time by which it should have started */
+	mt_ms_t waited_ms;
+} mt_candidate_step_t;
+
+typedef struct mt_planner_t {
+	mt_engine_t *engine;
+	mt_ms_t now;
+	int64_t wall_ms;
+	const mt_name_t *service;
+	GPtrArray *backends;	/**< mt_backend_t, in the order of the plan */
+	GHashTable *index;	/**< backend to index plus one */
+	GArray *candidates;	/**< mt_candidate_step_t */
+	GPtrArray *victims;	/**< mt_dag_task_t, in the order of the plan */
+	GHashTable *guaranteed; /**< jobs within their guarantee */
+	mt_plan_t plan;
+} mt_planner_t;
+
+/* Guarantees. */
+
+static gint compare_age(gconstpointer a, gconstpointer b)
+{
+	const mt_dag_job_t *x = *(mt_dag_job_t *const *)a;
+	const mt_dag_job_t *y = *(mt_dag_job_t *const *)b;
+
+	if (x->seen_at != y->seen_at)
+		return x->seen_at < y->seen_at ? -1 : 1;
+	return x->id < y->id ? -1 : x->id > y->id;
+}
+
+/** Jobs of priority 0, the oldest first, as far as the guarantee goes. */
+static void find_guaranteed(mt_planner_t *planner)
+{
+	GPtrArray *urgent = g_ptr_array_new();
+	GHashTable *used = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, planner->engine->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const mt_dag_job_t *job = value;
+
+		if (!job->queue.priority && !mt_state_is_final(job->state))
+			g_ptr_array_add(urgent, value);
+	}
+	g_ptr_array_sort(urgent, compare_age);
+	for (guint i = 0; i < urgent->len; i++) {
+		mt_dag_job_t *job = urgent->pdata[i];
+		const mt_client_account_t *account =
+			planner->engine->catalog
+				? mt_catalog_account(planner->engine->catalog,
+						     job->spec->account)
+				: NULL;
+		guint sum = GPOINTER_TO_UINT(g_hash_table_lookup(
+				    used, job->spec->account)) +
+			    mt_work_gpu_wanted(job);
+
+		if (!account || sum > account->guaranteed_gpu)
+			continue;
+		g_hash_table_insert(used, job->spec->account,
+				    GUINT_TO_POINTER(sum));
+		g_hash_table_add(planner->guaranteed, job);
+	}
+	g_hash_table_destroy(used);
+	g_ptr_array_unref(urgent);
+}
+
+/* Servers. */
+
+static bool is_usable(const mt_planner_t *planner, const mt_backend_t *backend)
+{
+	return backend->listed && !backend->info.draining &&
+	       backend->taken_over && !backend->misses &&
+	       backend->clock_known && planner->now >= backend->avoid_until &&
+	       mt_name_equal(&backend->info.service, planner->service);
+}
+
+/** Room of tasks that are being stopped, or whose gang has ended. */
+static mt_amount_t room_coming(const mt_backend_t *backend)
+{
+	mt_amount_t coming = {0};
+
+	for (guint i = 0; i < backend->tasks->len; i++) {
+		const mt_dag_task_t *task = backend->tasks->pdata[i];
+		mt_amount_t need = mt_work_need(task->step);
+
+		if (task->stop_wanted || task->phase == MT_TASK_DONE)
+			mt_amount_add(&coming, &need);
+	}
+	return coming;
+}
+
+static gint compare_backends(gconstpointer a, gconstpointer b)
+{
+	const mt_backend_t *x = *(mt_backend_t *const *)a;
+	const mt_backend_t *y = *(mt_backend_t *const *)b;
+
+	return mt_name_compare(&x->info.target.id, &y->info.target.id);
+}
+
+static void collect_servers(mt_planner_t *planner)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, planner->engine->backends);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (is_usable(planner, value))
+			g_ptr_array_add(planner->backends, value);
+	}
+	g_ptr_array_sort(planner->backends, compare_backends);
+	planner->plan.n_servers = planner->backends->len;
+	planner->plan.servers =
+		g_new0(mt_plan_server_t, planner->backends->len + 1);
+	for (guint i = 0; i < planner->backends->len; i++) {
+		mt_backend_t *backend = planner->backends->pdata[i];
+		mt_plan_server_t *server = &planner->plan.servers[i];
+
+		server->free = backend->info.capacity;
+		mt_amount_sub(&server->free, &backend->used);
+		server->coming = room_coming(backend);
+		server->rack = backend->info.rack;
+		server->penalty = backend->fail_streak;
+		memcpy(server->labels, backend->info.labels,
+		       sizeof(server->labels));
+		g_hash_table_insert(planner->index, backend,
+				    GUINT_TO_POINTER(i + 1));
+	}
+}
+
+/* Units. */
+
+/** Waiting tasks that may start now; a gang counts only as a whole. */
+static uint32_t count_waiting(const mt_dag_step_t *step)
+{
+	uint32_t waiting = 0;
+
+	for (uint32_t i = 0; i < step->spec->count; i++)
+		waiting += step->tasks[i].phase == MT_TASK_WAITING;
+	if (step->spec->gang && waiting < step->spec->count)
+		return 0;
+	return waiting;
+}
+
+static bool is_due(const mt_planner_t *planner, const mt_dag_step_t *step)
+{
+	return mt_work_due_at(step) <= planner->wall_ms;
+}
+
+static int64_t latest_start(const mt_planner_t *planner,
+			    const mt_dag_job_t *job)
+{
+	uint32_t chain = mt_work_chain_left_ms(job);
+
+	(void)planner;
+	return (int64_t)job->seen_at +
+	       (int64_t)(chain * job->queue.slack_factor) +
+	       job->queue.target_ms - chain;
+}
+
+static void add_steps(mt_planner_t *planner, mt_dag_job_t *job)
+{
+	for (uint32_t i = 0; i < job->n_steps; i++) {
+		mt_dag_step_t *step = &job->steps[i];
+		mt_candidate_step_t candidate = {step, 0, false, 0, 0};
+
+		if (step->n_done == step->spec->count ||
+		    !is_due(planner, step) || !mt_work_step_is_ready(step))
+			continue;
+		candidate.count = count_waiting(step);
+		if (!candidate.count)
+			continue;
+		candidate.guaranteed =
+			g_hash_table_contains(planner->guaranteed, job);
+		candidate.latest_ms = latest_start(planner, job);
+		if (!step->ready_at)
+			step->ready_at = planner->now;
+		candidate.waited_ms = planner->now - step->ready_at;
+		g_array_append_val(planner->candidates, candidate);
+	}
+}
+
+/** Guaranteed work first, then by priority, then by latest start. */
+static gint compare_candidates(gconstpointer a, gconstpointer b)
+{
+	const mt_candidate_step_t *x = a;
+	const mt_candidate_step_t *y = b;
+	uint32_t px = x->step->job->queue.priority;
+	uint32_t py = y->step->job->queue.priority;
+
+	if (x->guaranteed != y->guaranteed)
+		return x->guaranteed ? -1 : 1;
+	if (px != py)
+		return px < py ? -1 : 1;
+	if (x->latest_ms != y->latest_ms)
+		return x->latest_ms < y->latest_ms ? -1 : 1;
+	if (x->step->job->id != y->step->job->id)
+		return x->step->job->id < y->step->job->id ? -1 : 1;
+	return x->step < y->step ? -1 : x->step > y->step;
+}
+
+static void collect_candidates(mt_planner_t *planner)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, planner->engine->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		mt_dag_job_t *job = value;
+
+		if (!mt_state_is_final(job->state) && !job->cancelled &&
+		    mt_name_equal(&job->queue.service, planner->service))
+			add_steps(planner, job);
+	}
+	g_array_sort(planner->candidates, compare_candidates);
+}
+
+/** Tasks of the unit that empty servers of one rack would hold. */
+static uint32_t rack_holds(const mt_planner_t *planner,
+			   const mt_dag_step_t *step, GQuark rack)
+{
+	mt_amount_t need = mt_work_need(step);
+	uint32_t holds = 0;
+
+	for (guint i = 0; i < planner->backends->len; i++) {
+		const mt_backend_t *backend = planner->backends->pdata[i];
+		mt_amount_t room = backend->info.capacity;
+
+		if (backend->info.rack != rack)
+			continue;
+		while (mt_amount_fits(&need, &room) &&
+		       holds < step->spec->count) {
+			mt_amount_sub(&room, &need);
+			holds++;
+			if (!need.cpu_milli && !need.mem_mb && !need.gpu)
+				return step->spec->count;
+		}
+	}
+	return holds;
+}
+
+static bool some_rack_holds(const mt_planner_t *planner,
+			    const mt_dag_step_t *step)
+{
+	for (guint i = 0; i < planner->backends->len; i++) {
+		const mt_backend_t *backend = planner->backends->pdata[i];
+
+		if (rack_holds(planner, step, backend->info.rack) >=
+		    step->spec->count)
+			return true;
+	}
+	return false;
+}
+
+/** True when waiting longer for one rack costs more than spreading. */
+static bool should_spread(const mt_candidate_step_t *candidate)
+{
+	if (candidate->guaranteed)
+		return candidate->waited_ms > GUARANTEED_SPREAD_MS;
+	return candidate->waited_ms >
+	       (mt_ms_t)SPREAD_ESTIMATES * candidate->step->spec->estimate_ms;
+}
+
+static uint8_t *count_held(const mt_planner_t *planner,
+			   const mt_dag_step_t *step)
+{
+	uint8_t *held;
+
+	if (!step->spec->per_server_max)
+		return NULL;
+	held = g_new0(uint8_t, planner->backends->len + 1);
+	for (uint32_t i = 0; i < step->spec->count; i++) {
+		const mt_dag_task_t *task = &step->tasks[i];
+		guint at = GPOINTER_TO_UINT(
+			g_hash_table_lookup(planner->index, task->server));
+
+		if (task->server && at && held[at - 1] < UINT8_MAX)
+			held[at - 1]++;
+	}
+	return held;
+}
+
+static void fill_unit(mt_planner_t *planner, mt_plan_unit_t *unit,
+		      const mt_candidate_step_t *candidate, unsigned *reserving)
+{
+	const mt_dag_step_t *step = candidate->step;
+	bool spread = should_spread(candidate);
+
+	unit->need = mt_work_need(step);
+	unit->count = candidate->count;
+	unit->whole = step->spec->gang;
+	unit->label = step->label;
+	unit->per_server_max = step->spec->per_server_max;
+	unit->held = count_held(planner, step);
+	unit->priority = step->job->queue.priority;
+	unit->guaranteed = candidate->guaranteed;
+	unit->may_reclaim = !unit->priority;
+	unit->reserves = unit->may_reclaim;
+	unit->chosen = g_new(uint32_t, unit->count);
+	if (!spread && step->spec->same_rack && some_rack_holds(planner, step))
+		unit->same_rack = true;
+	if (!spread && step->data_rack &&
+	    rack_holds(planner, step, step->data_rack) >=
+		    (unit->whole ? step->spec->count : 1))
+		unit->data_rack = step->data_rack;
+	if (!unit->reserves && unit->whole && *reserving < RESERVING_MAX &&
+	    candidate->waited_ms > RESERVE_AFTER_MS) {
+		unit->reserves = true;
+		(*reserving)++;
+	}
+}
+
+static void build_units(mt_planner_t *planner)
+{
+	unsigned reserving = 0;
+
+	planner->plan.n_units = planner->candidates->len;
+	planner->plan.units =
+		g_new0(mt_plan_unit_t, planner->candidates->len + 1);
+	for (guint i = 0; i < planner->candidates->len; i++)
+		fill_unit(planner, &planner->plan.units[i],
+			  &g_array_index(planner->candidates,
+					 mt_candidate_step_t, i),
+			  &reserving);
+}
+
+/* Victims. */
+
+/** Core-seconds that a stop now would throw away. */
+static double stop_cost(const mt_planner_t *planner, const mt_dag_task_t *task)
+{
+	mt_amount_t need = mt_work_need(task->step);
+	double cores = need.cpu_milli / 1000.0 + need.gpu * CORES_PER_GPU;
+	double seconds = (double)(planner->now - task->placed_at) / 1000.0;
+
+	if (task->step->spec->checkpointing)
+		seconds = (double)planner->engine->deps.bounds.restore_ms /
+			  1000.0;
+	return cores * (seconds + STOP_COST_S);
+}
+
+static bool can_be_victim(const mt_planner_t *planner,
+			  const mt_dag_task_t *task)
+{
+	const mt_dag_job_t *job = task->step->job;
+
+	if (task->stop_wanted || task->phase == MT_TASK_DONE ||
+	    task->step->spec->lasting)
+		return false;
+	return job->queue.priority ||
+	       !g_hash_table_contains(planner->guaranteed, job);
+}
+
+static void collect_victims(mt_planner_t *planner)
+{
+	GArray *victims = g_array_new(FALSE, TRUE, sizeof(mt_plan_victim_t));
+	GHashTable *groups = g_hash_table_new(NULL, NULL);
+	uint32_t next_group = 1;
+
+	for (guint i = 0; i < planner->backends->len; i++) {
+		const mt_backend_t *backend = planner->backends->pdata[i];
+
+		for (guint k = 0; k < backend->tasks->len; k++) {
+			mt_dag_task_t *task = backend->tasks->pdata[k];
+			mt_plan_victim_t victim = {0};
+			gpointer key = task->step->spec->gang
+					       ? (gpointer)task->step
+					       : (gpointer)task;
+			guint group = GPOINTER_TO_UINT(
+				g_hash_table_lookup(groups, key));
+
+			if (!can_be_victim(planner, task))
+				continue;
+			if (!group) {
+				group = next_group++;
+				g_hash_table_insert(groups, key,
+						    GUINT_TO_POINTER(group));
+			}
+			victim.server = i;
+			victim.group = group;
+			victim.amount = mt_work_need(task->step);
+			victim.priority = task->step->job->queue.priority;
+			victim.cost = stop_cost(planner, task);
+			g_array_append_val(victims, victim);
+			g_ptr_array_add(planner->victims, task);
+		}
+	}
+	planner->plan.n_victims = victims->len;
+	planner->plan.victims =
+		(mt_plan_victim_t *)g_array_free(victims, FALSE);
+	g_hash_table_destroy(groups);
+}
+
+/* Results. */
+
+static void log_placed(const mt_planner_t *planner,
+		       const mt_candidate_step_t *candidate, uint32_t placed)
+{
+	const mt_dag_step_t *step = candidate->step;
+
+	mt_kernel_event(planner->engine->deps.kernel, "tasks_placed",
+			"\"job\":\"%016" G_GINT64_MODIFIER
+			"x\",\"step\":%u,\"tasks\":%u,\"of\":%u,"
+			"\"waited_ms\":%u,\"priority\":%u,\"guaranteed\":%s",
+			step->job->id, step->number, placed, step->spec->count,
+			(unsigned)candidate->waited_ms,
+			step->job->queue.priority,
+			candidate->guaranteed ? "true" : "false");
+}
+
+static void place_unit(mt_planner_t *planner, const mt_plan_unit_t *unit,
+		       const mt_candidate_step_t *candidate)
+{
+	mt_dag_step_t *step = candidate->step;
+	uint32_t gang_run = step->run + 1;
+	uint32_t next = 0;
+
+	for (uint32_t i = 0; i < step->spec->count && next < unit->placed;
+	     i++) {
+		mt_dag_task_t *task = &step->tasks[i];
+
+		if (task->phase != MT_TASK_WAITING)
+			continue;
+		mt_work_place(task,
+			      planner->backends->pdata[unit->chosen[next++]],
+			      step->spec->gang ? gang_run : task->run + 1,
+			      planner->now);
+	}
+	if (next) {
+		log_placed(planner, candidate, next);
+		step->ready_at = 0;
+	}
+}
+
+static void stop_victims(mt_planner_t *planner)
+{
+	for (uint32_t i = 0; i < planner->plan.n_victims; i++) {
+		mt_dag_task_t *task = planner->victims->pdata[i];
+
+		if (!planner->plan.victims[i].stopped || !task->server)
+			continue;
+		mt_kernel_event(planner->engine->deps.kernel, "run_preempted",
+				"\"job\":\"%016" G_GINT64_MODIFIER
+				"x\",\"step\":%u,\"task\":%u,\"run\":%u,"
+				"\"priority\":%u,\"cost\":%.1f",
+				task->step->job->id, task->step->number,
+				task->index, task->run,
+				task->step->job->queue.priority,
+				planner->plan.victims[i].cost);
+		mt_orders_stop(planner->engine, task);
+	}
+}
+
+static void apply_plan(mt_planner_t *planner)
+{
+	stop_victims(planner);
+	for (guint i = 0; i < planner->candidates->len; i++)
+		place_unit(planner, &planner->plan.units[i],
+			   &g_array_index(planner->candidates,
+					  mt_candidate_step_t, i));
+}
+
+static void free_plan(mt_planner_t *planner)
+{
+	for (uint32_t i = 0; i < planner->plan.n_units; i++) {
+		g_free(planner->plan.units[i].chosen);
+		g_free((uint8_t *)planner->plan.units[i].held);
+	}
+	g_free(planner->plan.units);
+	g_free(planner->plan.servers);
+	g_free(planner->plan.victims);
+	g_array_unref(planner->candidates);
+	g_ptr_array_unref(planner->backends);
+	g_ptr_array_unref(planner->victims);
+	g_hash_table_destroy(planner->index);
+}
+
+static void plan_service(mt_engine_t *engine, const mt_name_t *service,
+			 GHashTable *guaranteed)
+{
+	mt_planner_t planner = {0};
+
+	planner.engine = engine;
+	planner.now = mt_engine_now(engine);
+	planner.wall_ms =
+		engine->deps.wall_ms() + (int64_t)engine->deps.bounds.early_ms;
+	planner.service = service;
+	planner.guaranteed = guaranteed;
+	planner.backends = g_ptr_array_new();
+	planner.victims = g_ptr_array_new();
+	planner.index = g_hash_table_new(NULL, NULL);
+	planner.candidates =
+		g_array_new(FALSE, FALSE, sizeof(mt_candidate_step_t));
+	collect_candidates(&planner);
+	if (planner.candidates->len) {
+		collect_servers(&planner);
+		build_units(&planner);
+		collect_victims(&planner);
+		mt_plan_run(&planner.plan);
+		apply_plan(&planner);
+	}
+	free_plan(&planner);
+}
+
+/** Services of the unfinished jobs, each once. */
+static GHashTable *list_services(const mt_engine_t *engine)
+{
+	GHashTable *services = g_hash_table_new_full(
+		mt_name_hash, mt_name_key_equal, g_free, NULL);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, engine->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const mt_dag_job_t *job = value;
+
+		if (!mt_state_is_final(job->state))
+			g_hash_table_add(services,
+					 mt_name_dup(&job->queue.service));
+	}
+	return services;
+}
+
+void mt_planner_run(mt_engine_t *engine)
+{
+	GHashTable *services = list_services(engine);
+	mt_planner_t shared = {0};
+	GHashTableIter iter;
+	gpointer key;
+
+	shared.engine = engine;
+	shared.guaranteed = g_hash_table_new(NULL, NULL);
+	find_guaranteed(&shared);
+	g_hash_table_iter_init(&iter, services);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		plan_service(engine, key, shared.guaranteed);
+	g_hash_table_destroy(shared.guaranteed);
+	g_hash_table_destroy(services);
+}
--- /dev/null
+++ b/lib/dag/records.c
@@ -0,0 +1,66 @@
+/** @file records.c Keys and values of the system's records. */
+#include "dag/records.h"
+
+#include <stdio.h>
+
+mt_record_key_t mt_record_key(mt_record_kind_t kind, uint64_t job)
+{
+	mt_record_key_t key;
+
+	if (kind == MT_RECORD_LEADER)
+		job = 0;
+	snprintf(key.text, sizeof(key.text), "%c%016" G_GINT64_MODIFIER "x",
+		 (char)kind, job);
+	return key;
+}
+
+bool mt_job_id_from(mt_str_t text, uint64_t *id)
+{
+	uint64_t value = 0;
+
+	if (text.len != MT_JOB_ID_DIGITS)
+		return false;
+	for (size_t i = 0; i < text.len; i++) {
+		int digit = g_ascii_xdigit_value(text.data[i]);
+
+		if (digit < 0 || g_ascii_isupper(text.data[i]))
+			return false;
+		value = value << 4 | (unsigned)digit;
+	}
+	*id = value;
+	return true;
+}
+
+bool mt_record_parse_key(mt_str_t key, mt_record_kind_t *kind, uint64_t *job)
+{
+	if (key.len != MT_JOB_ID_DIGITS + 1)
+		return false;
+	switch (key.data[0]) {
+	case MT_RECORD_JOB:
+	case MT_RECORD_CANCEL:
+	case MT_RECORD_PROGRESS:
+	case MT_RECORD_LEADER:
+		*kind = (mt_record_kind_t)key.data[0];
+		break;
+	default:
+		return false;
+	}
+	return mt_job_id_from((mt_str_t){key.data + 1, key.len - 1}, job);
+}
+
+GBytes *mt_record_pack(const ProtobufCMessage *message)
+{
+	size_t len = protobuf_c_message_get_packed_size(message);
+	uint8_t *data = g_malloc(MAX(len, 1));
+
+	protobuf_c_message_pack(message, data);
+	return g_bytes_new_take(data, len);
+}
+
+mt_str_t mt_bytes_view(GBytes *bytes)
+{
+	gsize len;
+	const char *data = g_bytes_get_data(bytes, &len);
+
+	return (mt_str_t){data, len};
+}
--- /dev/null
+++ b/lib/dag/table.c
@@ -0,0 +1,192 @@
+/** @file table.c Accepted jobs from the store's records. */
+#include "dag/table.h"
+
+struct mt_table_t {
+	mt_kernel_t *kernel;
+	GHashTable *jobs; /**< id to mt_table_job_t */
+	mt_table_watcher_t watcher;
+};
+
+static void free_job(gpointer data)
+{
+	mt_table_job_t *job = data;
+
+	g_clear_pointer(&job->job, g_bytes_unref);
+	g_clear_pointer(&job->progress, g_bytes_unref);
+	g_free(job);
+}
+
+mt_table_t *mt_table_new(mt_kernel_t *kernel)
+{
+	mt_table_t *table = g_new0(mt_table_t, 1);
+
+	table->kernel = kernel;
+	table->jobs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					    free_job);
+	return table;
+}
+
+void mt_table_watch(mt_table_t *table, const mt_table_watcher_t *watcher)
+{
+	table->watcher = watcher ? *watcher : (mt_table_watcher_t){0};
+}
+
+bool mt_state_is_final(MtDag__State state)
+{
+	return state == MT_DAG__STATE__COMPLETED ||
+	       state == MT_DAG__STATE__FAILED ||
+	       state == MT_DAG__STATE__CANCELLED;
+}
+
+static mt_table_job_t *find_or_add(mt_table_t *table, uint64_t id)
+{
+	mt_table_job_t *job = g_hash_table_lookup(table->jobs, &id);
+
+	if (!job) {
+		job = g_new0(mt_table_job_t, 1);
+		job->id = id;
+		g_hash_table_insert(table->jobs, &job->id, job);
+	}
+	return job;
+}
+
+/** What an ended job no longer needs is dropped. */
+static void note_end(mt_table_t *table, mt_table_job_t *job)
+{
+	if (!mt_state_is_final(job->state) || job->ended_at)
+		return;
+	job->ended_at = MAX(1, mt_kernel_now(table->kernel));
+	g_clear_pointer(&job->job, g_bytes_unref);
+	g_clear_pointer(&job->progress, g_bytes_unref);
+}
+
+static void apply_job(mt_table_t *table, uint64_t id, mt_str_t value)
+{
+	mt_table_job_t *job = find_or_add(table, id);
+	MtDag__Job *parsed;
+
+	if (job->queue.len)
+		return;
+	parsed = mt_dag__job__unpack(NULL, value.len,
+				     (const uint8_t *)value.data);
+	if (!parsed) {
+		mt_log(table->kernel, MT_LOG_ERR, "table",
+		       "job %016" G_GINT64_MODIFIER "x cannot be decoded", id);
+		return;
+	}
+	job->queue = mt_name(parsed->queue);
+	job->account = mt_name(parsed->account);
+	mt_dag__job__free_unpacked(parsed, NULL);
+	if (mt_state_is_final(job->state))
+		return;
+	job->job = g_bytes_new(value.data, value.len);
+	if (table->watcher.on_accepted)
+		table->watcher.on_accepted(table->watcher.ctx, job);
+}
+
+static void apply_cancel(mt_table_t *table, uint64_t id, uint64_t offset)
+{
+	mt_table_job_t *job = find_or_add(table, id);
+
+	if (job->cancelled)
+		return;
+	if (mt_state_is_final(job->state) && job->progress_offset < offset)
+		return;
+	job->cancelled = true;
+	job->cancel_offset = offset;
+	if (job->queue.len && table->watcher.on_cancelled)
+		table->watcher.on_cancelled(table->watcher.ctx, job);
+}
+
+static void apply_progress(mt_table_t *table, uint64_t id, mt_str_t value,
+			   uint64_t offset)
+{
+	mt_table_job_t *job = find_or_add(table, id);
+	MtDag__Progress *parsed;
+
+	if (job->progress_offset && offset < job->progress_offset)
+		return;
+	parsed = mt_dag__progress__unpack(NULL, value.len,
+					  (const uint8_t *)value.data);
+	if (!parsed) {
+		mt_log(table->kernel, MT_LOG_ERR, "table",
+		       "progress of job %016" G_GINT64_MODIFIER
+		       "x cannot be decoded",
+		       id);
+		return;
+	}
+	job->progress_offset = offset;
+	job->state = parsed->state;
+	job->begun = job->begun || parsed->begun;
+	g_clear_pointer(&job->progress, g_bytes_unref);
+	if (mt_state_is_final(job->state) && job->cancelled &&
+	    job->cancel_offset > offset)
+		job->cancelled = false;
+	if (!mt_state_is_final(job->state))
+		job->progress = g_bytes_new(value.data, value.len);
+	mt_dag__progress__free_unpacked(parsed, NULL);
+	note_end(table, job);
+}
+
+void mt_table_apply(mt_table_t *table, const mt_store_record_t *record)
+{
+	mt_record_kind_t kind;
+	uint64_t id;
+
+	if (!mt_record_parse_key(record->key, &kind, &id) ||
+	    kind == MT_RECORD_LEADER)
+		return;
+	if (!record->value.len) {
+		g_hash_table_remove(table->jobs, &id);
+		return;
+	}
+	if (kind == MT_RECORD_JOB)
+		apply_job(table, id, record->value);
+	else if (kind == MT_RECORD_CANCEL)
+		apply_cancel(table, id, record->offset);
+	else
+		apply_progress(table, id, record->value, record->offset);
+}
+
+const mt_table_job_t *mt_table_find(const mt_table_t *table, uint64_t id)
+{
+	const mt_table_job_t *job = g_hash_table_lookup(table->jobs, &id);
+
+	return job && job->queue.len ? job : NULL;
+}
+
+MtDag__State mt_table_state(const mt_table_job_t *job)
+{
+	return job->cancelled ? MT_DAG__STATE__CANCELLED : job->state;
+}
+
+unsigned mt_table_pending(const mt_table_t *table, const mt_name_t *queue)
+{
+	GHashTableIter iter;
+	gpointer value;
+	unsigned pending = 0;
+
+	g_hash_table_iter_init(&iter, table->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const mt_table_job_t *job = value;
+
+		pending += job->queue.len && !job->begun &&
+			   !mt_state_is_final(mt_table_state(job)) &&
+			   mt_name_equal(&job->queue, queue);
+	}
+	return pending;
+}
+
+void mt_table_each(const mt_table_t *table, mt_table_cb cb, void *ctx)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const mt_table_job_t *job = value;
+
+		if (job->queue.len)
+			cb(ctx, job);
+	}
+}
--- /dev/null
+++ b/lib/dag/work.c
@@ -0,0 +1,462 @@
+/** @file work.c The scheduler's model of a job. */
+#include "dag/work.h"
+
+static void init_step(mt_dag_job_t *job, mt_dag_step_t *step,
+		      uint32_t occurrence, uint32_t number)
+{
+	const MtDag__Step *spec = job->spec->steps[number];
+
+	step->job = job;
+	step->occurrence = occurrence;
+	step->number = number;
+	step->spec = spec;
+	step->tasks = g_new0(mt_dag_task_t, spec->count);
+	step->label = *spec->label ? g_quark_from_string(spec->label) : 0;
+	step->data_rack =
+		*spec->data_rack ? g_quark_from_string(spec->data_rack) : 0;
+	for (uint32_t i = 0; i < spec->count; i++) {
+		step->tasks[i].step = step;
+		step->tasks[i].index = i;
+	}
+}
+
+static void init_queue(mt_queue_t *queue, const MtDag__Job *spec)
+{
+	queue->name = mt_name(spec->queue);
+	queue->service = mt_name(spec->service);
+	queue->priority = spec->priority;
+	queue->attempts_max = spec->attempts_max;
+	queue->slack_factor = spec->slack_permille / 1000.0;
+	queue->target_ms = spec->target_ms;
+}
+
+mt_dag_job_t *mt_work_job_new(MtDag__Job *spec, mt_ms_t now)
+{
+	mt_dag_job_t *job = g_new0(mt_dag_job_t, 1);
+	uint32_t occurrences = MAX(1, spec->repeat);
+
+	job->id = spec->id;
+	job->spec = spec;
+	job->seen_at = now;
+	job->n_steps = occurrences * (uint32_t)spec->n_steps;
+	job->steps = g_new0(mt_dag_step_t, job->n_steps);
+	init_queue(&job->queue, spec);
+	for (uint32_t i = 0; i < job->n_steps; i++)
+		init_step(job, &job->steps[i], i / (uint32_t)spec->n_steps,
+			  i % (uint32_t)spec->n_steps);
+	return job;
+}
+
+void mt_work_job_free(mt_dag_job_t *job)
+{
+	for (uint32_t i = 0; i < job->n_steps; i++) {
+		mt_dag_step_t *step = &job->steps[i];
+
+		for (uint32_t k = 0; k < step->spec->count; k++)
+			g_free(step->tasks[k].checkpoint);
+		g_free(step->tasks);
+	}
+	g_free(job->steps);
+	mt_dag__job__free_unpacked(job->spec, NULL);
+	g_free(job);
+}
+
+mt_dag_task_t *mt_work_task(mt_dag_job_t *job, const mt_task_key_t *key)
+{
+	uint32_t at;
+
+	if (key->step >= job->spec->n_steps ||
+	    key->occurrence >= MAX(1, job->spec->repeat))
+		return NULL;
+	at = key->occurrence * (uint32_t)job->spec->n_steps + key->step;
+	if (key->index >= job->steps[at].spec->count)
+		return NULL;
+	return &job->steps[at].tasks[key->index];
+}
+
+mt_task_key_t mt_work_key(const mt_dag_task_t *task)
+{
+	return (mt_task_key_t){task->step->job->id, task->step->occurrence,
+			       task->step->number, task->index};
+}
+
+static const mt_dag_step_t *sibling(const mt_dag_step_t *step, uint32_t number)
+{
+	return step + number - step->number;
+}
+
+static bool is_done(const mt_dag_step_t *step)
+{
+	return step->n_done == step->spec->count;
+}
+
+bool mt_work_step_is_ready(const mt_dag_step_t *step)
+{
+	for (size_t i = 0; i < step->spec->n_after; i++) {
+		if (!is_done(sibling(step, step->spec->after[i])))
+			return false;
+	}
+	return true;
+}
+
+int64_t mt_work_due_at(const mt_dag_step_t *step)
+{
+	const MtDag__Job *spec = step->job->spec;
+
+	return spec->start_at_ms +
+	       (int64_t)step->occurrence * spec->interval_ms;
+}
+
+mt_amount_t mt_work_need(const mt_dag_step_t *step)
+{
+	mt_amount_t need = {step->spec->cpu_milli, step->spec->mem_mb,
+			    step->spec->gpu};
+
+	if (step->spec->fills)
+		need.cpu_milli = 0;
+	return need;
+}
+
+void mt_work_place(mt_dag_task_t *task, mt_backend_t *server, uint32_t run,
+		   mt_ms_t now)
+{
+	mt_amount_t need = mt_work_need(task->step);
+
+	g_assert(task->phase == MT_TASK_WAITING);
+	task->phase = MT_TASK_PLACED;
+	task->run = run;
+	task->server = server;
+	task->start_durable = false;
+	task->start_in_flight = false;
+	task->unsure = false;
+	task->stop_wanted = false;
+	task->stop_in_flight = false;
+	task->stop_acked_at = 0;
+	task->start_sent_at = 0;
+	task->placed_at = now;
+	task->acked_at = 0;
+	task->moved_at = now;
+	task->saved_at = now;
+	task->percent = 0;
+	task->step->run = MAX(task->step->run, run);
+	task->step->n_placed++;
+	task->step->job->dirty = true;
+	g_ptr_array_add(server->tasks, task);
+	mt_amount_add(&server->used, &need);
+}
+
+static void leave_server(mt_dag_task_t *task)
+{
+	mt_amount_t need = mt_work_need(task->step);
+
+	if (!task->server)
+		return;
+	g_ptr_array_remove_fast(task->server->tasks, task);
+	mt_amount_sub(&task->server->used, &need);
+	task->server = NULL;
+	task->step->n_placed--;
+	task->step->job->dirty = true;
+}
+
+void mt_work_unplace(mt_dag_task_t *task)
+{
+	leave_server(task);
+	if (task->phase != MT_TASK_DONE)
+		task->phase = MT_TASK_WAITING;
+}
+
+static void set_done(mt_dag_task_t *task)
+{
+	if (task->phase == MT_TASK_DONE)
+		return;
+	task->phase = MT_TASK_DONE;
+	task->step->n_done++;
+	task->step->job->dirty = true;
+	g_clear_pointer(&task->checkpoint, g_free);
+}
+
+void mt_work_finish(mt_dag_task_t *task)
+{
+	leave_server(task);
+	if (!task->step->spec->gang) {
+		set_done(task);
+		return;
+	}
+	/* Members whose own end is still to be read keep their place. */
+	for (uint32_t i = 0; i < task->step->spec->count; i++)
+		set_done(&task->step->tasks[i]);
+}
+
+/** A gang fails as one: its first task counts for all. */
+static mt_dag_task_t *counting_task(mt_dag_task_t *task)
+{
+	return task->step->spec->gang ? &task->step->tasks[0] : task;
+}
+
+bool mt_work_fail(mt_dag_task_t *task)
+{
+	mt_dag_step_t *step = task->step;
+	mt_dag_task_t *counts = counting_task(task);
+	bool again = step->spec->gang && step->failed_run == task->run;
+
+	step->failed_run = task->run;
+	mt_work_unplace(task);
+	if (again || step->spec->lasting)
+		return true;
+	counts->fails++;
+	step->job->dirty = true;
+	return counts->fails < MAX(1, step->job->queue.attempts_max);
+}
+
+static void save_one(mt_dag_task_t *task, mt_str_t checkpoint, mt_ms_t now)
+{
+	if (task->checkpoint &&
+	    mt_str_equal(mt_str_from(task->checkpoint), checkpoint))
+		return;
+	g_free(task->checkpoint);
+	task->checkpoint = g_strndup(checkpoint.data, checkpoint.len);
+	task->saved_at = now;
+}
+
+void mt_work_save(mt_dag_task_t *task, mt_str_t checkpoint, mt_ms_t now)
+{
+	if (!checkpoint.len || task->phase == MT_TASK_DONE)
+		return;
+	if (!task->step->spec->gang) {
+		save_one(task, checkpoint, now);
+		return;
+	}
+	for (uint32_t i = 0; i < task->step->spec->count; i++)
+		save_one(&task->step->tasks[i], checkpoint, now);
+}
+
+uint32_t mt_work_n_placed(const mt_dag_job_t *job)
+{
+	uint32_t placed = 0;
+
+	for (uint32_t i = 0; i < job->n_steps; i++)
+		placed += job->steps[i].n_placed;
+	return placed;
+}
+
+static bool all_done(const mt_dag_job_t *job)
+{
+	for (uint32_t i = 0; i < job->n_steps; i++) {
+		if (!is_done(&job->steps[i]))
+			return false;
+	}
+	return true;
+}
+
+void mt_work_update_state(mt_dag_job_t *job)
+{
+	MtDag__State before = job->state;
+
+	if (before == MT_DAG__STATE__COMPLETED ||
+	    before == MT_DAG__STATE__FAILED ||
+	    before == MT_DAG__STATE__CANCELLED)
+		return;
+	if (all_done(job))
+		job->state = MT_DAG__STATE__COMPLETED;
+	else if (job->cancelled)
+		job->state = MT_DAG__STATE__CANCELLED;
+	else if (job->begun)
+		job->state = MT_DAG__STATE__ACTIVE;
+	job->dirty = job->dirty || job->state != before;
+}
+
+uint32_t mt_work_gpu_wanted(const mt_dag_job_t *job)
+{
+	uint32_t most = 0;
+
+	for (uint32_t i = 0; i < job->n_steps; i++) {
+		const mt_dag_step_t *step = &job->steps[i];
+		uint32_t open = step->spec->count - step->n_done;
+
+		most = MAX(most, open * step->spec->gpu);
+	}
+	return most;
+}
+
+/** Longest chain that ends with this step, of work that is not done. */
+static uint32_t chain_of(const mt_dag_step_t *step, uint32_t *known)
+{
+	uint32_t before = 0;
+
+	for (size_t i = 0; i < step->spec->n_after; i++)
+		before = MAX(before, known[step->spec->after[i]]);
+	return before + (is_done(step) ? 0 : step->spec->estimate_ms);
+}
+
+uint32_t mt_work_chain_left_ms(const mt_dag_job_t *job)
+{
+	uint32_t per = (uint32_t)job->spec->n_steps;
+	uint32_t *known = g_new0(uint32_t, per);
+	uint32_t longest = 0;
+
+	for (uint32_t i = 0; i < job->n_steps; i++) {
+		known[i % per] = chain_of(&job->steps[i], known);
+		longest = MAX(longest, known[i % per]);
+	}
+	g_free(known);
+	return longest;
+}
+
+/* Progress records. */
+
+typedef struct mt_packing_t {
+	GPtrArray *placements; /**< MtDag__Placement */
+	GPtrArray *servers;    /**< mt_backend_t, same order */
+	GPtrArray *steps;      /**< MtDag__StepProgress */
+} mt_packing_t;
+
+static uint32_t place_index(mt_packing_t *packing, mt_backend_t *server)
+{
+	MtDag__Placement *placement;
+
+	for (guint i = 0; i < packing->servers->len; i++) {
+		if (packing->servers->pdata[i] == server)
+			return i + 1;
+	}
+	placement = g_new(MtDag__Placement, 1);
+	mt_dag__placement__init(placement);
+	placement->server = server->info.target.id.text;
+	placement->born_ms = server->born_ms;
+	g_ptr_array_add(packing->servers, server);
+	g_ptr_array_add(packing->placements, placement);
+	return packing->servers->len;
+}
+
+static bool is_untouched(const mt_dag_step_t *step)
+{
+	for (uint32_t i = 0; i < step->spec->count; i++) {
+		if (step->tasks[i].run || step->tasks[i].phase)
+			return false;
+	}
+	return true;
+}
+
+static void pack_step(mt_packing_t *packing, const mt_dag_step_t *step)
+{
+	MtDag__StepProgress *out = g_new(MtDag__StepProgress, 1);
+	uint32_t n = step->spec->count;
+
+	mt_dag__step_progress__init(out);
+	out->occurrence = step->occurrence;
+	out->step = step->number;
+	out->n_phase = out->n_run = out->n_server = out->n_fails = n;
+	out->phase = g_new0(uint32_t, n);
+	out->run = g_new0(uint32_t, n);
+	out->server = g_new0(uint32_t, n);
+	out->fails = g_new0(uint32_t, n);
+	for (uint32_t i = 0; i < n; i++) {
+		const mt_dag_task_t *task = &step->tasks[i];
+
+		out->phase[i] = task->phase == MT_TASK_RUNNING ? MT_TASK_PLACED
+							       : task->phase;
+		out->run[i] = task->run;
+		out->fails[i] = task->fails;
+		if (task->server && task->phase != MT_TASK_DONE)
+			out->server[i] = place_index(packing, task->server);
+	}
+	g_ptr_array_add(packing->steps, out);
+}
+
+static void free_step_progress(gpointer data)
+{
+	MtDag__StepProgress *step = data;
+
+	g_free(step->phase);
+	g_free(step->run);
+	g_free(step->server);
+	g_free(step->fails);
+	g_free(step);
+}
+
+GBytes *mt_work_pack(const mt_dag_job_t *job)
+{
+	MtDag__Progress progress = MT_DAG__PROGRESS__INIT;
+	mt_packing_t packing = {
+		g_ptr_array_new_with_free_func(g_free), g_ptr_array_new(),
+		g_ptr_array_new_with_free_func(free_step_progress)};
+	bool final = job->state >= MT_DAG__STATE__COMPLETED &&
+		     !mt_work_n_placed(job);
+	GBytes *bytes;
+
+	for (uint32_t i = 0; i < job->n_steps && !final; i++) {
+		if (!is_untouched(&job->steps[i]))
+			pack_step(&packing, &job->steps[i]);
+	}
+	progress.id = job->id;
+	progress.state = job->state;
+	progress.begun = job->begun;
+	progress.servers = (MtDag__Placement **)packing.placements->pdata;
+	progress.n_servers = packing.placements->len;
+	progress.steps = (MtDag__StepProgress **)packing.steps->pdata;
+	progress.n_steps = packing.steps->len;
+	bytes = mt_record_pack(&progress.base);
+	g_ptr_array_unref(packing.placements);
+	g_ptr_array_unref(packing.servers);
+	g_ptr_array_unref(packing.steps);
+	return bytes;
+}
+
+static bool step_fits(const mt_dag_job_t *job, const MtDag__StepProgress *in,
+		      uint32_t *at)
+{
+	if (in->step >= job->spec->n_steps ||
+	    in->occurrence >= MAX(1, job->spec->repeat))
+		return false;
+	*at = in->occurrence * (uint32_t)job->spec->n_steps + in->step;
+	return in->n_phase == job->steps[*at].spec->count &&
+	       in->n_run == in->n_phase && in->n_server == in->n_phase &&
+	       in->n_fails == in->n_phase;
+}
+
+static bool unpack_task(mt_dag_task_t *task, const MtDag__Progress *progress,
+			const MtDag__StepProgress *in, mt_work_server_cb cb,
+			void *ctx, mt_ms_t now)
+{
+	uint32_t server = in->server[task->index];
+
+	task->fails = in->fails[task->index];
+	task->run = in->run[task->index];
+	task->step->run = MAX(task->step->run, task->run);
+	if (in->phase[task->index] == MT_TASK_DONE)
+		set_done(task);
+	if (in->phase[task->index] != MT_TASK_PLACED)
+		return true;
+	if (!server || server > progress->n_servers)
+		return false;
+	mt_work_place(task,
+		      cb(ctx, progress->servers[server - 1]->server,
+			 progress->servers[server - 1]->born_ms),
+		      task->run, now);
+	task->start_durable = true;
+	return true;
+}
+
+bool mt_work_unpack(mt_dag_job_t *job, mt_str_t value, mt_work_server_cb cb,
+		    void *ctx, mt_ms_t now)
+{
+	MtDag__Progress *progress = mt_dag__progress__unpack(
+		NULL, value.len, (const uint8_t *)value.data);
+	bool fits = progress != NULL;
+
+	for (size_t i = 0; progress && i < progress->n_steps && fits; i++) {
+		const MtDag__StepProgress *in = progress->steps[i];
+		uint32_t at = 0;
+
+		fits = step_fits(job, in, &at);
+		for (uint32_t k = 0; fits && k < in->n_phase; k++)
+			fits = unpack_task(&job->steps[at].tasks[k], progress,
+					   in, cb, ctx, now);
+	}
+	if (progress) {
+		job->state = progress->state;
+		job->begun = progress->begun;
+		mt_dag__progress__free_unpacked(progress, NULL);
+	}
+	job->dirty = false;
+	return fits;
+}
--- /dev/null
+++ b/lib/dag/writer.c
@@ -0,0 +1,302 @@
+/** @file writer.c Ordered, idempotent appends to one topic. */
+#include "dag/writer.h"
+
+#include <string.h>
+
+/** Time for an answer; doubled after each attempt without one. */
+#define ANSWER_MIN_MS 500u
+#define ANSWER_MAX_MS 2000u
+#define RETRY_MS 100u
+
+/** Records of one call. */
+#define BATCH_MAX_RECORDS 400u
+
+/** Refusals of one group that are ridden out before its owner is told. */
+#define REFUSALS_MAX 2u
+
+typedef struct mt_group_t {
+	GPtrArray *texts; /**< GBytes: key, value, key, value */
+	bool insist;
+	unsigned refusals;
+	mt_writer_cb cb;
+	void *ctx;
+} mt_group_t;
+
+struct mt_writer_t {
+	mt_writer_deps_t deps;
+	char *topic;
+	char *producer;
+	GQueue *groups;	   /**< mt_group_t, oldest first */
+	mt_group_t *draft; /**< being filled, or NULL */
+	unsigned sent;	   /**< groups at the head that are under way */
+	bool in_flight;
+	bool doubtful; /**< an earlier attempt of these may have been done */
+	mt_ms_t troubled_since; /**< 0: the last attempt went well */
+	bool closed;
+	uint64_t sequence;
+	mt_ms_t answer_ms;
+	uint64_t timer;
+};
+
+static void pump(mt_writer_t *writer);
+
+mt_writer_t *mt_writer_new(const mt_writer_deps_t *deps)
+{
+	mt_writer_t *writer = g_new0(mt_writer_t, 1);
+
+	writer->deps = *deps;
+	writer->topic = g_strdup(deps->topic);
+	writer->producer = g_strdup(deps->producer);
+	writer->groups = g_queue_new();
+	writer->sequence = deps->first_sequence;
+	writer->answer_ms = ANSWER_MIN_MS;
+	return writer;
+}
+
+static void free_group(mt_group_t *group)
+{
+	g_ptr_array_unref(group->texts);
+	g_free(group);
+}
+
+static void free_writer(mt_writer_t *writer)
+{
+	mt_timers_cancel(mt_kernel_timers(writer->deps.kernel), writer->timer);
+	g_queue_free_full(writer->groups, (GDestroyNotify)free_group);
+	if (writer->draft)
+		free_group(writer->draft);
+	g_free(writer->topic);
+	g_free(writer->producer);
+	g_free(writer);
+}
+
+void mt_writer_close(mt_writer_t *writer)
+{
+	writer->closed = true;
+	if (!writer->in_flight)
+		free_writer(writer);
+}
+
+/** Answers the group at the head. */
+static void finish_group(mt_writer_t *writer, mt_store_result_t result)
+{
+	mt_group_t *group = g_queue_pop_head(writer->groups);
+
+	if (group->cb)
+		group->cb(group->ctx, result);
+	free_group(group);
+}
+
+static void on_retry(void *ctx)
+{
+	mt_writer_t *writer = ctx;
+
+	writer->timer = 0;
+	pump(writer);
+}
+
+static void retry_later(mt_writer_t *writer)
+{
+	const mt_kernel_t *kernel = writer->deps.kernel;
+
+	if (!writer->timer)
+		writer->timer = mt_timers_after(
+			mt_kernel_timers(kernel),
+			mt_kernel_jitter(kernel, RETRY_MS), on_retry, writer);
+}
+
+static void note_trouble(mt_writer_t *writer)
+{
+	if (!writer->troubled_since)
+		writer->troubled_since = mt_kernel_now(writer->deps.kernel);
+}
+
+static void on_done(mt_writer_t *writer)
+{
+	unsigned sent = writer->sent;
+
+	writer->sequence++;
+	writer->sent = 0;
+	writer->doubtful = false;
+	writer->troubled_since = 0;
+	writer->answer_ms = ANSWER_MIN_MS;
+	while (sent-- && !writer->closed)
+		finish_group(writer, MT_STORE_DONE);
+}
+
+/** Nothing was written: groups that do not insist are given back. */
+static void on_refused(mt_writer_t *writer)
+{
+	unsigned sent = writer->sent;
+	GQueue *kept = g_queue_new();
+
+	note_trouble(writer);
+	if (writer->doubtful) {
+		retry_later(writer);
+		g_queue_free(kept);
+		return;
+	}
+	writer->sent = 0;
+	while (sent--) {
+		mt_group_t *group = g_queue_peek_head(writer->groups);
+
+		if (group->insist || ++group->refusals <= REFUSALS_MAX) {
+			g_queue_push_tail(kept,
+					  g_queue_pop_head(writer->groups));
+			continue;
+		}
+		finish_group(writer, MT_STORE_REFUSED);
+	}
+	while (!g_queue_is_empty(kept))
+		g_queue_push_head(writer->groups, g_queue_pop_tail(kept));
+	g_queue_free(kept);
+	retry_later(writer);
+}
+
+static void on_fenced(mt_writer_t *writer)
+{
+	writer->sent = 0;
+	while (!writer->closed && !g_queue_is_empty(writer->groups))
+		finish_group(writer, MT_STORE_FENCED);
+}
+
+static void on_answer(void *ctx, mt_store_result_t result, uint64_t offset)
+{
+	mt_writer_t *writer = ctx;
+
+	writer->in_flight = false;
+	if (writer->closed) {
+		free_writer(writer);
+		return;
+	}
+	/* A callback may close the writer; it is freed only at the end. */
+	writer->in_flight = true;
+	switch (result) {
+	case MT_STORE_DONE:
+		on_done(writer);
+		break;
+	case MT_STORE_REFUSED:
+		on_refused(writer);
+		break;
+	case MT_STORE_FENCED:
+	case MT_STORE_OUT_OF_SEQUENCE:
+	case MT_STORE_CONFLICT:
+		mt_log(writer->deps.kernel, MT_LOG_WARNING, "writer",
+		       "producer %s epoch %" G_GUINT64_FORMAT
+		       " sequence %" G_GUINT64_FORMAT " was fenced (%d)",
+		       writer->producer, writer->deps.epoch, writer->sequence,
+		       result);
+		on_fenced(writer);
+		break;
+	default:
+		writer->doubtful = true;
+		note_trouble(writer);
+		writer->answer_ms = MIN(writer->answer_ms * 2, ANSWER_MAX_MS);
+		break;
+	}
+	writer->in_flight = false;
+	if (writer->closed)
+		free_writer(writer);
+	else if (!writer->timer)
+		pump(writer);
+}
+
+/** A batch in doubt is sent again exactly as it was. */
+static unsigned choose_groups(const mt_writer_t *writer)
+{
+	unsigned groups = 0;
+	unsigned records = 0;
+
+	if (writer->doubtful)
+		return writer->sent;
+	for (const GList *at = writer->groups->head; at; at = at->next) {
+		const mt_group_t *group = at->data;
+
+		records += group->texts->len / 2;
+		if (groups && records > BATCH_MAX_RECORDS)
+			break;
+		groups++;
+	}
+	return groups;
+}
+
+static mt_str_t text_at(const mt_group_t *group, guint index)
+{
+	gsize len;
+	const char *data = g_bytes_get_data(group->texts->pdata[index], &len);
+
+	return (mt_str_t){data, len};
+}
+
+static void pump(mt_writer_t *writer)
+{
+	mt_store_append_t append = {0};
+	GArray *records;
+	const GList *at = writer->groups->head;
+
+	if (writer->in_flight || writer->closed || !at)
+		return;
+	writer->sent = choose_groups(writer);
+	records = g_array_new(FALSE, TRUE, sizeof(mt_store_record_t));
+	for (unsigned i = 0; i < writer->sent; i++, at = at->next) {
+		const mt_group_t *group = at->data;
+
+		for (guint k = 0; k < group->texts->len; k += 2) {
+			mt_store_record_t record = {text_at(group, k),
+						    text_at(group, k + 1), 0};
+
+			g_array_append_val(records, record);
+		}
+	}
+	append.topic = writer->topic;
+	append.records = (const mt_store_record_t *)records->data;
+	append.count = records->len;
+	append.at = MT_STORE_ANYWHERE;
+	append.producer = writer->producer;
+	append.epoch = writer->deps.epoch;
+	append.sequence = writer->sequence;
+	append.timeout_ms = writer->answer_ms;
+	writer->in_flight = true;
+	writer->deps.store->append(writer->deps.store->self, &append, on_answer,
+				   writer);
+	g_array_unref(records);
+}
+
+void mt_writer_add(mt_writer_t *writer, mt_str_t key, mt_str_t value)
+{
+	if (!writer->draft) {
+		writer->draft = g_new0(mt_group_t, 1);
+		writer->draft->texts = g_ptr_array_new_with_free_func(
+			(GDestroyNotify)g_bytes_unref);
+	}
+	g_ptr_array_add(writer->draft->texts, g_bytes_new(key.data, key.len));
+	g_ptr_array_add(writer->draft->texts,
+			g_bytes_new(value.data, value.len));
+}
+
+void mt_writer_commit(mt_writer_t *writer, bool insist, mt_writer_cb cb,
+		      void *ctx)
+{
+	mt_group_t *group = writer->draft;
+
+	g_assert(group);
+	writer->draft = NULL;
+	group->insist = insist;
+	group->cb = cb;
+	group->ctx = ctx;
+	g_queue_push_tail(writer->groups, group);
+	if (!writer->timer)
+		pump(writer);
+}
+
+unsigned mt_writer_pending(const mt_writer_t *writer)
+{
+	return g_queue_get_length(writer->groups);
+}
+
+mt_ms_t mt_writer_stalled_ms(const mt_writer_t *writer)
+{
+	if (!writer->troubled_since || g_queue_is_empty(writer->groups))
+		return 0;
+	return mt_kernel_now(writer->deps.kernel) - writer->troubled_since;
+}
--- a/lib/kernel/kernel.c
+++ b/lib/kernel/kernel.c
@@ -1,6 +1,7 @@
 /** @file kernel.c Service registry, counters and log lines. */
 #include "kernel/kernel.h"
 
+#include <poll.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -16,6 +17,10 @@
 	mt_level_t level;
 	mt_log_sink_cb sink;
 	void *sink_ctx;
+	bool events_on;
+	uint64_t events; /**< lines written so far */
+	mt_ms_t events_second; /**< the second that `events_left` is for */
+	unsigned events_left;
 	mt_breach_cb on_breach;
 	void *breach_ctx;
 };
@@ -200,3 +205,52 @@
 		kernel->on_breach(kernel->breach_ctx, invariant, detail);
 	return false;
 }
+
+void mt_kernel_enable_events(mt_kernel_t *kernel)
+{
+	kernel->events_on = true;
+}
+
+/** True when a line may be written now, without waiting for a reader. */
+static bool has_event_budget(mt_kernel_t *kernel)
+{
+	struct pollfd out = {STDOUT_FILENO, POLLOUT, 0};
+	mt_ms_t second = mt_kernel_now(kernel) / 1000;
+
+	if (second != kernel->events_second) {
+		kernel->events_second = second;
+		kernel->events_left = MT_EVENTS_PER_S;
+	}
+	if (!kernel->events_left)
+		return false;
+	kernel->events_left--;
+	return poll(&out, 1, 0) == 1 && (out.revents & POLLOUT);
+}
+
+void mt_kernel_event(mt_kernel_t *kernel, const char *event,
+		     const char *format, ...)
+{
+	char line[1024];
+	int len;
+	va_list args;
+
+	if (!kernel->events_on)
+		return;
+	if (!has_event_budget(kernel)) {
+		mt_kernel_count(kernel, "events_dropped_total");
+		return;
+	}
+	len = snprintf(line, sizeof(line),
+		       "{\"event\":\"%s\",\"at_ms\":%" G_GINT64_FORMAT
+		       ",\"line\":%" G_GUINT64_FORMAT ",",
+		       event, g_get_real_time() / 1000, kernel->events++);
+	va_start(args, format);
+	len += vsnprintf(line + len, sizeof(line) - (size_t)len - 3, format,
+			 args);
+	va_end(args);
+	len = MIN(len, (int)sizeof(line) - 3);
+	line[len++] = '}';
+	line[len++] = '\n';
+	if (write(STDOUT_FILENO, line, (size_t)len) != len)
+		mt_kernel_count(kernel, "events_dropped_total");
+}
--- a/lib/kernel/kernel.h
+++ b/lib/kernel/kernel.h
@@ -22,6 +22,9 @@
 
 typedef struct mt_kernel_t mt_kernel_t;
 
+/** Event lines that are written per second at the most. */
+#define MT_EVENTS_PER_S 400u
+
 /**
  * @param program name shown in log lines
  * @param timers  borrowed; outlives the kernel
@@ -64,6 +67,19 @@
 void mt_log(const mt_kernel_t *kernel, mt_level_t level, const char *service,
 	    const char *format, ...) G_GNUC_PRINTF(4, 5);
 
+/**
+ * Writes one JSON object on a line of standard output: the event's name, the
+ * time and the host's counter of lines, then `format`, which gives further
+ * members. Names and numbers only; no text from callers. Lines beyond
+ * MT_EVENTS_PER_S, and those for which the output has no room, are counted in
+ * `events_dropped_total` and left out.
+ */
+void mt_kernel_event(mt_kernel_t *kernel, const char *event,
+		     const char *format, ...) G_GNUC_PRINTF(3, 4);
+
+/** Turns event lines on; a kernel without them drops them silently. */
+void mt_kernel_enable_events(mt_kernel_t *kernel);
+
 /** Takes log lines instead of standard error, whatever their level. */
 typedef void (*mt_log_sink_cb)(void *ctx, mt_level_t level, const char *service,
 			       const char *message);
--- a/lib/kernel/timers.c
+++ b/lib/kernel/timers.c
@@ -13,6 +13,7 @@
 
 struct mt_timers_t {
 	mt_ms_t now;
+	mt_ms_t (*read_ms)(void);
 	uint64_t last_id;
 	GSequence *queue;
 	GHashTable *by_id;
@@ -48,9 +49,15 @@
 	g_free(timers);
 }
 
+void mt_timers_set_clock(mt_timers_t *timers, mt_ms_t (*read_ms)(void))
+{
+	timers->read_ms = read_ms;
+}
+
 mt_ms_t mt_timers_now(const mt_timers_t *timers)
 {
-	return timers->now;
+	return timers->read_ms ? MAX(timers->now, timers->read_ms())
+			       : timers->now;
 }
 
 static void enqueue(mt_timers_t *timers, mt_entry_t *entry)
@@ -66,7 +73,7 @@
 {
 	mt_entry_t *entry = g_new0(mt_entry_t, 1);
 
-	entry->due = timers->now + delay;
+	entry->due = mt_timers_now(timers) + delay;
 	entry->id = ++timers->last_id;
 	entry->period = period;
 	entry->cb = cb;
--- a/lib/kernel/timers.h
+++ b/lib/kernel/timers.h
@@ -20,7 +20,13 @@
 mt_timers_t *mt_timers_new(mt_ms_t now);
 void mt_timers_free(mt_timers_t *timers);
 
-/** Time of the last mt_timers_advance(). */
+/**
+ * Reads the clock between two calls of mt_timers_advance(), so that a pause of
+ * the process is noticed by the first callback after it.
+ */
+void mt_timers_set_clock(mt_timers_t *timers, mt_ms_t (*read_ms)(void));
+
+/** The clock's time; without a clock, that of the last mt_timers_advance(). */
 mt_ms_t mt_timers_now(const mt_timers_t *timers);
 
 /**
--- a/lib/net/http_server.c
+++ b/lib/net/http_server.c
@@ -158,6 +158,11 @@
 	return view(headers->entries[at].value);
 }
 
+mt_str_t mt_http_authority(const mt_http_exchange_t *exchange)
+{
+	return view(exchange->request->authority);
+}
+
 bool mt_http_query(mt_str_t query, const char *name, mt_str_t *value)
 {
 	size_t len = strlen(name);
--- a/lib/net/http_server.h
+++ b/lib/net/http_server.h
@@ -33,6 +33,9 @@
 /** Value of a request header, to be read during the handler. */
 mt_str_t mt_http_header(const mt_http_exchange_t *exchange, const char *name);
 
+/** Host name, and perhaps port, that the request is addressed to. */
+mt_str_t mt_http_authority(const mt_http_exchange_t *exchange);
+
 /** Value of a query parameter; false when it is missing. */
 bool mt_http_query(mt_str_t query, const char *name, mt_str_t *value);
 
--- a/lib/net/loop.c
+++ b/lib/net/loop.c
@@ -3,7 +3,10 @@
 
 #include <glib.h>
 
-#define NS_PER_MS 1000000u
+#include <time.h>
+
+#define NS_PER_MS 1000000
+#define MS_PER_S 1000
 
 struct mt_loop_t {
 	uv_loop_t uv;
@@ -13,9 +16,13 @@
 	mt_timers_t *timers;
 };
 
+/** Monotonic, and goes on while the machine is suspended. */
 static mt_ms_t monotonic_ms(void)
 {
-	return uv_hrtime() / NS_PER_MS;
+	struct timespec now;
+
+	clock_gettime(CLOCK_BOOTTIME, &now);
+	return (mt_ms_t)(now.tv_sec * MS_PER_S + now.tv_nsec / NS_PER_MS);
 }
 
 static void advance(mt_loop_t *loop)
@@ -53,6 +60,7 @@
 
 	uv_loop_init(&loop->uv);
 	loop->timers = mt_timers_new(monotonic_ms());
+	mt_timers_set_clock(loop->timers, monotonic_ms);
 	uv_timer_init(&loop->uv, &loop->timer);
 	uv_prepare_init(&loop->uv, &loop->prepare);
 	uv_check_init(&loop->uv, &loop->check);
--- /dev/null
+++ b/programs/entryd/main.c
@@ -0,0 +1,245 @@
+/** @file main.c The daemon of an entry host on the users' platform. */
+#include <argtable2.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/resource.h>
+
+#include "dag/host.h"
+#include "net/http_client.h"
+#include "platform/callers.h"
+#include "platform/config_json.h"
+#include "platform/names.h"
+#include "platform/server_http.h"
+#include "platform/store_http.h"
+#include "settings.h"
+
+#define EXIT_BAD_SETTINGS 2
+#define EXIT_CANNOT_LISTEN 3
+
+#define SETTINGS_VARIABLE "MIMOSATURN_BOOT"
+
+/** The balancer needs so long to send callers elsewhere. */
+#define DRAIN_LINGER_MS 2600u
+#define DRAIN_CHECK_MS 50u
+
+#define MS_PER_US 1000
+
+typedef struct mt_entryd_t {
+	mt_entry_settings_t settings;
+	const char *settings_path;
+	mt_loop_t *loop;
+	mt_kernel_t *kernel;
+	mt_http_client_t *http;
+	mt_dag_host_t *host;
+	mt_callers_t *callers;
+	uv_signal_t on_term;
+	uv_signal_t on_int;
+	uv_signal_t on_hup;
+	mt_ms_t drain_since;
+} mt_entryd_t;
+
+static int64_t wall_ms(void)
+{
+	return g_get_real_time() / MS_PER_US;
+}
+
+/* Graceful stop. */
+
+static void check_drained(void *ctx)
+{
+	mt_entryd_t *entryd = ctx;
+	mt_http_server_t *http = mt_callers_http(entryd->callers);
+	mt_ms_t lasted = mt_kernel_now(entryd->kernel) - entryd->drain_since;
+	bool drained = lasted >= DRAIN_LINGER_MS &&
+		       mt_dag_host_is_drained(entryd->host);
+
+	if (lasted >= DRAIN_LINGER_MS)
+		mt_http_server_stop(http);
+	if ((drained && !mt_http_server_connections(http)) ||
+	    lasted >= entryd->settings.drain_ms) {
+		mt_kernel_event(entryd->kernel, "stopped",
+				"\"after_ms\":%u,\"work_left\":%s",
+				(unsigned)lasted, drained ? "false" : "true");
+		mt_loop_stop(entryd->loop);
+		return;
+	}
+	mt_timers_after(mt_loop_timers(entryd->loop), DRAIN_CHECK_MS,
+			check_drained, entryd);
+}
+
+static void on_stop_signal(uv_signal_t *handle, int signal_number)
+{
+	mt_entryd_t *entryd = handle->data;
+
+	if (entryd->drain_since)
+		return;
+	mt_kernel_event(entryd->kernel, "stopping", "\"signal\":%d",
+			signal_number);
+	entryd->drain_since = mt_kernel_now(entryd->kernel);
+	mt_http_server_close_after_answers(mt_callers_http(entryd->callers));
+	mt_dag_host_drain(entryd->host);
+	check_drained(entryd);
+}
+
+/** Addresses stay as they are; a file with errors changes nothing. */
+static void on_reload_signal(uv_signal_t *handle, int signal_number)
+{
+	mt_entryd_t *entryd = handle->data;
+	mt_entry_settings_t settings;
+	GError *error = NULL;
+
+	if (mt_entry_settings_read(entryd->settings_path, &settings, &error)) {
+		mt_kernel_event(entryd->kernel, "settings_reloaded",
+				"\"signal\":%d", signal_number);
+		return;
+	}
+	mt_log(entryd->kernel, MT_LOG_ERR, "entryd",
+	       "settings are kept as they were: %s", error->message);
+	g_error_free(error);
+}
+
+static void watch_signal(mt_entryd_t *entryd, uv_signal_t *handle, int number,
+			 uv_signal_cb cb)
+{
+	uv_signal_init(mt_loop_uv(entryd->loop), handle);
+	handle->data = entryd;
+	uv_signal_start(handle, cb, number);
+}
+
+/* Service. */
+
+static bool is_ready(void *ctx)
+{
+	mt_entryd_t *entryd = ctx;
+
+	return mt_dag_host_is_ready(entryd->host);
+}
+
+static void on_metrics(void *ctx, const mt_http_call_t *call)
+{
+	mt_entryd_t *entryd = ctx;
+	char *text;
+
+	*mt_kernel_counter(entryd->kernel, "platform_bytes_total") =
+		mt_http_client_bytes(entryd->http);
+	text = mt_kernel_metrics_text(entryd->kernel);
+	mt_http_answer(call->exchange, 200, "text/plain", mt_str_from(text),
+		       NULL);
+	g_free(text);
+}
+
+static bool listen_all(mt_entryd_t *entryd)
+{
+	const mt_entry_settings_t *settings = &entryd->settings;
+
+	entryd->callers = mt_callers_new(
+		entryd->kernel, entryd->loop, &settings->callers.address,
+		settings->callers.port, mt_dag_host_front(entryd->host));
+	return entryd->callers &&
+	       mt_readiness_new(entryd->loop, &settings->readiness.address,
+				settings->readiness.port, is_ready, entryd) &&
+	       mt_http_server_new(entryd->loop, &settings->metrics.address,
+				  settings->metrics.port, 0, on_metrics,
+				  entryd);
+}
+
+/* Start. */
+
+/** An address is not an identity: each run has an id of its own. */
+static mt_name_t make_incarnation(const mt_name_t *host)
+{
+	char text[MT_NAME_MAX_BYTES + 1];
+
+	g_snprintf(text, sizeof(text), "%.26s-%08x%08x", host->text,
+		   g_random_int(), g_random_int());
+	return mt_name(text);
+}
+
+static void make_host(mt_entryd_t *entryd)
+{
+	const mt_entry_settings_t *settings = &entryd->settings;
+	mt_dag_host_deps_t deps = {0};
+
+	deps.kernel = entryd->kernel;
+	deps.store = mt_store_http_port(mt_store_http_new(
+		entryd->kernel, entryd->http, &settings->store.address,
+		settings->store.port));
+	deps.backends = mt_server_http_port(
+		mt_server_http_new(entryd->kernel, entryd->http));
+	deps.reports = &mt_server_reports;
+	deps.config = (mt_config_format_t){WIRE_TOPIC_OPERATOR, WIRE_KEY_CONFIG,
+					   mt_config_decode};
+	deps.decode_job = mt_job_decode;
+	deps.host = settings->host;
+	deps.incarnation = make_incarnation(&settings->host);
+	deps.key_age_max_ms = settings->key_age_max_ms;
+	deps.bounds = settings->bounds;
+	deps.wall_ms = wall_ms;
+	entryd->host = mt_dag_host_new(&deps);
+}
+
+static bool start(mt_entryd_t *entryd)
+{
+	signal(SIGPIPE, SIG_IGN);
+	entryd->loop = mt_loop_new();
+	entryd->kernel =
+		mt_kernel_new("mimosaturn-entry", mt_loop_timers(entryd->loop),
+			      g_random_int());
+	mt_kernel_enable_events(entryd->kernel);
+	mt_kernel_event(entryd->kernel, "starting", "\"host\":\"%s\"",
+			entryd->settings.host.text);
+	entryd->http = mt_http_client_new(entryd->loop);
+	make_host(entryd);
+	watch_signal(entryd, &entryd->on_term, SIGTERM, on_stop_signal);
+	watch_signal(entryd, &entryd->on_int, SIGINT, on_stop_signal);
+	watch_signal(entryd, &entryd->on_hup, SIGHUP, on_reload_signal);
+	return listen_all(entryd);
+}
+
+static const char *choose_path(int argc, char **argv)
+{
+	struct arg_str *settings = arg_str0(
+		"s", "settings", "FILE",
+		"settings; default: the file that " SETTINGS_VARIABLE " names");
+	struct arg_lit *help = arg_lit0("h", "help", "print this help");
+	struct arg_end *end = arg_end(8);
+	void *table[] = {settings, help, end};
+	const char *path = getenv(SETTINGS_VARIABLE);
+	int errors = arg_parse(argc, argv, table);
+
+	if (errors || help->count) {
+		arg_print_errors(stderr, end, argv[0]);
+		arg_print_glossary(stderr, table, "  %-28s %s\n");
+		exit(errors ? EXIT_BAD_SETTINGS : EXIT_SUCCESS);
+	}
+	if (settings->count)
+		path = g_strdup(settings->sval[0]);
+	arg_freetable(table, G_N_ELEMENTS(table));
+	return path;
+}
+
+int main(int argc, char **argv)
+{
+	mt_entryd_t entryd = {0};
+	GError *error = NULL;
+
+	entryd.settings_path = choose_path(argc, argv);
+	if (!entryd.settings_path) {
+		fprintf(stderr, "no settings: use --settings or set %s\n",
+			SETTINGS_VARIABLE);
+		return EXIT_BAD_SETTINGS;
+	}
+	if (!mt_entry_settings_read(entryd.settings_path, &entryd.settings,
+				    &error)) {
+		fprintf(stderr, "%s\n", error->message);
+		g_error_free(error);
+		return EXIT_BAD_SETTINGS;
+	}
+	if (!start(&entryd)) {
+		fprintf(stderr, "an address cannot be listened on\n");
+		return EXIT_CANNOT_LISTEN;
+	}
+	mt_loop_run(entryd.loop);
+	return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/programs/entryd/settings.c
@@ -0,0 +1,134 @@
+/** @file settings.c Settings of an entry host on the platform. */
+#include "settings.h"
+
+#include <string.h>
+
+#include "net/json_util.h"
+
+/** Part of the longest lease that the platform allows. */
+#define LEASE_MAX_MS 6000u
+
+/** Keys are trusted for this part of the time within which a revoked key
+ * must be refused; the rest is for requests under way. */
+#define KEY_AGE_DIVISOR 2u
+
+/** A graceful stop leaves this much of the time that the platform grants. */
+#define STOP_MARGIN_MS 1000u
+
+/** Ended jobs stay in the store a little longer than they are shown. */
+#define KEEP_MARGIN_MS 30000u
+
+#define MS_PER_S 1000u
+
+GQuark mt_entry_error_quark(void)
+{
+	return g_quark_from_static_string("mt-entry-error");
+}
+
+static bool fail(GError **error, const char *field, const char *why)
+{
+	g_set_error(error, MT_ENTRY_ERROR, MT_ENTRY_ERROR_FIELD, "field %s: %s",
+		    field, why);
+	return false;
+}
+
+static bool get_endpoint(const json_t *json, const char *field,
+			 mt_endpoint_t *endpoint, GError **error)
+{
+	const char *text = json_string_value(json_object_get(json, field));
+	const char *colon = text ? strrchr(text, ':') : NULL;
+	uint64_t port;
+
+	if (!colon || !mt_str_to_u64(mt_str_from(colon + 1), &port) || !port ||
+	    port > UINT16_MAX)
+		return fail(error, field, "not an address and a port");
+	endpoint->address =
+		mt_name_from((mt_str_t){text, (size_t)(colon - text)});
+	endpoint->port = (uint16_t)port;
+	return true;
+}
+
+static bool get_name(const json_t *json, const char *field, mt_name_t *name,
+		     GError **error)
+{
+	if (mt_json_get_name(json, field, name) && name->len)
+		return true;
+	return fail(error, field, "not a short text");
+}
+
+static bool get_ms(const json_t *json, const char *field, double factor,
+		   mt_ms_t *ms, GError **error)
+{
+	const json_t *value = json_object_get(json, field);
+
+	if (!json_is_number(value) || json_number_value(value) < 0)
+		return fail(error, field, "not a number of 0 or more");
+	*ms = (mt_ms_t)(json_number_value(value) * factor);
+	return true;
+}
+
+static bool check_times(const json_t *json, mt_entry_settings_t *settings,
+			GError **error)
+{
+	mt_engine_bounds_t *bounds = &settings->bounds;
+	mt_ms_t grace = 0;
+	mt_ms_t revoke = 0;
+
+	if (!get_ms(json, "lease_max_ms", 1, &bounds->lease_ms, error) ||
+	    !get_ms(json, "stop_task_ms", 1, &bounds->stop_ms, error) ||
+	    !get_ms(json, "restore_ms", 1, &bounds->restore_ms, error) ||
+	    !get_ms(json, "keep_ended_s", MS_PER_S, &bounds->keep_ended_ms,
+		    error) ||
+	    !get_ms(json, "stop_grace_s", MS_PER_S, &grace, error) ||
+	    !get_ms(json, "revoke_key_ms", 1, &revoke, error))
+		return false;
+	if (!bounds->lease_ms)
+		return fail(error, "lease_max_ms", "0 allows no lease");
+	if (grace <= STOP_MARGIN_MS)
+		return fail(error, "stop_grace_s", "too short for a stop");
+	bounds->lease_ms = MIN(bounds->lease_ms, LEASE_MAX_MS);
+	bounds->keep_ended_ms += KEEP_MARGIN_MS;
+	settings->drain_ms = grace - STOP_MARGIN_MS;
+	settings->key_age_max_ms = revoke / KEY_AGE_DIVISOR;
+	return true;
+}
+
+static bool check(const json_t *json, mt_entry_settings_t *settings,
+		  GError **error)
+{
+	return get_name(json, "host", &settings->host, error) &&
+	       get_name(json, "data_centre", &settings->dc, error) &&
+	       get_endpoint(json, "callers", &settings->callers, error) &&
+	       get_endpoint(json, "readiness", &settings->readiness, error) &&
+	       get_endpoint(json, "metrics", &settings->metrics, error) &&
+	       get_endpoint(json, "store", &settings->store, error) &&
+	       check_times(json, settings, error);
+}
+
+bool mt_entry_settings_read(const char *path, mt_entry_settings_t *settings,
+			    GError **error)
+{
+	json_error_t at;
+	json_t *json;
+	char *text;
+	gsize len;
+	bool good;
+
+	memset(settings, 0, sizeof(*settings));
+	if (!g_file_get_contents(path, &text, &len, NULL)) {
+		g_set_error(error, MT_ENTRY_ERROR, MT_ENTRY_ERROR_UNREADABLE,
+			    "%s cannot be read", path);
+		return false;
+	}
+	json = json_loadb(text, len, JSON_REJECT_DUPLICATES, &at);
+	g_free(text);
+	if (!json_is_object(json)) {
+		g_set_error(error, MT_ENTRY_ERROR, MT_ENTRY_ERROR_SYNTAX,
+			    "%s, line %d: %s", path, at.line, at.text);
+		json_decref(json);
+		return false;
+	}
+	good = check(json, settings, error);
+	json_decref(json);
+	return good;
+}
--- /dev/null
+++ b/programs/entryd/settings.h
@@ -0,0 +1,42 @@
+/**
+ * @file settings.h
+ * Settings of an entry host on the platform, checked in full.
+ */
+#ifndef MT_ENTRYD_SETTINGS_H
+#define MT_ENTRYD_SETTINGS_H
+
+#include "dag/engine.h"
+#include "kernel/name.h"
+
+typedef enum mt_entry_error_t {
+	MT_ENTRY_ERROR_UNREADABLE, /**< the file cannot be read */
+	MT_ENTRY_ERROR_SYNTAX,	   /**< not a JSON object */
+	MT_ENTRY_ERROR_FIELD,	   /**< a field is missing or out of range */
+} mt_entry_error_t;
+
+#define MT_ENTRY_ERROR mt_entry_error_quark()
+GQuark mt_entry_error_quark(void);
+
+/** A TCP address: IP number and port. */
+typedef struct mt_endpoint_t {
+	mt_name_t address;
+	uint16_t port;
+} mt_endpoint_t;
+
+typedef struct mt_entry_settings_t {
+	mt_name_t host;
+	mt_name_t dc;
+	mt_endpoint_t callers;
+	mt_endpoint_t readiness;
+	mt_endpoint_t metrics;
+	mt_endpoint_t store;
+	mt_ms_t key_age_max_ms; /**< keys are trusted so long without news */
+	mt_ms_t drain_ms;	/**< time that a graceful stop may take */
+	mt_engine_bounds_t bounds;
+} mt_entry_settings_t;
+
+/** Reads and checks the file; the error names the field. */
+bool mt_entry_settings_read(const char *path, mt_entry_settings_t *settings,
+			    GError **error);
+
+#endif
--- a/scripts/sources.sh
+++ b/scripts/sources.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Lists the C sources that are written by hand.
 cd "$(dirname "$0")/.." || exit 1
-find lib programs tests -name '*.[ch]' ! -name '*.pb-c.[ch]' | sort
+find lib platform programs tests -name '*.[ch]' ! -name '*.pb-c.[ch]' | sort
