--- a/lib/dag/catalog.c
+++ b/lib/dag/catalog.c
@@ -133,10 +133,13 @@
 const mt_client_account_t *
 mt_catalog_account_of_key(const mt_catalog_t *catalog, mt_str_t key)
 {
-	char *text = g_strndup(key.data, key.len);
-	const mt_client_account_t *account =
-		g_hash_table_lookup(catalog->by_key, text);
+	const mt_client_account_t *account;
+	char *text;
 
+	if (!key.len)
+		return NULL;
+	text = g_strndup(key.data, key.len);
+	account = g_hash_table_lookup(catalog->by_key, text);
 	g_free(text);
 	return account;
 }
