--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -132,10 +132,9 @@
 	backend = g_new0(mt_backend_t, 1);
 	backend->info.target.id = *id;
 	backend->tasks = g_ptr_array_new();
-	backend->lapse_at = mt_engine_now(engine) + FORMER_LEADER_MS;
-	mt_backend_note_lease(backend, backend->lapse_at,
+	backend->clock_at = mt_engine_now(engine) + FORMER_LEADER_MS;
+	mt_backend_note_lease(backend, backend->clock_at,
 			      engine->deps.bounds.lease_ms);
-	backend->clock_at = mt_engine_now(engine);
 	g_hash_table_insert(engine->backends, &backend->info.target.id,
 			    backend);
 	return backend;
