--- a/lib/dag/host.c
+++ b/lib/dag/host.c
@@ -277,6 +277,11 @@
 	return !host->draining && mt_dag_front_is_ready(host->front);
 }
 
+bool mt_dag_host_is_leading(const mt_dag_host_t *host)
+{
+	return mt_engine_is_leading(host->engine);
+}
+
 static void on_released(void *ctx)
 {
 	mt_dag_host_t *host = ctx;
--- a/lib/dag/host.h
+++ b/lib/dag/host.h
@@ -41,6 +41,9 @@
 /** True when callers may be sent here. */
 bool mt_dag_host_is_ready(const mt_dag_host_t *host);
 
+/** True while this host schedules. */
+bool mt_dag_host_is_leading(const mt_dag_host_t *host);
+
 /** Begins a graceful stop: not ready any more, the office is given up. */
 void mt_dag_host_drain(mt_dag_host_t *host);
 
--- /dev/null
+++ b/tests/fleet/fake_store.c
@@ -0,0 +1,559 @@
+/** @file fake_store.c The platform's store in memory. */
+#include "fleet/fake_store.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define LATENCY_MS 3u
+#define LATE_MIN_MS 1000
+#define LATE_MAX_MS 6000
+
+#define CONFIG_TOPIC "keyed.op"
+#define SERVERS_TOPIC "keyed.servers"
+
+typedef struct mt_fake_record_t {
+	GBytes *key;
+	GBytes *value;
+	uint64_t offset;
+} mt_fake_record_t;
+
+typedef struct mt_fake_topic_t {
+	char *name;
+	GArray *records; /**< mt_fake_record_t from `first` on */
+	uint64_t first;	 /**< oldest offset that is kept */
+	uint64_t end;
+	GHashTable *newest; /**< key text to mt_fake_record_t */
+} mt_fake_topic_t;
+
+typedef struct mt_fake_producer_t {
+	uint64_t epoch;
+	uint64_t sequence;
+	uint64_t offset; /**< answer to `sequence` */
+} mt_fake_producer_t;
+
+struct mt_fake_store_t {
+	mt_world_t *world;
+	GHashTable *topics;
+	GHashTable *producers;
+	GPtrArray *polls; /**< mt_fake_call_t that wait */
+	uint64_t last_poll;
+};
+
+typedef struct mt_fake_call_t {
+	mt_fake_store_t *store;
+	mt_world_host_t *host;
+	char *topic;
+	GArray *records; /**< of an append */
+	uint64_t at;
+	char *producer;
+	uint64_t epoch;
+	uint64_t sequence;
+	mt_store_append_cb on_append;
+	mt_store_page_cb on_page;
+	void *ctx;
+	uint64_t from;
+	char *after;
+	bool newest;
+	uint64_t poll; /**< number of a read that waits */
+	mt_ms_t wait_until;
+	mt_ms_t give_up_at;
+	mt_store_result_t result;
+	uint64_t offset;
+	bool answered;
+} mt_fake_call_t;
+
+mt_fake_store_t *mt_fake_store_new(mt_world_t *world)
+{
+	mt_fake_store_t *store = g_new0(mt_fake_store_t, 1);
+
+	store->world = world;
+	store->topics = g_hash_table_new(g_str_hash, g_str_equal);
+	store->producers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	store->polls = g_ptr_array_new();
+	return store;
+}
+
+static mt_fake_topic_t *topic_of(mt_fake_store_t *store, const char *name)
+{
+	mt_fake_topic_t *topic = g_hash_table_lookup(store->topics, name);
+
+	if (topic)
+		return topic;
+	topic = g_new0(mt_fake_topic_t, 1);
+	topic->name = g_strdup(name);
+	topic->records = g_array_new(FALSE, TRUE, sizeof(mt_fake_record_t));
+	topic->newest =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g_hash_table_insert(store->topics, topic->name, topic);
+	return topic;
+}
+
+static void wake_polls(mt_fake_store_t *store, const mt_fake_topic_t *topic);
+
+static void add_record(mt_fake_store_t *store, mt_fake_topic_t *topic,
+		       GBytes *key, GBytes *value)
+{
+	mt_fake_record_t record = {key, value, topic->end++};
+	mt_str_t text = mt_bytes_view(key);
+
+	g_array_append_val(topic->records, record);
+	if (g_bytes_get_size(value))
+		g_hash_table_insert(topic->newest,
+				    g_strndup(text.data, text.len),
+				    g_memdup2(&record, sizeof(record)));
+	else {
+		char *name = g_strndup(text.data, text.len);
+
+		g_hash_table_remove(topic->newest, name);
+		g_free(name);
+	}
+	wake_polls(store, topic);
+}
+
+void mt_fake_store_put(mt_fake_store_t *store, const char *topic,
+		       const char *key, mt_str_t value)
+{
+	add_record(store, topic_of(store, topic), g_bytes_new(key, strlen(key)),
+		   g_bytes_new(value.data, value.len));
+}
+
+void mt_fake_store_compact(mt_fake_store_t *store, const char *name)
+{
+	mt_fake_topic_t *topic = topic_of(store, name);
+
+	g_array_set_size(topic->records, 0);
+	topic->first = topic->end;
+}
+
+/* Answers. */
+
+static bool is_cut(const mt_fake_call_t *call)
+{
+	return call->store->world->store_down || call->host->store_cut;
+}
+
+static mt_store_record_t view_of(const mt_fake_record_t *record)
+{
+	return (mt_store_record_t){mt_bytes_view(record->key),
+				   mt_bytes_view(record->value),
+				   record->offset};
+}
+
+static gint compare_text(gconstpointer a, gconstpointer b)
+{
+	return strcmp(a, b);
+}
+
+static void answer_newest(mt_fake_call_t *call, mt_store_page_t *page,
+			  GArray *out)
+{
+	mt_fake_topic_t *topic = topic_of(call->store, call->topic);
+	GList *keys =
+		g_list_sort(g_hash_table_get_keys(topic->newest), compare_text);
+
+	for (GList *at = keys; at; at = at->next) {
+		mt_store_record_t record;
+
+		if (call->after && strcmp(at->data, call->after) <= 0)
+			continue;
+		record = view_of(g_hash_table_lookup(topic->newest, at->data));
+		g_array_append_val(out, record);
+	}
+	g_list_free(keys);
+	page->end = topic->end;
+}
+
+static void answer_read(mt_fake_call_t *call, mt_store_page_t *page,
+			GArray *out)
+{
+	mt_fake_topic_t *topic = topic_of(call->store, call->topic);
+
+	page->end = topic->end;
+	if (call->from < topic->first) {
+		page->result = MT_STORE_TRIMMED;
+		return;
+	}
+	for (guint i = 0; i < topic->records->len; i++) {
+		const mt_fake_record_t *record =
+			&g_array_index(topic->records, mt_fake_record_t, i);
+		mt_store_record_t view = view_of(record);
+
+		if (record->offset >= call->from)
+			g_array_append_val(out, view);
+	}
+	page->next = call->from + out->len;
+}
+
+static void free_call(mt_fake_call_t *call)
+{
+	g_free(call->topic);
+	g_free(call->producer);
+	g_free(call->after);
+	if (call->records)
+		g_array_unref(call->records);
+	g_free(call);
+}
+
+static void deliver_page(void *ctx)
+{
+	mt_fake_call_t *call = ctx;
+	GArray *out = g_array_new(FALSE, TRUE, sizeof(mt_store_record_t));
+	mt_store_page_t page = {0};
+
+	page.result = call->result;
+	if (page.result == MT_STORE_DONE && call->newest)
+		answer_newest(call, &page, out);
+	else if (page.result == MT_STORE_DONE)
+		answer_read(call, &page, out);
+	page.records = (const mt_store_record_t *)out->data;
+	page.count = out->len;
+	call->on_page(call->ctx, &page);
+	g_array_unref(out);
+	free_call(call);
+}
+
+static void deliver_append(void *ctx)
+{
+	mt_fake_call_t *call = ctx;
+
+	call->on_append(call->ctx, call->result, call->offset);
+	free_call(call);
+}
+
+static mt_ms_t latency(const mt_fake_call_t *call)
+{
+	return LATENCY_MS + call->host->index * 7 +
+	       call->store->world->store_extra_ms;
+}
+
+static void answer(mt_fake_call_t *call, mt_store_result_t result,
+		   mt_ms_t delay)
+{
+	call->answered = true;
+	call->result = result;
+	mt_world_to_host(call->host, delay,
+			 call->on_page ? deliver_page : deliver_append, call);
+}
+
+/* Appends. */
+
+static mt_store_result_t check_producer(mt_fake_call_t *call,
+					mt_fake_producer_t *state, bool *repeat)
+{
+	*repeat = false;
+	if (call->epoch < state->epoch)
+		return MT_STORE_FENCED;
+	if (call->epoch > state->epoch)
+		return MT_STORE_DONE;
+	if (call->sequence == state->sequence) {
+		*repeat = true;
+		call->offset = state->offset;
+		return MT_STORE_DONE;
+	}
+	return call->sequence == state->sequence + 1 ? MT_STORE_DONE
+						     : MT_STORE_OUT_OF_SEQUENCE;
+}
+
+static mt_fake_producer_t *producer_of(mt_fake_store_t *store, const char *name)
+{
+	mt_fake_producer_t *state = g_hash_table_lookup(store->producers, name);
+
+	if (!state) {
+		state = g_new0(mt_fake_producer_t, 1);
+		g_hash_table_insert(store->producers, g_strdup(name), state);
+	}
+	return state;
+}
+
+static mt_store_result_t carry_out(mt_fake_call_t *call)
+{
+	mt_fake_store_t *store = call->store;
+	mt_fake_topic_t *topic = topic_of(store, call->topic);
+	mt_fake_producer_t *state = producer_of(store, call->producer);
+	bool repeat;
+	mt_store_result_t result = check_producer(call, state, &repeat);
+
+	if (result != MT_STORE_DONE || repeat)
+		return result;
+	if (call->at != MT_STORE_ANYWHERE && call->at != topic->end)
+		return MT_STORE_CONFLICT;
+	state->epoch = call->epoch;
+	state->sequence = call->sequence;
+	state->offset = topic->end;
+	call->offset = topic->end;
+	for (guint i = 0; i < call->records->len; i++) {
+		const mt_fake_record_t *record =
+			&g_array_index(call->records, mt_fake_record_t, i);
+
+		add_record(store, topic, record->key, record->value);
+	}
+	return MT_STORE_DONE;
+}
+
+static void append_late(void *ctx)
+{
+	mt_fake_call_t *call = ctx;
+
+	carry_out(call);
+	free_call(call);
+}
+
+static void on_append_arrives(void *ctx)
+{
+	mt_fake_call_t *call = ctx;
+	mt_world_t *world = call->store->world;
+	mt_ms_t rest = call->give_up_at - mt_world_now(world);
+	mt_store_result_t result;
+
+	if (is_cut(call)) {
+		if (mt_world_chance(world, 0.5))
+			answer(call, MT_STORE_REFUSED, LATENCY_MS);
+		else
+			answer(call, MT_STORE_UNKNOWN, rest);
+		return;
+	}
+	if (mt_world_chance(world, world->store_lost)) {
+		if (mt_world_chance(world, 0.5)) {
+			mt_fake_call_t *late = g_memdup2(call, sizeof(*call));
+
+			late->topic = g_strdup(call->topic);
+			late->producer = g_strdup(call->producer);
+			late->records = g_array_ref(call->records);
+			late->after = NULL;
+			mt_timers_after(world->timers,
+					(mt_ms_t)g_rand_int_range(world->rand,
+								  LATE_MIN_MS,
+								  LATE_MAX_MS),
+					append_late, late);
+		} else {
+			carry_out(call);
+		}
+		answer(call, MT_STORE_UNKNOWN, rest);
+		return;
+	}
+	result = carry_out(call);
+	answer(call, result, latency(call));
+}
+
+static mt_fake_call_t *new_call(mt_world_host_t *host, const char *topic,
+				void *ctx, mt_ms_t timeout_ms)
+{
+	mt_fake_call_t *call = g_new0(mt_fake_call_t, 1);
+
+	call->store = host->world->store;
+	call->host = host;
+	call->topic = g_strdup(topic);
+	call->ctx = ctx;
+	call->give_up_at = mt_world_now(host->world) + timeout_ms;
+	return call;
+}
+
+static void append(void *self, const mt_store_append_t *append,
+		   mt_store_append_cb cb, void *ctx)
+{
+	mt_world_host_t *host = self;
+	mt_fake_call_t *call =
+		new_call(host, append->topic, ctx, append->timeout_ms);
+
+	call->on_append = cb;
+	call->at = append->at;
+	call->producer = g_strdup(append->producer);
+	call->epoch = append->epoch;
+	call->sequence = append->sequence;
+	call->records = g_array_new(FALSE, TRUE, sizeof(mt_fake_record_t));
+	for (size_t i = 0; i < append->count; i++) {
+		const mt_store_record_t *in = &append->records[i];
+		mt_fake_record_t record = {
+			g_bytes_new(in->key.data, in->key.len),
+			g_bytes_new(in->value.data, in->value.len), 0};
+
+		g_array_append_val(call->records, record);
+	}
+	mt_timers_after(host->world->timers, LATENCY_MS, on_append_arrives,
+			call);
+}
+
+/* Reads. */
+
+static bool has_news(const mt_fake_call_t *call)
+{
+	const mt_fake_topic_t *topic = topic_of(call->store, call->topic);
+
+	return call->newest || topic->end > call->from ||
+	       call->from < topic->first;
+}
+
+typedef struct mt_poll_end_t {
+	mt_fake_store_t *store;
+	uint64_t poll;
+} mt_poll_end_t;
+
+static void end_poll(void *ctx)
+{
+	mt_poll_end_t *end = ctx;
+
+	for (guint i = 0; i < end->store->polls->len; i++) {
+		mt_fake_call_t *call = end->store->polls->pdata[i];
+
+		if (call->poll != end->poll)
+			continue;
+		g_ptr_array_remove_index_fast(end->store->polls, i);
+		answer(call, is_cut(call) ? MT_STORE_UNKNOWN : MT_STORE_DONE,
+		       latency(call));
+		break;
+	}
+	g_free(end);
+}
+
+static void wait_for_news(mt_fake_call_t *call)
+{
+	mt_poll_end_t *end = g_new0(mt_poll_end_t, 1);
+	mt_world_t *world = call->store->world;
+
+	call->poll = ++call->store->last_poll;
+	end->store = call->store;
+	end->poll = call->poll;
+	g_ptr_array_add(call->store->polls, call);
+	mt_timers_after(world->timers, call->wait_until - mt_world_now(world),
+			end_poll, end);
+}
+
+static void wake_polls(mt_fake_store_t *store, const mt_fake_topic_t *topic)
+{
+	for (guint i = store->polls->len; i-- > 0;) {
+		mt_fake_call_t *call = store->polls->pdata[i];
+
+		if (strcmp(call->topic, topic->name) || is_cut(call))
+			continue;
+		g_ptr_array_remove_index_fast(store->polls, i);
+		answer(call, MT_STORE_DONE, latency(call));
+	}
+}
+
+static void on_read_arrives(void *ctx)
+{
+	mt_fake_call_t *call = ctx;
+	mt_world_t *world = call->store->world;
+	mt_ms_t now = mt_world_now(world);
+
+	if (is_cut(call)) {
+		if (mt_world_chance(world, 0.5))
+			answer(call, MT_STORE_REFUSED, LATENCY_MS);
+		else
+			answer(call, MT_STORE_UNKNOWN, call->give_up_at - now);
+		return;
+	}
+	if (has_news(call) || call->wait_until <= now) {
+		answer(call, MT_STORE_DONE, latency(call));
+		return;
+	}
+	wait_for_news(call);
+}
+
+static void read_topic(void *self, const char *topic, uint64_t from,
+		       mt_ms_t wait_ms, mt_store_page_cb cb, void *ctx)
+{
+	mt_world_host_t *host = self;
+	mt_fake_call_t *call = new_call(host, topic, ctx, wait_ms + 1500);
+
+	call->on_page = cb;
+	call->from = from;
+	call->wait_until = mt_world_now(host->world) + wait_ms;
+	mt_timers_after(host->world->timers, LATENCY_MS, on_read_arrives, call);
+}
+
+static void newest(void *self, const char *topic, mt_str_t after_key,
+		   mt_store_page_cb cb, void *ctx)
+{
+	mt_world_host_t *host = self;
+	mt_fake_call_t *call = new_call(host, topic, ctx, 1500);
+
+	call->on_page = cb;
+	call->newest = true;
+	call->after =
+		after_key.len ? g_strndup(after_key.data, after_key.len) : NULL;
+	mt_timers_after(host->world->timers, LATENCY_MS, on_read_arrives, call);
+}
+
+void mt_fake_store_bind(mt_fake_store_t *store, mt_world_host_t *host)
+{
+	(void)store;
+	host->store_port = (mt_store_port_t){host, append, read_topic, newest};
+}
+
+/* Formats: texts that sscanf() reads. */
+
+static bool decode_report(const mt_store_record_t *record,
+			  mt_backend_info_t *info)
+{
+	char *text = g_strndup(record->value.data, record->value.len);
+	char state[16];
+	char rack[16];
+	gint64 born;
+	bool good = sscanf(text, "%15s %15s %" G_GINT64_MODIFIER "d", state,
+			   rack, &born) == 3;
+
+	g_free(text);
+	info->service = mt_name("service");
+	info->target.address = mt_name("10.0.0.1");
+	info->target.port = 1;
+	info->draining = good && !strcmp(state, "draining");
+	info->born_ms = born;
+	info->capacity = (mt_amount_t){64000, 262144, 8};
+	info->labels[0] = g_quark_from_string("a");
+	info->labels[1] = g_quark_from_string(good ? rack : "");
+	info->rack = info->labels[1];
+	return good;
+}
+
+const mt_directory_format_t *mt_fake_store_reports(void)
+{
+	static const mt_directory_format_t format = {SERVERS_TOPIC,
+						     decode_report};
+
+	return &format;
+}
+
+static void add_queue(mt_catalog_t *catalog, const char *name,
+		      uint32_t priority)
+{
+	mt_queue_t *queue = mt_catalog_add_queue(catalog);
+
+	queue->name = mt_name(name);
+	queue->host = mt_name("jobs.example");
+	queue->path_prefix = g_strdup_printf("/%s/", name);
+	queue->service = mt_name("service");
+	queue->priority = priority;
+	queue->attempts_max = 50;
+	queue->slack_factor = 3;
+	queue->target_ms = 1000;
+}
+
+static mt_catalog_t *decode_config(mt_str_t text)
+{
+	uint64_t version;
+	mt_catalog_t *catalog;
+	mt_client_account_t *account;
+
+	if (!mt_str_to_u64(text, &version))
+		return NULL;
+	catalog = mt_catalog_new(version);
+	add_queue(catalog, "urgent", 0);
+	add_queue(catalog, "batch", 2);
+	account = mt_catalog_add_account(catalog);
+	account->name = mt_name("shop");
+	account->guaranteed_gpu = 32;
+	mt_catalog_add_key(catalog, account, "key");
+	return catalog;
+}
+
+mt_config_format_t mt_fake_store_config(void)
+{
+	return (mt_config_format_t){CONFIG_TOPIC, "config", decode_config};
+}
+
+MtDag__Job *mt_fake_store_decode_job(mt_str_t body)
+{
+	return mt_dag__job__unpack(NULL, body.len, (const uint8_t *)body.data);
+}
--- /dev/null
+++ b/tests/fleet/world.h
@@ -0,0 +1,70 @@
+/**
+ * @file world.h
+ * Virtual time, hosts and failures: several entry hosts run in one process
+ * over a store and backend servers that live in memory.
+ */
+#ifndef MT_FLEET_WORLD_H
+#define MT_FLEET_WORLD_H
+
+#include "dag/host.h"
+#include "kernel/kernel.h"
+
+#define FLEET_HOSTS 4u
+#define FLEET_SERVERS 12u
+
+typedef struct mt_world_t mt_world_t;
+
+/** One process of an entry host; a restart makes a new one. */
+typedef struct mt_world_host_t {
+	mt_world_t *world;
+	unsigned index;
+	mt_timers_t *timers;
+	mt_kernel_t *kernel;
+	mt_dag_host_t *host;
+	bool dead;
+	bool frozen;
+	bool store_cut;	  /**< no answer from the store */
+	bool servers_cut; /**< no answer from servers */
+	GQueue *late;	  /**< mt_world_event_t kept while frozen */
+	mt_store_port_t store_port;
+	mt_backend_port_t backend_port;
+} mt_world_host_t;
+
+struct mt_world_t {
+	mt_timers_t *timers; /**< the world's own events */
+	GRand *rand;
+	mt_world_host_t *hosts[FLEET_HOSTS];
+	unsigned incarnations;
+	unsigned breaches;
+	bool verbose;
+	/* Failures in force. */
+	bool store_down;
+	double store_lost; /**< share of answers that are lost */
+	double order_lost; /**< share of orders without an answer */
+	double order_late; /**< of these, carried out seconds later */
+	mt_ms_t store_extra_ms;
+	struct mt_fake_store_t *store;
+	struct mt_fake_fleet_t *fleet;
+};
+
+mt_world_t *mt_world_new(guint32 seed, bool verbose);
+void mt_world_start_host(mt_world_t *world, unsigned index);
+void mt_world_kill_host(mt_world_t *world, unsigned index);
+void mt_world_freeze_host(mt_world_t *world, unsigned index, bool frozen);
+
+/** Runs until `until`, in order of due times. */
+void mt_world_run(mt_world_t *world, mt_ms_t until);
+mt_ms_t mt_world_now(const mt_world_t *world);
+
+/** A rule that the program promises does not hold. */
+void mt_world_breach(mt_world_t *world, const char *format, ...)
+	G_GNUC_PRINTF(2, 3);
+
+/** True with probability `share`. */
+bool mt_world_chance(mt_world_t *world, double share);
+
+/** Calls `cb` in the host's turn, after `delay`; dropped when it has died. */
+void mt_world_to_host(mt_world_host_t *host, mt_ms_t delay, mt_timer_cb cb,
+		      void *ctx);
+
+#endif
