Let the lease of a silent server run out although a start was sent there

Starts are now repeated for 2.5 s at most, and one that was certainly not sent is given back at once.

--- a/lib/dag/orders.c
+++ b/lib/dag/orders.c
@@ -19,12 +19,17 @@
 
 #define ORDER_RETRY_MS 250u
 
+/** Each attempt to start may grant a lease, so a silent server gets no more
+ * of them after this time and its lease runs out. */
+#define START_RETRY_MAX_MS 2500u
+
 /** A gang whose members are not all confirmed by then is started anew. */
 #define GANG_START_MS 1500u
 
 /** No placement on a server that refused one, for so long. */
 #define AVOID_BUSY_MS 3000u
 #define AVOID_ROOM_MS 600u
+#define AVOID_DEAD_MS 1000u
 
 /** An order under way; the task is looked up again when it is answered. */
 typedef struct mt_sent_order_t {
@@ -139,6 +144,10 @@
 		task->acked_at = mt_engine_now(engine);
 		mt_orders_hold(engine, task->server);
 		break;
+	case MT_COMMAND_NOT_SENT:
+		if (!task->unsure)
+			give_back(engine, task, AVOID_DEAD_MS);
+		break;
 	case MT_COMMAND_UNKNOWN:
 		task->unsure = true;
 		break;
@@ -386,6 +395,7 @@
 	if (task->phase == MT_TASK_PLACED && task->start_durable &&
 	    !task->start_in_flight && !task->acked_at &&
 	    now - task->start_sent_at >= ORDER_RETRY_MS &&
+	    now - task->placed_at <= START_RETRY_MAX_MS &&
 	    task->placed_at > engine->led_since)
 		mt_orders_start(engine, task);
 	tick_gang(engine, task, now);
--- a/tests/fleet/fake_servers.c
+++ b/tests/fleet/fake_servers.c
@@ -97,6 +97,7 @@
 	mt_ms_t give_up_at;
 	mt_backend_cb cb;
 	void *ctx;
+	int64_t born; /**< lifetime of the server that received it */
 	mt_command_result_t result;
 } mt_fake_order_t;
 
@@ -624,7 +625,8 @@
 {
 	mt_fake_order_t *order = ctx;
 
-	if (order->server->up)
+	/* What a process has received ends with it. */
+	if (order->server->up && order->server->born == order->born)
 		carry_out(order);
 	g_free(order);
 }
@@ -661,6 +663,7 @@
 		fail(order, MT_COMMAND_NOT_SENT, LATENCY_MS);
 		return;
 	}
+	order->born = server->born;
 	if (lose_order(order)) {
 		fail(order, MT_COMMAND_UNKNOWN, rest);
 		return;
