--- a/lib/dag/orders.c
+++ b/lib/dag/orders.c
@@ -19,8 +19,7 @@
 
 #define ORDER_RETRY_MS 250u
 
-/** Each attempt to start may grant a lease, so a silent server gets no more
- * of them after this time and its lease runs out. */
+/** A start without an answer is repeated for so long at a silent server. */
 #define START_RETRY_MAX_MS 2500u
 
 /** A gang whose members are not all confirmed by then is started anew. */
@@ -385,6 +384,16 @@
 	}
 }
 
+/**
+ * Each attempt to start may grant a lease, so that of a silent server could
+ * never run out.
+ */
+static bool may_repeat_start(const mt_dag_task_t *task, mt_ms_t now)
+{
+	return now - task->placed_at <= START_RETRY_MAX_MS ||
+	       mt_backend_is_heard(task->server, now, RENEW_WINDOW_MS);
+}
+
 static void tick_task(mt_engine_t *engine, mt_dag_task_t *task, mt_ms_t now)
 {
 	if (task->stop_wanted) {
@@ -395,8 +404,7 @@
 	if (task->phase == MT_TASK_PLACED && task->start_durable &&
 	    !task->start_in_flight && !task->acked_at &&
 	    now - task->start_sent_at >= ORDER_RETRY_MS &&
-	    now - task->placed_at <= START_RETRY_MAX_MS &&
-	    task->placed_at > engine->led_since)
+	    may_repeat_start(task, now) && task->placed_at > engine->led_since)
 		mt_orders_start(engine, task);
 	tick_gang(engine, task, now);
 }
--- a/lib/kernel/kernel.c
+++ b/lib/kernel/kernel.c
@@ -18,7 +18,7 @@
 	mt_log_sink_cb sink;
 	void *sink_ctx;
 	bool events_on;
-	uint64_t events; /**< lines written so far */
+	uint64_t events;       /**< lines written so far */
 	mt_ms_t events_second; /**< the second that `events_left` is for */
 	unsigned events_left;
 	mt_breach_cb on_breach;
@@ -227,8 +227,8 @@
 	return poll(&out, 1, 0) == 1 && (out.revents & POLLOUT);
 }
 
-void mt_kernel_event(mt_kernel_t *kernel, const char *event,
-		     const char *format, ...)
+void mt_kernel_event(mt_kernel_t *kernel, const char *event, const char *format,
+		     ...)
 {
 	char line[1024];
 	int len;
--- a/lib/kernel/kernel.h
+++ b/lib/kernel/kernel.h
@@ -74,8 +74,8 @@
  * MT_EVENTS_PER_S, and those for which the output has no room, are counted in
  * `events_dropped_total` and left out.
  */
-void mt_kernel_event(mt_kernel_t *kernel, const char *event,
-		     const char *format, ...) G_GNUC_PRINTF(3, 4);
+void mt_kernel_event(mt_kernel_t *kernel, const char *event, const char *format,
+		     ...) G_GNUC_PRINTF(3, 4);
 
 /** Turns event lines on; a kernel without them drops them silently. */
 void mt_kernel_enable_events(mt_kernel_t *kernel);
--- a/tests/fleet/fake_servers.c
+++ b/tests/fleet/fake_servers.c
@@ -788,6 +788,14 @@
 	fleet->servers[server].cut = cut;
 }
 
+void mt_fake_fleet_heal(mt_fake_fleet_t *fleet)
+{
+	for (unsigned i = 0; i < fleet->count; i++) {
+		if (fleet->servers[i].up)
+			fleet->servers[i].cut = false;
+	}
+}
+
 typedef struct mt_leave_t {
 	mt_fake_fleet_t *fleet;
 	unsigned server;
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -19,6 +19,8 @@
 #define FAULT_EVERY_MS 2500
 #define RETRIES_MAX 4u
 #define CANCEL_SHARE 0.1
+#define VANISHED_MAX 2u
+#define NEVER_MS 10000000u
 
 /** What a caller knows of its job. */
 typedef struct mt_caller_job_t {
@@ -304,12 +306,24 @@
 	mt_timers_after(world->timers, lasts, mend_store, new_mend(world, 0));
 }
 
+/** Goes dark and never comes back, for a few servers at the most. */
+static void vanish(mt_world_t *world, unsigned index)
+{
+	if (world->vanished >= VANISHED_MAX)
+		return;
+	world->vanished++;
+	mt_fake_fleet_cut(world->fleet, index, true);
+	mt_fake_fleet_crash(world->fleet, index, NEVER_MS);
+}
+
 static void harm_server(mt_world_t *world, unsigned kind, mt_ms_t lasts)
 {
 	unsigned index =
 		(unsigned)g_rand_int_range(world->rand, 0, FLEET_SERVERS);
 
-	if (kind == 0) {
+	if (kind == 3) {
+		vanish(world, index);
+	} else if (kind == 0) {
 		mt_fake_fleet_crash(world->fleet, index, lasts);
 	} else if (kind == 1) {
 		mt_fake_fleet_drain(world->fleet, index, lasts);
@@ -325,7 +339,7 @@
 	mt_play_t *play = ctx;
 	mt_world_t *world = play->world;
 	mt_ms_t lasts = (mt_ms_t)g_rand_int_range(world->rand, 300, 7000);
-	int what = g_rand_int_range(world->rand, 0, 14);
+	int what = g_rand_int_range(world->rand, 0, 15);
 
 	if (play->calm)
 		return;
@@ -333,9 +347,9 @@
 		harm_host(world, (unsigned)what % 4, lasts);
 	else if (what < 9)
 		harm_store(world, (unsigned)what - 5, lasts);
-	else if (what < 12)
+	else if (what < 13)
 		harm_server(world, (unsigned)what - 9, lasts);
-	else if (what == 12)
+	else if (what == 13)
 		kill_all(world, lasts / 5 + 100);
 	else
 		mt_fake_store_compact(world->store, MT_RECORDS_TOPIC);
@@ -387,8 +401,7 @@
 static void make_calm(mt_play_t *play)
 {
 	play->calm = true;
-	for (unsigned i = 0; i < FLEET_SERVERS; i++)
-		mt_fake_fleet_cut(play->world->fleet, i, false);
+	mt_fake_fleet_heal(play->world->fleet);
 }
 
 static bool play_seed(guint32 seed, bool verbose)
--- a/tests/fleet/world.h
+++ b/tests/fleet/world.h
@@ -36,6 +36,7 @@
 	mt_world_host_t *hosts[FLEET_HOSTS];
 	unsigned incarnations;
 	unsigned breaches;
+	unsigned vanished; /**< servers that are gone for good */
 	bool verbose;
 	/* Failures in force. */
 	bool store_down;
