--- a/lib/dag/orders.c
+++ b/lib/dag/orders.c
@@ -10,6 +10,9 @@
 /** Without the store for so long, this host may have lost the office. */
 #define STORE_AGE_MAX_MS 4000u
 
+/** A start waits until cancellations up to this long ago have been read. */
+#define START_AGE_MAX_MS 1500u
+
 /** Pause between attempts to reach a server that does not answer. */
 #define HOLD_RETRY_MS 150u
 #define HOLD_RETRY_MAX_MS 700u
@@ -155,6 +158,11 @@
 	}
 }
 
+static mt_ms_t store_age(const mt_engine_t *engine)
+{
+	return engine->deps.store_age_ms(engine->deps.store_age_ctx);
+}
+
 void mt_orders_start(mt_engine_t *engine, mt_dag_task_t *task)
 {
 	mt_backend_t *backend = task->server;
@@ -172,11 +180,15 @@
 		mt_orders_hold(engine, backend);
 		return;
 	}
+	if (store_age(engine) > START_AGE_MAX_MS)
+		return;
 	command.due_ms =
 		mt_backend_clock(backend, now) + engine->deps.bounds.lease_ms;
 	mt_backend_note_lease(backend, now, engine->deps.bounds.lease_ms);
 	task->start_in_flight = true;
 	task->start_sent_at = now;
+	if (!task->first_sent_at)
+		task->first_sent_at = now;
 	engine->deps.backends->start(
 		engine->deps.backends->self, &backend->info.target, &command,
 		on_start_answer, new_order(engine, backend, &key, task->run));
@@ -317,11 +329,8 @@
 
 static bool may_renew(const mt_engine_t *engine, const mt_backend_t *backend)
 {
-	mt_ms_t store_age =
-		engine->deps.store_age_ms(engine->deps.store_age_ctx);
-
 	return backend->clock_known && backend->tasks->len &&
-	       store_age <= STORE_AGE_MAX_MS &&
+	       store_age(engine) <= STORE_AGE_MAX_MS &&
 	       mt_backend_is_heard(backend, mt_engine_now(engine),
 				   RENEW_WINDOW_MS);
 }
@@ -375,8 +384,8 @@
 	mt_dag_step_t *step = task->step;
 
 	if (!step->spec->gang || task->stop_wanted ||
-	    task->phase != MT_TASK_PLACED || !task->start_durable ||
-	    now - task->placed_at < GANG_START_MS)
+	    task->phase != MT_TASK_PLACED || !task->first_sent_at ||
+	    now - task->first_sent_at < GANG_START_MS)
 		return;
 	for (uint32_t i = 0; i < step->spec->count; i++) {
 		if (step->tasks[i].server)
@@ -390,7 +399,8 @@
  */
 static bool may_repeat_start(const mt_dag_task_t *task, mt_ms_t now)
 {
-	return now - task->placed_at <= START_RETRY_MAX_MS ||
+	return !task->first_sent_at ||
+	       now - task->first_sent_at <= START_RETRY_MAX_MS ||
 	       mt_backend_is_heard(task->server, now, RENEW_WINDOW_MS);
 }
 
--- a/lib/dag/work.c
+++ b/lib/dag/work.c
@@ -132,6 +132,7 @@
 	task->stop_wanted = false;
 	task->stop_in_flight = false;
 	task->stop_acked_at = 0;
+	task->first_sent_at = 0;
 	task->start_sent_at = 0;
 	task->placed_at = now;
 	task->acked_at = 0;
--- a/lib/dag/work.h
+++ b/lib/dag/work.h
@@ -34,6 +34,7 @@
 	bool stop_wanted;
 	bool stop_in_flight;
 	mt_ms_t stop_acked_at; /**< the stop was confirmed; 0: not yet */
+	mt_ms_t first_sent_at; /**< first attempt to start; 0: none */
 	mt_ms_t start_sent_at; /**< last attempt to start; 0: none */
 	mt_ms_t placed_at;
 	mt_ms_t acked_at; /**< the start was confirmed; 0: not yet */
--- a/lib/kernel/kernel.c
+++ b/lib/kernel/kernel.c
@@ -242,8 +242,8 @@
 	}
 	len = snprintf(line, sizeof(line),
 		       "{\"event\":\"%s\",\"at_ms\":%" G_GINT64_FORMAT
-		       ",\"line\":%" G_GUINT64_FORMAT ",",
-		       event, g_get_real_time() / 1000, kernel->events++);
+		       ",\"clock_ms\":%" G_GUINT64_FORMAT ",",
+		       event, g_get_real_time() / 1000, mt_kernel_now(kernel));
 	va_start(args, format);
 	len += vsnprintf(line + len, sizeof(line) - (size_t)len - 3, format,
 			 args);
--- a/lib/kernel/kernel.h
+++ b/lib/kernel/kernel.h
@@ -69,8 +69,8 @@
 
 /**
  * Writes one JSON object on a line of standard output: the event's name, the
- * time and the host's counter of lines, then `format`, which gives further
- * members. Names and numbers only; no text from callers. Lines beyond
+ * time of day and the time of the timer service, then `format`, which gives
+ * further members. Names and numbers only; no text from callers. Lines beyond
  * MT_EVENTS_PER_S, and those for which the output has no room, are counted in
  * `events_dropped_total` and left out.
  */
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -14,7 +14,7 @@
 
 #define WARM_UP_MS 4000u
 #define TRAFFIC_MS 40000u
-#define SETTLE_MS 45000u
+#define SETTLE_MS 120000u
 #define JOB_EVERY_MS 350
 #define FAULT_EVERY_MS 2500
 #define RETRIES_MAX 4u
@@ -446,6 +446,7 @@
 		arg_print_errors(stderr, end, argv[0]);
 		return 2;
 	}
+	setvbuf(stdout, NULL, _IOLBF, 0);
 	first = seed->count ? seed->ival[0] : 1;
 	count = seeds->count ? seeds->ival[0] : 1;
 	for (int i = 0; i < count; i++)
