--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -338,6 +338,18 @@
 	}
 }
 
+static void log_final(mt_engine_t *engine, const mt_dag_job_t *job)
+{
+	mt_kernel_event(engine->deps.kernel, "job_ended",
+			"\"job\":\"%016" G_GINT64_MODIFIER
+			"x\",\"queue\":\"%s\",\"account\":\"%s\",\"state\":%d,"
+			"\"took_ms\":%u,\"objective_ms\":%u",
+			job->id, job->spec->queue, job->spec->account,
+			job->state,
+			(unsigned)(mt_engine_now(engine) - job->seen_at),
+			mt_work_objective_ms(job));
+}
+
 static bool is_over(const mt_dag_job_t *job)
 {
 	return mt_state_is_final(job->state) && !mt_work_n_placed(job);
@@ -360,8 +372,10 @@
 			collect_starts(flush, job);
 			add_progress(engine, job);
 		}
-		if (is_over(job))
+		if (is_over(job)) {
+			log_final(engine, job);
 			g_hash_table_iter_remove(&iter);
+		}
 	}
 	if (!flush) {
 		/* Ends that change no job need no record, but ends that a
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -427,8 +427,10 @@
 	mt_kernel_event(planner->engine->deps.kernel, "tasks_placed",
 			"\"job\":\"%016" G_GINT64_MODIFIER
 			"x\",\"step\":%u,\"tasks\":%u,\"of\":%u,"
+			"\"gpu\":%u,\"estimate_ms\":%u,\"run\":%u,"
 			"\"waited_ms\":%u,\"priority\":%u,\"guaranteed\":%s",
 			step->job->id, step->number, placed, step->spec->count,
+			step->spec->gpu, step->spec->estimate_ms, step->run,
 			(unsigned)candidate->waited_ms,
 			step->job->queue.priority,
 			candidate->guaranteed ? "true" : "false");
--- a/lib/dag/work.c
+++ b/lib/dag/work.c
@@ -44,6 +44,7 @@
 	for (uint32_t i = 0; i < job->n_steps; i++)
 		init_step(job, &job->steps[i], i / (uint32_t)spec->n_steps,
 			  i % (uint32_t)spec->n_steps);
+	job->chain_ms = mt_work_chain_left_ms(job);
 	return job;
 }
 
@@ -303,6 +304,12 @@
 	return longest;
 }
 
+uint32_t mt_work_objective_ms(const mt_dag_job_t *job)
+{
+	return (uint32_t)(job->chain_ms * job->queue.slack_factor) +
+	       job->queue.target_ms;
+}
+
 /* Progress records. */
 
 typedef struct mt_packing_t {
--- a/lib/dag/work.h
+++ b/lib/dag/work.h
@@ -69,8 +69,9 @@
 	bool stored_final;
 	uint32_t n_steps; /**< over all occurrences */
 	mt_dag_step_t *steps;
-	mt_ms_t seen_at;  /**< when this scheduler learnt of it */
-	mt_queue_t queue; /**< as last configured; no path prefix */
+	mt_ms_t seen_at;   /**< when this scheduler learnt of it */
+	uint32_t chain_ms; /**< longest chain of estimates of the whole job */
+	mt_queue_t queue;  /**< as last configured; no path prefix */
 };
 
 /** Takes over `spec`, which has been checked. */
@@ -120,6 +121,9 @@
 /** Longest chain of estimates that is left, in milliseconds. */
 uint32_t mt_work_chain_left_ms(const mt_dag_job_t *job);
 
+/** Time within which the job should be done, from its acceptance. */
+uint32_t mt_work_objective_ms(const mt_dag_job_t *job);
+
 /** Progress record; freed with g_bytes_unref(). */
 GBytes *mt_work_pack(const mt_dag_job_t *job);
 
