--- a/tests/fleet/fake_servers.c
+++ b/tests/fleet/fake_servers.c
@@ -7,7 +7,8 @@
 #include "fleet/fake_store.h"
 
 #define LATENCY_MS 2u
-#define ANSWER_TIMEOUT_MS 1000u
+#define ANSWER_TIMEOUT_MS 350u
+#define NO_CONNECTION_MS 350u
 #define HOLD_MAX_MS 10000u
 #define GANG_WAIT_MS 3000u
 #define STOP_MAX_MS 400
@@ -663,6 +664,17 @@
 		fail(order, MT_COMMAND_NOT_SENT, LATENCY_MS);
 		return;
 	}
+	if (mt_world_chance(order->fleet->world,
+			    order->fleet->world->order_unsent)) {
+		fail(order, MT_COMMAND_NOT_SENT, NO_CONNECTION_MS);
+		return;
+	}
+	if (order->kind != MT_ORDER_HOLD &&
+	    mt_world_chance(order->fleet->world,
+			    order->fleet->world->order_busy)) {
+		fail(order, MT_COMMAND_BUSY, LATENCY_MS);
+		return;
+	}
 	order->born = server->born;
 	if (lose_order(order)) {
 		fail(order, MT_COMMAND_UNKNOWN, rest);
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -222,6 +222,8 @@
 	mend->world->store_lost = 0;
 	mend->world->store_extra_ms = 0;
 	mend->world->order_lost = 0;
+	mend->world->order_unsent = 0;
+	mend->world->order_busy = 0;
 	g_free(mend);
 }
 
@@ -302,6 +304,10 @@
 		world->store_extra_ms = 240;
 	else
 		world->order_lost = 0.06;
+	if (mt_world_chance(world, 0.5)) {
+		world->order_unsent = 0.05;
+		world->order_busy = 0.05;
+	}
 	world->order_late = 0.7;
 	mt_timers_after(world->timers, lasts, mend_store, new_mend(world, 0));
 }
--- a/tests/fleet/world.h
+++ b/tests/fleet/world.h
@@ -40,9 +40,11 @@
 	bool verbose;
 	/* Failures in force. */
 	bool store_down;
-	double store_lost; /**< share of answers that are lost */
-	double order_lost; /**< share of orders without an answer */
-	double order_late; /**< of these, carried out seconds later */
+	double store_lost;   /**< share of answers that are lost */
+	double order_lost;   /**< share of orders without an answer */
+	double order_late;   /**< of these, carried out seconds later */
+	double order_unsent; /**< share of orders that find no connection */
+	double order_busy;   /**< share of orders that a server turns away */
 	mt_ms_t store_extra_ms;
 	struct mt_fake_store_t *store;
 	struct mt_fake_fleet_t *fleet;
