Send each start once however many writes cover its placement

Ruled out: leases (both runs by one leader) and the client's notion of 'not sent'. A start is now sent after the first write only, and a refused attempt after one without an answer first bars the run by a stop.

--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -249,6 +249,9 @@
 	if (!task || task->run != start->run || task->phase != MT_TASK_PLACED ||
 	    !task->server)
 		return;
+	/* A later write of the job may cover the same placement. */
+	if (task->start_durable)
+		return;
 	task->start_durable = true;
 	mt_orders_start(engine, task);
 }
--- a/lib/dag/orders.c
+++ b/lib/dag/orders.c
@@ -93,11 +93,18 @@
 
 /* Starts. */
 
-/** The start was refused for certain: the task waits for another server. */
+/**
+ * This attempt to start was refused: the task waits for another server, at
+ * once if no earlier attempt can still be carried out, else after a stop that
+ * bars the run.
+ */
 static void give_back(mt_engine_t *engine, mt_dag_task_t *task, mt_ms_t ms)
 {
 	avoid(engine, task->server, ms);
-	mt_ends_lost(engine, task, "start refused");
+	if (task->unsure)
+		mt_orders_stop(engine, task);
+	else
+		mt_ends_lost(engine, task, "start refused");
 }
 
 static void on_started(mt_engine_t *engine, mt_dag_task_t *task)
@@ -133,8 +140,6 @@
 		give_back(engine, task, AVOID_ROOM_MS);
 		break;
 	case MT_COMMAND_BUSY:
-		if (task->unsure)
-			break;
 		give_back(engine, task, AVOID_BUSY_MS);
 		break;
 	case MT_COMMAND_REJECTED:
@@ -147,8 +152,7 @@
 		mt_orders_hold(engine, task->server);
 		break;
 	case MT_COMMAND_NOT_SENT:
-		if (!task->unsure)
-			give_back(engine, task, AVOID_DEAD_MS);
+		give_back(engine, task, AVOID_DEAD_MS);
 		break;
 	case MT_COMMAND_UNKNOWN:
 		task->unsure = true;
