--- a/lib/dag/ends.c
+++ b/lib/dag/ends.c
@@ -76,13 +76,9 @@
 	backend->born_ms = born_ms;
 	backend->clock_known = false;
 	backend->taken_over = false;
-	backend->lapse_at = 0;
 	backend->ends_read = 0;
 	backend->ends_stored = 0;
 	backend->ends_told = 0;
-	while (backend->tasks->len)
-		mt_ends_lost(engine, backend->tasks->pdata[0],
-			     "server restarted");
 	mt_engine_wake(engine);
 }
 
--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -70,7 +70,10 @@
 /** A run is over without a result that counts. */
 void mt_ends_lost(mt_engine_t *engine, mt_dag_task_t *task, const char *why);
 
-/** The server has begun a new lifetime: nothing of before runs there. */
+/**
+ * The server has begun a new lifetime. A start may have reached the new one
+ * before this was noticed, so its next list says what is lost.
+ */
 void mt_ends_reborn(mt_engine_t *engine, mt_backend_t *backend,
 		    int64_t born_ms);
 
