Replace a lost leader after 1 s without a sign

Cause: after all hosts had lost power, 1.5 s of silence and a beat of 0.5 s left 1.9 s without starts in the worst windows. The leader now shows itself each 0.3 s and is given up after 1 s; a host that finds its own earlier process as the leader claims at once.

--- a/lib/dag/election.c
+++ b/lib/dag/election.c
@@ -2,7 +2,7 @@
 #include "dag/election.h"
 
 /** A leader of whom nothing is read for so long is taken to be lost. */
-#define SILENCE_MS 1500u
+#define SILENCE_MS 1000u
 
 /** A store that did not answer for so long may have hidden the leader. */
 #define READ_GAP_MS 1600u
@@ -12,11 +12,13 @@
 
 #define BACK_OFF_MS 300u
 
-void mt_election_init(mt_election_t *election, const mt_name_t *incarnation,
-		      mt_ms_t now)
+void mt_election_init(mt_election_t *election, const mt_name_t *host,
+		      const mt_name_t *incarnation, mt_ms_t now)
 {
-	*election = (mt_election_t){
-		.incarnation = *incarnation, .sign_at = now, .read_at = now};
+	*election = (mt_election_t){.host = *host,
+				    .incarnation = *incarnation,
+				    .sign_at = now,
+				    .read_at = now};
 }
 
 void mt_election_on_leader(mt_election_t *election, const MtDag__Leader *leader,
@@ -49,6 +51,13 @@
 	       mt_name_equal(&election->leader, &election->incarnation);
 }
 
+/** The leader was an earlier process of this host, so it has ended. */
+static bool is_own_predecessor(const mt_election_t *election)
+{
+	return mt_name_equal(&election->leader_host, &election->host) &&
+	       !mt_name_equal(&election->leader, &election->incarnation);
+}
+
 bool mt_election_should_claim(const mt_election_t *election, mt_ms_t now)
 {
 	mt_ms_t wait = SILENCE_MS;
@@ -56,7 +65,8 @@
 	if (mt_election_is_leader(election) || now < election->claim_after ||
 	    now - election->read_at > READ_GAP_MS)
 		return false;
-	if (!election->leader.len || election->released)
+	if (!election->leader.len || election->released ||
+	    is_own_predecessor(election))
 		wait = RELEASE_WAIT_MS;
 	return now - election->sign_at >= wait + election->rank_ms;
 }
--- a/lib/dag/election.h
+++ b/lib/dag/election.h
@@ -12,6 +12,7 @@
 #include "kernel/timers.h"
 
 typedef struct mt_election_t {
+	mt_name_t host;
 	mt_name_t incarnation; /**< of this process */
 	mt_name_t leader;      /**< incarnation of the leader, or empty */
 	mt_name_t leader_host;
@@ -23,8 +24,8 @@
 	mt_ms_t claim_after; /**< no claim before this time */
 } mt_election_t;
 
-void mt_election_init(mt_election_t *election, const mt_name_t *incarnation,
-		      mt_ms_t now);
+void mt_election_init(mt_election_t *election, const mt_name_t *host,
+		      const mt_name_t *incarnation, mt_ms_t now);
 
 /** A leader record was read. */
 void mt_election_on_leader(mt_election_t *election, const MtDag__Leader *leader,
--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -2,7 +2,7 @@
 #include "dag/engine_internal.h"
 
 /** The leader shows itself in the store at least this often. */
-#define BEAT_MS 500u
+#define BEAT_MS 300u
 
 #define TICK_MS 100u
 
--- a/lib/dag/host.c
+++ b/lib/dag/host.c
@@ -252,7 +252,8 @@
 	host->table = mt_table_new(deps->kernel);
 	host->directory =
 		mt_directory_new(deps->kernel, deps->store, deps->reports);
-	mt_election_init(&host->election, &deps->incarnation, now_of(host));
+	mt_election_init(&host->election, &deps->host, &deps->incarnation,
+			 now_of(host));
 	make_writer(host);
 	host->records =
 		mt_follower_new(deps->kernel, deps->store, MT_RECORDS_TOPIC,
--- a/lib/dag/work.c
+++ b/lib/dag/work.c
@@ -344,6 +344,24 @@
 	return true;
 }
 
+static void pack_task(mt_packing_t *packing, MtDag__StepProgress *out,
+		      const mt_dag_task_t *task)
+{
+	uint32_t phase = task->phase;
+
+	out->phase[task->index] =
+		phase == MT_TASK_RUNNING ? MT_TASK_PLACED : phase;
+	out->run[task->index] = task->run;
+	out->fails[task->index] = task->fails;
+	if (task->server && phase != MT_TASK_DONE)
+		out->server[task->index] = place_index(packing, task->server);
+}
+
+static uint32_t *new_list(uint32_t count)
+{
+	return g_new0(uint32_t, count);
+}
+
 static void pack_step(mt_packing_t *packing, const mt_dag_step_t *step)
 {
 	MtDag__StepProgress *out = g_new(MtDag__StepProgress, 1);
@@ -353,20 +371,12 @@
 	out->occurrence = step->occurrence;
 	out->step = step->number;
 	out->n_phase = out->n_run = out->n_server = out->n_fails = n;
-	out->phase = g_new0(uint32_t, n);
-	out->run = g_new0(uint32_t, n);
-	out->server = g_new0(uint32_t, n);
-	out->fails = g_new0(uint32_t, n);
-	for (uint32_t i = 0; i < n; i++) {
-		const mt_dag_task_t *task = &step->tasks[i];
-
-		out->phase[i] = task->phase == MT_TASK_RUNNING ? MT_TASK_PLACED
-							       : task->phase;
-		out->run[i] = task->run;
-		out->fails[i] = task->fails;
-		if (task->server && task->phase != MT_TASK_DONE)
-			out->server[i] = place_index(packing, task->server);
-	}
+	out->phase = new_list(n);
+	out->run = new_list(n);
+	out->server = new_list(n);
+	out->fails = new_list(n);
+	for (uint32_t i = 0; i < n; i++)
+		pack_task(packing, out, &step->tasks[i]);
 	g_ptr_array_add(packing->steps, out);
 }
 
--- a/tests/fleet/fake_servers.c
+++ b/tests/fleet/fake_servers.c
@@ -190,7 +190,7 @@
 
 	made->number = ++server->ends_made;
 	made->key = run->key;
-	strcpy(made->name, run->name);
+	g_strlcpy(made->name, run->name, sizeof(made->name));
 	made->run = run->run;
 	made->end = end;
 	g_ptr_array_add(server->ends, made);
@@ -411,7 +411,7 @@
 	mt_fake_run_t *run = g_new0(mt_fake_run_t, 1);
 
 	run->key = order->key;
-	strcpy(run->name, name);
+	g_strlcpy(run->name, name, sizeof(run->name));
 	run->run = order->run;
 	run->need = (mt_amount_t){step->cpu_milli, step->mem_mb, step->gpu};
 	run->gang = step->gang;
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -148,7 +148,7 @@
 	job->id = ++play->last_id;
 	job->payload = strdup("payload");
 	job->n_steps = steps;
-	job->steps = calloc(steps, sizeof(*job->steps));
+	job->steps = calloc(steps, sizeof(MtDag__Step *));
 	for (unsigned i = 0; i < steps; i++) {
 		MtDag__Step *step = calloc(1, sizeof(*step));
 
