--- a/lib/dag/ends.c
+++ b/lib/dag/ends.c
@@ -82,18 +82,6 @@
 	mt_engine_wake(engine);
 }
 
-/** A run from its beginning to its end tells how fast the server is. */
-static void note_speed(mt_engine_t *engine, const mt_backend_t *backend,
-		       const mt_dag_task_t *task)
-{
-	if (!task->acked_at || task->checkpoint ||
-	    task->phase != MT_TASK_RUNNING)
-		return;
-	mt_speed_note(engine->speed, &backend->info.zone,
-		      (uint32_t)(mt_engine_now(engine) - task->acked_at),
-		      task->step->spec->estimate_ms);
-}
-
 /** Ends whose run is the one in hand change the task. */
 static void take_end(mt_engine_t *engine, mt_backend_t *backend,
 		     mt_dag_task_t *task, mt_end_t end)
@@ -103,7 +91,6 @@
 	job->begun = true;
 	if (end == MT_END_DONE) {
 		backend->fail_streak = 0;
-		note_speed(engine, backend, task);
 		mt_work_finish(task);
 	} else if (end == MT_END_FAILED) {
 		note_failure(engine, backend);
--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -90,7 +90,6 @@
 					     free_job);
 	engine->backends = g_hash_table_new_full(
 		mt_name_hash, mt_name_key_equal, NULL, free_backend);
-	engine->speed = mt_speed_new();
 	engine->flushes = g_ptr_array_new_with_free_func(free_flush);
 	return engine;
 }
--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -9,7 +9,6 @@
 
 #include "dag/engine.h"
 #include "dag/follower.h"
-#include "dag/speed.h"
 #include "dag/work.h"
 #include "dag/writer.h"
 
@@ -23,7 +22,6 @@
 	mt_writer_t *writer;
 	GHashTable *jobs;     /**< id to mt_dag_job_t */
 	GHashTable *backends; /**< id to mt_backend_t */
-	mt_speed_t *speed;    /**< kept over changes of the office */
 	GPtrArray *flushes;   /**< mt_flush_t under way */
 	uint64_t turn_timer;
 	uint64_t tick_timer;
--- a/lib/dag/plan.c
+++ b/lib/dag/plan.c
@@ -4,9 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/** Servers whose slowness differs by less, in permille, are taken as equal. */
-#define SLOWNESS_STEP 120u
-
 /** Which room of a server is counted. */
 typedef enum mt_room_kind_t {
 	MT_ROOM_FREE,
@@ -120,10 +117,9 @@
 	uint32_t fit;
 	uint32_t left; /**< accelerators left over when filled */
 	uint32_t penalty;
-	uint32_t slowness;
 } mt_slot_t;
 
-/** Fast ones, then the fullest first, so that whole servers stay free. */
+/** Fullest servers first, so that whole servers stay free. */
 static int compare_slots(const void *a, const void *b)
 {
 	const mt_slot_t *x = a;
@@ -131,25 +127,11 @@
 
 	if (x->penalty != y->penalty)
 		return x->penalty < y->penalty ? -1 : 1;
-	if (x->slowness != y->slowness)
-		return x->slowness < y->slowness ? -1 : 1;
 	if (x->left != y->left)
 		return x->left < y->left ? -1 : 1;
 	return x->server < y->server ? -1 : x->server > y->server;
 }
 
-/**
- * Rounded, so that servers that differ little are filled by room. Work that
- * is in no hurry goes where it leaves the fast servers free.
- */
-static uint32_t slowness_for(const mt_scope_t *scope, uint32_t server)
-{
-	uint32_t slowness = scope->plan->servers[server].slowness;
-	uint32_t rounded = (slowness + SLOWNESS_STEP / 2) / SLOWNESS_STEP;
-
-	return scope->unit->prefers_fast ? rounded : UINT32_MAX - rounded;
-}
-
 /** Puts up to `count` tasks of the unit on servers of the scope. */
 static uint32_t fill(const mt_scope_t *scope, uint32_t *chosen, uint32_t count)
 {
@@ -158,8 +140,7 @@
 	uint32_t done = 0;
 
 	for (uint32_t i = 0; i < scope->plan->n_servers; i++) {
-		mt_slot_t slot = {i, 0, 0, scope->plan->servers[i].penalty,
-				  slowness_for(scope, i)};
+		mt_slot_t slot = {i, 0, 0, scope->plan->servers[i].penalty};
 
 		if (!is_allowed(scope, i))
 			continue;
@@ -222,42 +203,25 @@
 	return gpu;
 }
 
-/** Slowness of the slowest server in the scope, as the unit sees it. */
-static uint32_t rack_slowness(const mt_scope_t *scope)
-{
-	uint32_t most = 0;
-
-	for (uint32_t i = 0; i < scope->plan->n_servers; i++) {
-		if (is_allowed(scope, i))
-			most = MAX(most, slowness_for(scope, i));
-	}
-	return most;
-}
-
-/** Of the racks that hold the whole unit the best, with least room; 0: none. */
+/** The rack with the least room that holds the whole unit; 0: none. */
 static GQuark find_rack(const mt_plan_t *plan, const mt_plan_unit_t *unit,
 			const GQuark *racks, mt_room_kind_t kind)
 {
 	GQuark best = 0;
 	uint32_t best_gpu = 0;
-	uint32_t best_slowness = 0;
 
 	for (; *racks; racks++) {
 		mt_scope_t scope = {plan, unit, *racks, kind, NULL};
 		uint32_t gpu;
-		uint32_t slowness;
 
 		if (unit->data_rack && *racks != unit->data_rack)
 			continue;
 		if (fit_in(&scope) < unit->count)
 			continue;
 		gpu = gpu_in(&scope);
-		slowness = rack_slowness(&scope);
-		if (!best || slowness < best_slowness ||
-		    (slowness == best_slowness && gpu < best_gpu)) {
+		if (!best || gpu < best_gpu) {
 			best = *racks;
 			best_gpu = gpu;
-			best_slowness = slowness;
 		}
 	}
 	return best;
--- a/lib/dag/plan.h
+++ b/lib/dag/plan.h
@@ -32,8 +32,7 @@
 	mt_amount_t coming; /**< of tasks that are being stopped */
 	GQuark rack;
 	GQuark labels[MT_PLAN_LABELS_MAX];
-	uint32_t penalty;  /**< servers with less are preferred */
-	uint32_t slowness; /**< time that work takes there, in permille */
+	uint32_t penalty; /**< servers with less are preferred */
 } mt_plan_server_t;
 
 /** Equal tasks that wait: a gang, or tasks that can start one by one. */
@@ -47,10 +46,9 @@
 	uint32_t per_server_max; /**< 0: no limit */
 	const uint8_t *held;	 /**< per server, already of this step; NULL */
 	uint32_t priority;
-	bool guaranteed;   /**< within its account's guarantee */
-	bool may_reclaim;  /**< others may be stopped for it */
-	bool prefers_fast; /**< its objective leaves little time */
-	bool reserves;	   /**< keeps room from those behind it */
+	bool guaranteed;  /**< within its account's guarantee */
+	bool may_reclaim; /**< others may be stopped for it */
+	bool reserves;	  /**< keeps room from those behind it */
 
 	uint32_t *chosen; /**< result: a server or MT_PLAN_NONE a task */
 	uint32_t placed;  /**< result: tasks with a server */
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -17,9 +17,6 @@
 #define RESERVING_MAX 2u
 #define RESERVE_AFTER_MS 2000u
 
-/** Jobs with less slack than this go to the fastest servers. */
-#define LITTLE_SLACK_FACTOR 2.0
-
 /** Fixed part of the cost of a stop, in core-seconds a core. */
 #define STOP_COST_S 0.3
 
@@ -150,8 +147,6 @@
 		server->coming = room_coming(backend);
 		server->rack = backend->info.rack;
 		server->penalty = backend->fail_streak;
-		server->slowness = mt_speed_slowness(planner->engine->speed,
-						     &backend->info.zone);
 		memcpy(server->labels, backend->info.labels,
 		       sizeof(server->labels));
 		g_hash_table_insert(planner->index, backend,
@@ -327,8 +322,6 @@
 	unit->guaranteed = candidate->guaranteed;
 	unit->may_reclaim = !unit->priority;
 	unit->reserves = unit->may_reclaim;
-	unit->prefers_fast =
-		step->job->queue.slack_factor < LITTLE_SLACK_FACTOR;
 	unit->chosen = g_new(uint32_t, unit->count);
 	if (!spread && step->spec->same_rack && some_rack_holds(planner, step))
 		unit->same_rack = true;
