Move runs that stand still, and those whose server leaves

A run whose percentage stays the same for 3.5 s, or that cannot end before its draining server leaves, is stopped and placed elsewhere; servers on which an unknown run still ends are not filled, so that one that does not guard its capacity is not overfilled after a takeover.

--- a/lib/dag/backend.h
+++ b/lib/dag/backend.h
@@ -18,6 +18,7 @@
 	mt_name_t service;
 	mt_name_t zone;
 	bool draining;
+	mt_ms_t remaining_ms; /**< while draining: the least time left */
 	mt_amount_t capacity;
 	GQuark labels[MT_BACKEND_LABELS_MAX];
 	GQuark rack;
@@ -46,6 +47,8 @@
 	uint64_t ends_stored; /**< highest whose effect is in the store */
 	uint64_t ends_told;   /**< highest the server was told to forget */
 
+	mt_ms_t leaves_at; /**< own time until which it stays; 0: not leaving */
+	unsigned strays;   /**< runs there that belong to no task */
 	mt_ms_t avoid_until;  /**< no placement before this time */
 	unsigned fail_streak; /**< failed runs since the last good one */
 	void *owner;	      /**< the engine */
--- a/lib/dag/ends.c
+++ b/lib/dag/ends.c
@@ -141,6 +141,7 @@
 	mt_ms_t now = mt_engine_now(engine);
 
 	if (!task || task->server != backend || task->run != running->run) {
+		backend->strays++;
 		mt_orders_stop_stray(engine, backend, &running->task,
 				     running->run);
 		return;
@@ -219,6 +220,7 @@
 		on_end(engine, backend, &answer->ended[i]);
 		backend->ends_read = answer->ended[i].number;
 	}
+	backend->strays = 0;
 	for (size_t i = 0; i < answer->n_running; i++)
 		on_running(engine, backend, &answer->running[i]);
 	drop_missing(engine, backend, answer);
--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -145,6 +145,16 @@
 	mt_engine_t *engine = ctx;
 	mt_backend_t *backend = find_backend(engine, &info->target.id);
 
+	if (info->draining && !backend->info.draining) {
+		backend->leaves_at = mt_engine_now(engine) + info->remaining_ms;
+		mt_kernel_event(engine->deps.kernel, "server_draining",
+				"\"server\":\"%s\",\"tasks\":%u,"
+				"\"remaining_ms\":%u",
+				info->target.id.text, backend->tasks->len,
+				(unsigned)info->remaining_ms);
+	}
+	if (!info->draining)
+		backend->leaves_at = 0;
 	backend->info = *info;
 	backend->listed = true;
 	if (!backend->born_ms)
@@ -453,8 +463,10 @@
 	if (!engine->leading)
 		return;
 	g_hash_table_iter_init(&iter, engine->backends);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		mt_orders_tick(engine, value);
+		mt_rescue_tick(engine, value);
+	}
 	beat(engine);
 	mt_engine_wake(engine);
 }
--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -1,7 +1,8 @@
 /**
  * @file engine_internal.h
  * Shared by the files of the scheduler: engine.c (office, jobs, storing),
- * orders.c (commands to servers), ends.c (what servers report) and planner.c
+ * orders.c (commands to servers), ends.c (what servers report), rescue.c (runs
+ * that should move) and planner.c
  * (view for the plan). Calls go engine -> planner -> orders -> ends.
  */
 #ifndef MT_DAG_ENGINE_INTERNAL_H
@@ -61,6 +62,11 @@
 void mt_orders_stop_stray(mt_engine_t *engine, mt_backend_t *backend,
 			  const mt_task_key_t *key, uint32_t run);
 
+/* rescue.c */
+
+/** Once per tick: tasks that stand still, and those on leaving servers. */
+void mt_rescue_tick(mt_engine_t *engine, mt_backend_t *backend);
+
 /* ends.c */
 
 /** Takes the lists of an answered hold. */
--- a/lib/dag/orders.c
+++ b/lib/dag/orders.c
@@ -341,7 +341,7 @@
 
 static bool needs_hold(const mt_backend_t *backend)
 {
-	return backend->tasks->len || !backend->taken_over ||
+	return backend->tasks->len || backend->strays || !backend->taken_over ||
 	       !backend->clock_known || backend->misses ||
 	       backend->ends_told < backend->ends_stored;
 }
--- /dev/null
+++ b/lib/dag/rescue.c
@@ -0,0 +1,102 @@
+/** @file rescue.c Runs that are better started again on another server. */
+#include "dag/engine_internal.h"
+
+/** A run whose percentage stays the same for so long stands still. */
+#define STALL_MS 3500u
+
+/** Steps of one percent of the estimate that a run may miss. */
+#define STALL_PERCENTS 6u
+
+/** No placement on a server where a run stood still. */
+#define AVOID_STALLED_MS 6000u
+
+/** A task that can be resumed leaves a draining server this long before. */
+#define EVACUATE_MS 1500u
+
+#define PERCENT_ALL 100u
+
+static mt_ms_t stall_limit(const mt_dag_task_t *task)
+{
+	mt_ms_t percent_ms = task->step->spec->estimate_ms / PERCENT_ALL;
+
+	return MAX(STALL_MS, STALL_PERCENTS * percent_ms);
+}
+
+static bool is_running(const mt_dag_task_t *task)
+{
+	return task->phase == MT_TASK_RUNNING && !task->stop_wanted;
+}
+
+/** True when the server has said for long enough that nothing moves. */
+static bool stands_still(const mt_dag_task_t *task, mt_ms_t now)
+{
+	mt_ms_t since = MAX(task->acked_at, task->moved_at);
+
+	return is_running(task) && !task->step->spec->lasting &&
+	       task->server->answered_at > since &&
+	       task->server->answered_at - since >= stall_limit(task) &&
+	       mt_backend_is_heard(task->server, now, STALL_MS);
+}
+
+/** Time that the rest of the run takes by its estimate. */
+static mt_ms_t time_left(const mt_dag_task_t *task)
+{
+	uint32_t percent = MIN(task->percent, PERCENT_ALL);
+
+	return (mt_ms_t)task->step->spec->estimate_ms *
+	       (PERCENT_ALL - percent) / PERCENT_ALL;
+}
+
+/** True when the run will not end before its server leaves. */
+static bool should_leave(const mt_dag_task_t *task, mt_ms_t now)
+{
+	mt_ms_t leaves_at = task->server->leaves_at;
+	mt_ms_t left = leaves_at > now ? leaves_at - now : 0;
+
+	if (!leaves_at || !is_running(task) || time_left(task) <= left)
+		return false;
+	return !task->step->spec->checkpointing || left <= EVACUATE_MS;
+}
+
+/** Stops a run, and the rest of its gang, so that it is placed anew. */
+static void move_away(mt_engine_t *engine, mt_dag_task_t *task,
+		      const char *reason)
+{
+	mt_dag_step_t *step = task->step;
+
+	mt_kernel_event(engine->deps.kernel, "run_moved",
+			"\"job\":\"%016" G_GINT64_MODIFIER
+			"x\",\"step\":%u,\"task\":%u,\"run\":%u,"
+			"\"server\":\"%s\",\"percent\":%u,\"reason\":\"%s\"",
+			step->job->id, step->number, task->index, task->run,
+			task->server->info.target.id.text, task->percent,
+			reason);
+	if (!step->spec->gang) {
+		mt_orders_stop(engine, task);
+		return;
+	}
+	for (uint32_t i = 0; i < step->spec->count; i++) {
+		if (step->tasks[i].phase != MT_TASK_DONE)
+			mt_orders_stop(engine, &step->tasks[i]);
+	}
+}
+
+void mt_rescue_tick(mt_engine_t *engine, mt_backend_t *backend)
+{
+	mt_ms_t now = mt_engine_now(engine);
+
+	for (guint i = backend->tasks->len; i-- > 0;) {
+		mt_dag_task_t *task;
+
+		if (i >= backend->tasks->len)
+			continue;
+		task = backend->tasks->pdata[i];
+		if (stands_still(task, now)) {
+			backend->avoid_until = MAX(backend->avoid_until,
+						   now + AVOID_STALLED_MS);
+			move_away(engine, task, "stands still");
+		} else if (should_leave(task, now)) {
+			move_away(engine, task, "its server leaves");
+		}
+	}
+}
--- a/tests/fleet/fake_servers.c
+++ b/tests/fleet/fake_servers.c
@@ -53,6 +53,8 @@
 	bool up;
 	bool cut;
 	bool draining;
+	bool stalled; /**< what runs here stands still */
+	mt_ms_t leaves_at;
 	int64_t born;
 	mt_ms_t started_at;
 	mt_ms_t silent_since;
@@ -125,11 +127,14 @@
 
 static void report(mt_fake_server_t *server)
 {
-	char text[80];
+	char text[96];
+	mt_ms_t now = now_of(server->fleet);
 
-	snprintf(text, sizeof(text), "%s %s %" G_GINT64_FORMAT,
+	snprintf(text, sizeof(text), "%s %s %" G_GINT64_FORMAT " %u",
 		 server->draining ? "draining" : "ready", server->rack,
-		 server->born);
+		 server->born,
+		 server->leaves_at > now ? (unsigned)(server->leaves_at - now)
+					 : 0);
 	mt_fake_store_put(server->fleet->world->store, "keyed.servers",
 			  server->id, mt_str_from(text));
 	server->listed = true;
@@ -269,6 +274,8 @@
 	mt_fake_run_t *run = server->runs->pdata[at];
 	mt_ms_t now = now_of(server->fleet);
 
+	if (server->stalled && run->work_from)
+		run->work_from += TICK_MS;
 	if (run->stop_at && now >= run->stop_at)
 		finish_run(server, at, MT_END_STOPPED);
 	else if (!run->work_from && now - run->started_at > GANG_WAIT_MS)
@@ -562,6 +569,16 @@
 	g_free(lists);
 }
 
+static uint32_t percent_of(const mt_fake_server_t *server,
+			   const mt_fake_run_t *run)
+{
+	mt_ms_t now = now_of(server->fleet);
+
+	if (!run->work_from || !run->work_ms)
+		return 0;
+	return (uint32_t)MIN(100, (now - run->work_from) * 100 / run->work_ms);
+}
+
 static void answer(mt_fake_order_t *order)
 {
 	mt_fake_server_t *server = order->server;
@@ -575,7 +592,8 @@
 	for (guint i = 0; order->kind == MT_ORDER_HOLD && i < server->runs->len;
 	     i++) {
 		const mt_fake_run_t *run = server->runs->pdata[i];
-		mt_running_t out = {run->key, run->run, {0}, 0};
+		mt_running_t out = {
+			run->key, run->run, {0}, percent_of(server, run)};
 
 		g_array_append_val(lists->running, out);
 	}
@@ -759,6 +777,7 @@
 
 	server->up = true;
 	server->draining = false;
+	server->leaves_at = 0;
 	server->started_at = now_of(server->fleet);
 	server->born = (int64_t)server->started_at;
 	server->token = 0;
@@ -800,9 +819,15 @@
 	fleet->servers[server].cut = cut;
 }
 
+void mt_fake_fleet_stall(mt_fake_fleet_t *fleet, unsigned server, bool stalled)
+{
+	fleet->servers[server].stalled = stalled;
+}
+
 void mt_fake_fleet_heal(mt_fake_fleet_t *fleet)
 {
 	for (unsigned i = 0; i < fleet->count; i++) {
+		fleet->servers[i].stalled = false;
 		if (fleet->servers[i].up)
 			fleet->servers[i].cut = false;
 	}
@@ -832,6 +857,7 @@
 		return;
 	}
 	fleet->servers[index].draining = true;
+	fleet->servers[index].leaves_at = now_of(fleet) + leaves_after;
 	report(&fleet->servers[index]);
 	leaving->fleet = fleet;
 	leaving->server = index;
--- a/tests/fleet/fake_servers.h
+++ b/tests/fleet/fake_servers.h
@@ -28,7 +28,10 @@
 /** Cut from every host; what runs there runs on. */
 void mt_fake_fleet_cut(mt_fake_fleet_t *fleet, unsigned server, bool cut);
 
-/** Ends the cuts of all servers that are up. */
+/** What runs on the server makes no progress while it is stalled. */
+void mt_fake_fleet_stall(mt_fake_fleet_t *fleet, unsigned server, bool stalled);
+
+/** Ends the cuts and stalls of all servers that are up. */
 void mt_fake_fleet_heal(mt_fake_fleet_t *fleet);
 
 void mt_fake_fleet_drain(mt_fake_fleet_t *fleet, unsigned server,
--- a/tests/fleet/fake_store.c
+++ b/tests/fleet/fake_store.c
@@ -491,8 +491,9 @@
 	char state[16];
 	char rack[16];
 	gint64 born;
-	bool good = sscanf(text, "%15s %15s %" G_GINT64_MODIFIER "d", state,
-			   rack, &born) == 3;
+	unsigned remaining;
+	bool good = sscanf(text, "%15s %15s %" G_GINT64_MODIFIER "d %u", state,
+			   rack, &born, &remaining) == 4;
 
 	g_free(text);
 	info->service = mt_name("service");
@@ -500,6 +501,7 @@
 	info->target.port = 1;
 	info->draining = good && !strcmp(state, "draining");
 	info->born_ms = born;
+	info->remaining_ms = remaining;
 	info->capacity = (mt_amount_t){64000, 262144, 8};
 	info->labels[0] = g_quark_from_string("a");
 	info->labels[1] = g_quark_from_string(good ? rack : "");
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -248,6 +248,7 @@
 	mt_mend_t *mend = ctx;
 
 	mt_fake_fleet_cut(mend->world->fleet, mend->index, false);
+	mt_fake_fleet_stall(mend->world->fleet, mend->index, false);
 	g_free(mend);
 }
 
@@ -334,7 +335,10 @@
 	} else if (kind == 1) {
 		mt_fake_fleet_drain(world->fleet, index, lasts);
 	} else {
-		mt_fake_fleet_cut(world->fleet, index, true);
+		if (kind == 4)
+			mt_fake_fleet_stall(world->fleet, index, true);
+		else
+			mt_fake_fleet_cut(world->fleet, index, true);
 		mt_timers_after(world->timers, lasts, mend_server,
 				new_mend(world, index));
 	}
@@ -345,7 +349,7 @@
 	mt_play_t *play = ctx;
 	mt_world_t *world = play->world;
 	mt_ms_t lasts = (mt_ms_t)g_rand_int_range(world->rand, 300, 7000);
-	int what = g_rand_int_range(world->rand, 0, 15);
+	int what = g_rand_int_range(world->rand, 0, 16);
 
 	if (play->calm)
 		return;
@@ -353,9 +357,9 @@
 		harm_host(world, (unsigned)what % 4, lasts);
 	else if (what < 9)
 		harm_store(world, (unsigned)what - 5, lasts);
-	else if (what < 13)
+	else if (what < 14)
 		harm_server(world, (unsigned)what - 9, lasts);
-	else if (what == 13)
+	else if (what == 14)
 		kill_all(world, lasts / 5 + 100);
 	else
 		mt_fake_store_compact(world->store, MT_RECORDS_TOPIC);
