--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -416,7 +416,7 @@
 	leader.incarnation = engine->deps.incarnation.text;
 	leader.term = engine->term;
 	leader.released = released;
-	bytes = mt_record_pack(&leader.base);
+	bytes = mt_dag_pack(&leader.base);
 	mt_writer_add(engine->writer, mt_str_from(key.text),
 		      mt_bytes_view(bytes));
 	g_bytes_unref(bytes);
--- a/lib/dag/front.c
+++ b/lib/dag/front.c
@@ -146,7 +146,7 @@
 static void write_job(mt_dag_front_t *front, MtDag__Job *job, mt_front_op_t *op)
 {
 	mt_record_key_t key = mt_record_key(MT_RECORD_JOB, job->id);
-	GBytes *bytes = mt_record_pack(&job->base);
+	GBytes *bytes = mt_dag_pack(&job->base);
 
 	mt_writer_add(front->deps.writer, mt_str_from(key.text),
 		      mt_bytes_view(bytes));
--- a/lib/dag/host.c
+++ b/lib/dag/host.c
@@ -142,7 +142,7 @@
 	leader.incarnation = host->deps.incarnation.text;
 	/* Offset 0 would be no term; the epoch must rise above none. */
 	leader.term = mt_follower_next(host->records) + 1;
-	bytes = mt_record_pack(&leader.base);
+	bytes = mt_dag_pack(&leader.base);
 	record.value = mt_bytes_view(bytes);
 	append.topic = MT_RECORDS_TOPIC;
 	append.records = &record;
--- a/lib/dag/records.c
+++ b/lib/dag/records.c
@@ -48,7 +48,7 @@
 	return mt_job_id_from((mt_str_t){key.data + 1, key.len - 1}, job);
 }
 
-GBytes *mt_record_pack(const ProtobufCMessage *message)
+GBytes *mt_dag_pack(const ProtobufCMessage *message)
 {
 	size_t len = protobuf_c_message_get_packed_size(message);
 	uint8_t *data = g_malloc(MAX(len, 1));
--- a/lib/dag/records.h
+++ b/lib/dag/records.h
@@ -39,7 +39,7 @@
 bool mt_job_id_from(mt_str_t text, uint64_t *id);
 
 /** Packed message, to be freed with g_bytes_unref(). */
-GBytes *mt_record_pack(const ProtobufCMessage *message);
+GBytes *mt_dag_pack(const ProtobufCMessage *message);
 
 /** View of the bytes. */
 mt_str_t mt_bytes_view(GBytes *bytes);
--- a/lib/dag/table.c
+++ b/lib/dag/table.c
@@ -26,6 +26,12 @@
 	return table;
 }
 
+void mt_table_free(mt_table_t *table)
+{
+	g_hash_table_destroy(table->jobs);
+	g_free(table);
+}
+
 void mt_table_watch(mt_table_t *table, const mt_table_watcher_t *watcher)
 {
 	table->watcher = watcher ? *watcher : (mt_table_watcher_t){0};
--- a/lib/dag/table.h
+++ b/lib/dag/table.h
@@ -33,6 +33,7 @@
 } mt_table_watcher_t;
 
 mt_table_t *mt_table_new(mt_kernel_t *kernel);
+void mt_table_free(mt_table_t *table);
 
 /** At most one watcher; NULL removes it. */
 void mt_table_watch(mt_table_t *table, const mt_table_watcher_t *watcher);
--- a/lib/dag/work.c
+++ b/lib/dag/work.c
@@ -412,7 +412,7 @@
 	progress.n_servers = packing.placements->len;
 	progress.steps = (MtDag__StepProgress **)packing.steps->pdata;
 	progress.n_steps = packing.steps->len;
-	bytes = mt_record_pack(&progress.base);
+	bytes = mt_dag_pack(&progress.base);
 	g_ptr_array_unref(packing.placements);
 	g_ptr_array_unref(packing.servers);
 	g_ptr_array_unref(packing.steps);
--- a/tests/check.sh
+++ b/tests/check.sh
@@ -49,6 +49,8 @@
 
 suite "format and lint" verdict_of scripts/lint.sh build
 suite "unit and scripted" build/tests/unit tests/scripted
+suite "hosts on virtual time" build/tests/fleet --seed 1 --seeds 150
+suite "fleet seeds that failed once" tests/scripts/fleet-seeds.sh build
 suite "soak" build/tests/soak --seed 1 --seeds "$SOAK_SEEDS" \
 	--events "$SOAK_EVENTS"
 suite "callers' interface" tests/scripts/callers.sh
@@ -63,6 +65,8 @@
 export ASAN_OPTIONS=detect_leaks=0
 suite "sanitized unit and scripted" env ASAN_OPTIONS=detect_leaks=1 \
 	build-asan/tests/unit tests/scripted
+suite "sanitized hosts on virtual time" build-asan/tests/fleet --seed 201 \
+	--seeds 12
 suite "sanitized soak" build-asan/tests/soak --seed 101 --seeds 6 \
 	--events 30000
 suite "sanitized callers' interface" env BUILD=build-asan \
--- a/tests/fleet/fake_servers.c
+++ b/tests/fleet/fake_servers.c
@@ -904,7 +904,7 @@
 void mt_fake_fleet_expect(mt_fake_fleet_t *fleet, const MtDag__Job *job)
 {
 	g_hash_table_insert(fleet->jobs, g_memdup2(&job->id, sizeof(job->id)),
-			    mt_record_pack(&job->base));
+			    mt_dag_pack(&job->base));
 }
 
 void mt_fake_fleet_forbid(mt_fake_fleet_t *fleet, uint64_t job, mt_ms_t from)
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -187,7 +187,7 @@
 	job->world = world;
 	job->id = spec->id;
 	job->queue = urgent ? "urgent" : "batch";
-	job->body = mt_record_pack(&spec->base);
+	job->body = mt_dag_pack(&spec->base);
 	g_ptr_array_add(play->jobs, job);
 	mt_fake_fleet_expect(world->fleet, spec);
 	mt_dag__job__free_unpacked(spec, NULL);
--- a/tests/unit/script.h
+++ b/tests/unit/script.h
@@ -25,6 +25,8 @@
 extern const mt_script_group_t mt_script_decide;
 extern const mt_script_group_t mt_script_parse;
 extern const mt_script_group_t mt_script_log;
+extern const mt_script_group_t mt_script_dag;
+extern const mt_script_group_t mt_script_adapter;
 
 /**
  * Runs a script and compares its output.
--- /dev/null
+++ b/tests/unit/script_adapter.c
@@ -0,0 +1,153 @@
+/** @file script_adapter.c Script commands for the decoders of the adapter. */
+#include <string.h>
+
+#include "platform/config_json.h"
+#include "platform/server_http.h"
+#include "platform/store_http.h"
+#include "unit/script.h"
+
+static void *open_group(void)
+{
+	return NULL;
+}
+
+static void close_group(void *group)
+{
+	(void)group;
+}
+
+static void show_report(const char *text, GString *out)
+{
+	mt_store_record_t record = {MT_STR("i-1"), mt_str_from(text), 0};
+	mt_backend_info_t info = {0};
+
+	if (!mt_server_reports.decode(&record, &info)) {
+		g_string_append(out, "no server to use\n");
+		return;
+	}
+	g_string_append_printf(
+		out,
+		"%s at %s:%u in %s, %s, rack %s, born %" G_GINT64_FORMAT
+		", %u %u %u, stays %u\n",
+		info.service.text, info.target.address.text, info.target.port,
+		info.zone.text, info.draining ? "draining" : "ready",
+		info.rack ? g_quark_to_string(info.rack) : "-", info.born_ms,
+		info.capacity.cpu_milli, info.capacity.mem_mb,
+		info.capacity.gpu, (unsigned)info.remaining_ms);
+}
+
+static void show_config(const char *text, GString *out)
+{
+	mt_catalog_t *catalog = mt_config_decode(mt_str_from(text));
+
+	if (!catalog) {
+		g_string_append(out, "no configuration\n");
+		return;
+	}
+	g_string_append_printf(out, "version %" G_GUINT64_FORMAT "\n",
+			       catalog->version);
+	for (guint i = 0; i < catalog->queues->len; i++) {
+		const mt_queue_t *queue = catalog->queues->pdata[i];
+
+		g_string_append_printf(
+			out,
+			"queue %s %s%s service %s priority %u x%u %.1f+%u\n",
+			queue->name.text, queue->host.text, queue->path_prefix,
+			queue->service.text, queue->priority,
+			queue->attempts_max, queue->slack_factor,
+			queue->target_ms);
+	}
+	for (guint i = 0; i < catalog->accounts->len; i++) {
+		const mt_client_account_t *account =
+			catalog->accounts->pdata[i];
+
+		g_string_append_printf(out, "account %s, %u keys, %u gpu\n",
+				       account->name.text, account->keys->len,
+				       account->guaranteed_gpu);
+	}
+	mt_catalog_free(catalog);
+}
+
+static void show_job(const char *text, GString *out)
+{
+	MtDag__Job *job = mt_job_decode(mt_str_from(text));
+
+	if (!job) {
+		g_string_append(out, "malformed\n");
+		return;
+	}
+	g_string_append_printf(out,
+			       "payload '%s', %u times from %" G_GINT64_FORMAT
+			       " each %" G_GINT64_FORMAT "\n",
+			       job->payload, job->repeat, job->start_at_ms,
+			       job->interval_ms);
+	for (size_t i = 0; i < job->n_steps; i++) {
+		const MtDag__Step *step = job->steps[i];
+
+		g_string_append_printf(
+			out,
+			"%u x %u/%u/%u %u ms after %zu%s%s%s%s '%s' '%s'\n",
+			step->count, step->cpu_milli, step->mem_mb, step->gpu,
+			step->estimate_ms, step->n_after,
+			step->gang ? " gang" : "",
+			step->same_rack ? " same-rack" : "",
+			step->checkpointing ? " resumes" : "",
+			step->lasting ? " lasting" : "", step->label,
+			step->data_rack);
+	}
+	mt_dag__job__free_unpacked(job, NULL);
+}
+
+/** Frames two records, cuts the page to `len` bytes and reads it back. */
+static void show_page(const char *text, GString *out)
+{
+	mt_store_record_t in[2] = {{MT_STR("key"), MT_STR("value"), 0},
+				   {MT_STR("gone"), {0}, 0}};
+	guint8 head[16] = {0};
+	GByteArray *body = g_byte_array_new();
+	GByteArray *records = mt_store_http_frame(in, 2);
+	GArray *read = g_array_new(FALSE, FALSE, sizeof(mt_store_record_t));
+	uint64_t end = 0;
+	guint64 len;
+	mt_str_t page;
+
+	head[7] = 9;
+	g_byte_array_append(body, head, sizeof(head));
+	g_byte_array_append(body, records->data, records->len);
+	len = g_ascii_strtoull(text, NULL, 10);
+	page = (mt_str_t){(const char *)body->data,
+			  len ? MIN(len, body->len) : body->len};
+	if (!mt_store_http_parse(page, 7, read, &end))
+		g_string_append(out, "malformed\n");
+	for (guint i = 0; i < read->len; i++) {
+		const mt_store_record_t *record =
+			&g_array_index(read, mt_store_record_t, i);
+
+		g_string_append_printf(
+			out, "%u: '%.*s' '%.*s'\n", (unsigned)record->offset,
+			(int)record->key.len, record->key.data,
+			(int)record->value.len, record->value.data);
+	}
+	g_string_append_printf(out, "end %u\n", (unsigned)end);
+	g_array_unref(read);
+	g_byte_array_unref(body);
+	g_byte_array_unref(records);
+}
+
+static bool run(void *group, char **words, const char *rest, GString *out)
+{
+	(void)group;
+	if (!strcmp(words[0], "report"))
+		show_report(rest, out);
+	else if (!strcmp(words[0], "operator-config"))
+		show_config(rest, out);
+	else if (!strcmp(words[0], "posted-job"))
+		show_job(rest, out);
+	else if (!strcmp(words[0], "records-page"))
+		show_page(rest, out);
+	else
+		return false;
+	return true;
+}
+
+const mt_script_group_t mt_script_adapter = {open_group, close_group, run};
--- /dev/null
+++ b/tests/unit/script_dag.c
@@ -0,0 +1,315 @@
+/** @file script_dag.c Script commands for the scheduler's pure parts. */
+#include <stdio.h>
+#include <string.h>
+
+#include "dag/election.h"
+#include "dag/plan.h"
+#include "dag/backend.h"
+#include "dag/table.h"
+#include "unit/script.h"
+
+#define UNITS_MAX 16u
+#define SERVERS_MAX 32u
+#define VICTIMS_MAX 64u
+#define UNIT_TASKS_MAX 64u
+
+typedef struct mt_dag_group_t {
+	mt_plan_server_t servers[SERVERS_MAX];
+	mt_plan_unit_t units[UNITS_MAX];
+	mt_plan_victim_t victims[VICTIMS_MAX];
+	uint32_t chosen[UNITS_MAX][UNIT_TASKS_MAX];
+	mt_plan_t plan;
+	mt_election_t election;
+	mt_ms_t now;
+	mt_timers_t *timers;
+	mt_kernel_t *kernel;
+	mt_table_t *table;
+	mt_backend_t backend;
+} mt_dag_group_t;
+
+static void *open_group(void)
+{
+	mt_dag_group_t *group = g_new0(mt_dag_group_t, 1);
+
+	group->timers = mt_timers_new(1);
+	group->kernel = mt_kernel_new("script", group->timers, 1);
+	group->table = mt_table_new(group->kernel);
+	return group;
+}
+
+static void close_group(void *data)
+{
+	mt_dag_group_t *group = data;
+
+	mt_table_free(group->table);
+	mt_kernel_free(group->kernel);
+	mt_timers_free(group->timers);
+	g_free(group);
+}
+
+static GQuark quark(char **words, const char *name)
+{
+	const char *text = mt_script_option(words, name, NULL);
+
+	return text ? g_quark_from_string(text) : 0;
+}
+
+static uint32_t number(char **words, const char *name, uint32_t fallback)
+{
+	return (uint32_t)mt_script_number(words, name, fallback);
+}
+
+static mt_amount_t amount(char **words, uint32_t cpu, uint32_t gpu)
+{
+	return (mt_amount_t){number(words, "cpu", cpu) * 1000, 1,
+			     number(words, "gpu", gpu)};
+}
+
+/* plan */
+
+static void add_servers(mt_dag_group_t *group, char **words)
+{
+	uint32_t count = number(words, "count", 1);
+
+	for (uint32_t i = 0; i < count && group->plan.n_servers < SERVERS_MAX;
+	     i++) {
+		mt_plan_server_t *server =
+			&group->servers[group->plan.n_servers++];
+
+		server->free = amount(words, 64, 8);
+		server->free.mem_mb = 1000;
+		server->coming.gpu = number(words, "coming", 0);
+		server->coming.cpu_milli = server->coming.gpu * 8000;
+		server->coming.mem_mb = server->coming.gpu;
+		server->rack = quark(words, "rack");
+		server->labels[0] = quark(words, "label");
+		server->penalty = number(words, "penalty", 0);
+	}
+}
+
+static void add_unit(mt_dag_group_t *group, char **words)
+{
+	mt_plan_unit_t *unit = &group->units[group->plan.n_units];
+
+	unit->chosen = group->chosen[group->plan.n_units++];
+	unit->need = amount(words, 1, 1);
+	unit->count = number(words, "count", 1);
+	unit->whole = mt_script_flag(words, "gang");
+	unit->same_rack = mt_script_flag(words, "same-rack");
+	unit->data_rack = quark(words, "data");
+	unit->label = quark(words, "label");
+	unit->per_server_max = number(words, "per-server", 0);
+	unit->priority = number(words, "priority", 2);
+	unit->guaranteed = mt_script_flag(words, "guaranteed");
+	unit->may_reclaim = !unit->priority;
+	unit->reserves = unit->may_reclaim || mt_script_flag(words, "reserves");
+}
+
+static void add_victim(mt_dag_group_t *group, char **words)
+{
+	mt_plan_victim_t *victim = &group->victims[group->plan.n_victims++];
+
+	victim->server = number(words, "server", 0);
+	victim->group = number(words, "group", group->plan.n_victims);
+	victim->amount = amount(words, 8, 1);
+	victim->priority = number(words, "priority", 2);
+	victim->guaranteed = mt_script_flag(words, "guaranteed");
+	victim->cost = number(words, "cost", 1);
+}
+
+static void run_plan(mt_dag_group_t *group, GString *out)
+{
+	mt_plan_t *plan = &group->plan;
+
+	plan->servers = group->servers;
+	plan->units = group->units;
+	plan->victims = group->victims;
+	mt_plan_run(plan);
+	for (uint32_t i = 0; i < plan->n_units; i++) {
+		g_string_append_printf(out, "unit %u:", i);
+		for (uint32_t k = 0; k < plan->units[i].placed; k++)
+			g_string_append_printf(out, " %u",
+					       plan->units[i].chosen[k]);
+		g_string_append(out, plan->units[i].placed ? "\n" : " waits\n");
+	}
+	for (uint32_t i = 0; i < plan->n_victims; i++) {
+		if (plan->victims[i].stopped)
+			g_string_append_printf(out, "stop %u on %u\n", i,
+					       plan->victims[i].server);
+	}
+	memset(plan, 0, sizeof(*plan));
+	memset(group->servers, 0, sizeof(group->servers));
+	memset(group->units, 0, sizeof(group->units));
+	memset(group->victims, 0, sizeof(group->victims));
+}
+
+static bool plan_command(mt_dag_group_t *group, char **words, GString *out)
+{
+	if (!strcmp(words[0], "plan-servers"))
+		add_servers(group, words);
+	else if (!strcmp(words[0], "plan-unit"))
+		add_unit(group, words);
+	else if (!strcmp(words[0], "plan-victim"))
+		add_victim(group, words);
+	else if (!strcmp(words[0], "plan-run"))
+		run_plan(group, out);
+	else
+		return false;
+	return true;
+}
+
+/* election */
+
+static void read_leader(mt_dag_group_t *group, char **words)
+{
+	MtDag__Leader leader = MT_DAG__LEADER__INIT;
+
+	leader.host = (char *)mt_script_option(words, "host", "");
+	leader.incarnation = (char *)mt_script_option(words, "process", "");
+	leader.term = mt_script_number(words, "term", 1);
+	leader.released = mt_script_flag(words, "released");
+	mt_election_on_leader(&group->election, &leader, group->now);
+}
+
+static bool election_command(mt_dag_group_t *group, char **words, GString *out)
+{
+	mt_name_t host;
+	mt_name_t process;
+
+	if (!strcmp(words[0], "election-start")) {
+		host = mt_name(mt_script_option(words, "host", "a"));
+		process = mt_name(mt_script_option(words, "process", "a-1"));
+		mt_election_init(&group->election, &host, &process, group->now);
+		group->election.rank_ms = mt_script_number(words, "rank", 0);
+	} else if (!strcmp(words[0], "election-leader")) {
+		read_leader(group, words);
+	} else if (!strcmp(words[0], "election-sign")) {
+		mt_election_on_sign(&group->election, group->now);
+	} else if (!strcmp(words[0], "election-read")) {
+		mt_election_on_read(&group->election, group->now);
+	} else if (!strcmp(words[0], "election-back-off")) {
+		mt_election_back_off(&group->election, group->now);
+	} else if (!strcmp(words[0], "election-after")) {
+		group->now += mt_script_number(words, "ms", 0);
+		g_string_append_printf(
+			out, "%s%s\n",
+			mt_election_is_leader(&group->election) ? "leads"
+								: "follows",
+			mt_election_should_claim(&group->election, group->now)
+				? ", claims"
+				: "");
+	} else {
+		return false;
+	}
+	return true;
+}
+
+/* table */
+
+static GBytes *pack_job(char **words, uint64_t id)
+{
+	MtDag__Job job = MT_DAG__JOB__INIT;
+
+	job.id = id;
+	job.queue = (char *)mt_script_option(words, "queue", "q");
+	return mt_dag_pack(&job.base);
+}
+
+static GBytes *pack_progress(char **words, uint64_t id)
+{
+	MtDag__Progress progress = MT_DAG__PROGRESS__INIT;
+
+	progress.id = id;
+	progress.state = (MtDag__State)mt_script_number(words, "state", 0);
+	progress.begun = mt_script_flag(words, "begun");
+	return mt_dag_pack(&progress.base);
+}
+
+static void apply_record(mt_dag_group_t *group, char **words)
+{
+	uint64_t id = mt_script_number(words, "id", 1);
+	mt_record_kind_t kind = MT_RECORD_CANCEL;
+	mt_store_record_t record = {{0}, MT_STR("1"), 0};
+	mt_record_key_t key;
+	GBytes *bytes = NULL;
+
+	if (mt_script_flag(words, "job")) {
+		kind = MT_RECORD_JOB;
+		bytes = pack_job(words, id);
+	} else if (mt_script_flag(words, "progress")) {
+		kind = MT_RECORD_PROGRESS;
+		bytes = pack_progress(words, id);
+	}
+	key = mt_record_key(kind, id);
+	record.key = mt_str_from(key.text);
+	if (bytes)
+		record.value = mt_bytes_view(bytes);
+	if (mt_script_flag(words, "broken"))
+		record.value = MT_STR("\xff\xff\xff");
+	if (mt_script_flag(words, "dropped"))
+		record.value = (mt_str_t){0};
+	record.offset = mt_script_number(words, "offset", 0);
+	mt_table_apply(group->table, &record);
+	if (bytes)
+		g_bytes_unref(bytes);
+}
+
+static void show_job(mt_dag_group_t *group, char **words, GString *out)
+{
+	static const char *const names[] = {"queued", "active", "completed",
+					    "failed", "cancelled"};
+	const mt_table_job_t *job =
+		mt_table_find(group->table, mt_script_number(words, "id", 1));
+	mt_name_t queue = mt_name(mt_script_option(words, "queue", "q"));
+
+	g_string_append_printf(out, "%s, %u pending\n",
+			       job ? names[mt_table_state(job)] : "unknown",
+			       mt_table_pending(group->table, &queue));
+}
+
+static bool table_command(mt_dag_group_t *group, char **words, GString *out)
+{
+	if (!strcmp(words[0], "table-record"))
+		apply_record(group, words);
+	else if (!strcmp(words[0], "table-show"))
+		show_job(group, words, out);
+	else
+		return false;
+	return true;
+}
+
+/* leases */
+
+static bool lease_command(mt_dag_group_t *group, char **words, GString *out)
+{
+	mt_ms_t at = mt_script_number(words, "at", 0);
+
+	if (!strcmp(words[0], "lease-clock"))
+		mt_backend_note_clock(&group->backend,
+				      mt_script_number(words, "ms", 0), at);
+	else if (!strcmp(words[0], "lease-grant"))
+		mt_backend_note_lease(&group->backend, at,
+				      mt_script_number(words, "ms", 0));
+	else if (!strcmp(words[0], "lease-show"))
+		g_string_append_printf(out,
+				       "clock %" G_GUINT64_FORMAT
+				       ", over at %" G_GUINT64_FORMAT "\n",
+				       mt_backend_clock(&group->backend, at),
+				       group->backend.lapse_at);
+	else
+		return false;
+	return true;
+}
+
+static bool run(void *data, char **words, const char *rest, GString *out)
+{
+	mt_dag_group_t *group = data;
+
+	(void)rest;
+	return plan_command(group, words, out) ||
+	       election_command(group, words, out) ||
+	       table_command(group, words, out) ||
+	       lease_command(group, words, out);
+}
+
+const mt_script_group_t mt_script_dag = {open_group, close_group, run};
