--- a/tests/unit/script.c
+++ b/tests/unit/script.c
@@ -5,7 +5,7 @@
 
 static const mt_script_group_t *const groups[] = {
 	&mt_script_jobs, &mt_script_lists, &mt_script_decide, &mt_script_parse,
-	&mt_script_log, &mt_script_dag, &mt_script_adapter};
+	&mt_script_log,	 &mt_script_dag,   &mt_script_adapter};
 
 #define GROUPS G_N_ELEMENTS(groups)
 
