--- a/tests/check.sh
+++ b/tests/check.sh
@@ -53,6 +53,7 @@
 suite "fleet seeds that failed once" tests/scripts/fleet-seeds.sh build
 suite "soak" build/tests/soak --seed 1 --seeds "$SOAK_SEEDS" \
 	--events "$SOAK_EVENTS"
+suite "entry hosts on the platform" tests/scripts/entry-hosts.sh
 suite "callers' interface" tests/scripts/callers.sh
 suite "demo of the Workshop" tests/check-demo.sh workshop 200
 suite "demo of Ladesaeulen" tests/check-demo.sh ladesaeulen 200
@@ -69,6 +70,8 @@
 	--seeds 12
 suite "sanitized soak" build-asan/tests/soak --seed 101 --seeds 6 \
 	--events 30000
+suite "sanitized entry hosts" env BUILD=build-asan \
+	tests/scripts/entry-hosts.sh
 suite "sanitized callers' interface" env BUILD=build-asan \
 	tests/scripts/callers.sh
 suite "sanitized demo" env BUILD=build-asan tests/check-demo.sh
--- a/tests/fleet/fake_servers.c
+++ b/tests/fleet/fake_servers.c
@@ -125,18 +125,41 @@
 
 /* Reports. */
 
+/** The report in the form that the fake directory decodes. */
+static char *short_report(const mt_fake_server_t *server, unsigned left)
+{
+	return g_strdup_printf("%s %s %" G_GINT64_FORMAT " %u",
+			       server->draining ? "draining" : "ready",
+			       server->rack, server->born, left);
+}
+
+/** The report in the platform's form. */
+static char *platform_report(const mt_fake_server_t *server, unsigned left)
+{
+	return g_strdup_printf(
+		"{\"service\":\"service\",\"address\":\"127.0.0.1:%u\","
+		"\"zone\":\"here\",\"state\":\"%s\",\"slots\":8,"
+		"\"capacity\":{\"cpu\":64000,\"mem_mb\":262144,\"gpu\":8},"
+		"\"labels\":[\"a\",\"%s\"],\"born\":%" G_GINT64_FORMAT
+		",\"remaining_ms\":%u}",
+		server->fleet->world->store_port + 1 + server->index,
+		server->draining ? "draining" : "ready", server->rack,
+		server->born, left);
+}
+
 static void report(mt_fake_server_t *server)
 {
-	char text[96];
 	mt_ms_t now = now_of(server->fleet);
+	unsigned left = server->leaves_at > now
+				? (unsigned)(server->leaves_at - now)
+				: 0;
+	char *text = server->fleet->world->store_port
+			     ? platform_report(server, left)
+			     : short_report(server, left);
 
-	snprintf(text, sizeof(text), "%s %s %" G_GINT64_FORMAT " %u",
-		 server->draining ? "draining" : "ready", server->rack,
-		 server->born,
-		 server->leaves_at > now ? (unsigned)(server->leaves_at - now)
-					 : 0);
 	mt_fake_store_put(server->fleet->world->store, "keyed.servers",
 			  server->id, mt_str_from(text));
+	g_free(text);
 	server->listed = true;
 }
 
@@ -369,14 +392,20 @@
 
 /* Orders. */
 
+/** What callers handed in, or, for callers from outside, what was stored. */
 static MtDag__Job *job_of(mt_fake_fleet_t *fleet, uint64_t id)
 {
 	GBytes *bytes = g_hash_table_lookup(fleet->jobs, &id);
-	mt_str_t view;
-
-	if (!bytes)
+	mt_record_key_t key = mt_record_key(MT_RECORD_JOB, id);
+	mt_str_t view = {0};
+
+	if (bytes)
+		view = mt_bytes_view(bytes);
+	else if (fleet->world->store_port)
+		view = mt_fake_store_get(fleet->world->store, MT_RECORDS_TOPIC,
+					 key.text);
+	if (!view.len)
 		return NULL;
-	view = mt_bytes_view(bytes);
 	return mt_dag__job__unpack(NULL, view.len, (const uint8_t *)view.data);
 }
 
--- a/tests/fleet/fake_store.c
+++ b/tests/fleet/fake_store.c
@@ -118,6 +118,15 @@
 		   g_bytes_new(value.data, value.len));
 }
 
+mt_str_t mt_fake_store_get(mt_fake_store_t *store, const char *topic,
+			   const char *key)
+{
+	const mt_fake_record_t *record =
+		g_hash_table_lookup(topic_of(store, topic)->newest, key);
+
+	return record ? mt_bytes_view(record->value) : (mt_str_t){0};
+}
+
 void mt_fake_store_compact(mt_fake_store_t *store, const char *name)
 {
 	mt_fake_topic_t *topic = topic_of(store, name);
--- a/tests/fleet/fake_store.h
+++ b/tests/fleet/fake_store.h
@@ -19,6 +19,10 @@
 void mt_fake_store_put(mt_fake_store_t *store, const char *topic,
 		       const char *key, mt_str_t value);
 
+/** Newest value of a key; empty when there is none. */
+mt_str_t mt_fake_store_get(mt_fake_store_t *store, const char *topic,
+			   const char *key);
+
 /** Drops all records of a topic but the newest of each key. */
 void mt_fake_store_compact(mt_fake_store_t *store, const char *topic);
 
--- a/tests/fleet/world.c
+++ b/tests/fleet/world.c
@@ -164,6 +164,30 @@
 	return world;
 }
 
+mt_world_t *mt_world_new_bare(guint32 seed, uint16_t store_port, mt_ms_t now)
+{
+	mt_world_t *world = g_new0(mt_world_t, 1);
+
+	current_world = world;
+	world->timers = mt_timers_new(now);
+	world->rand = g_rand_new_with_seed(seed);
+	world->store_port = store_port;
+	world->store = mt_fake_store_new(world);
+	world->fleet = mt_fake_fleet_new(world, FLEET_SERVERS);
+	return world;
+}
+
+mt_world_host_t *mt_world_caller(mt_world_t *world)
+{
+	mt_world_host_t *host = g_new0(mt_world_host_t, 1);
+
+	host->world = world;
+	host->late = g_queue_new();
+	mt_fake_store_bind(world->store, host);
+	mt_fake_fleet_bind(world->fleet, host);
+	return host;
+}
+
 static mt_ms_t next_due(const mt_world_t *world)
 {
 	mt_ms_t next = mt_timers_next(world->timers);
--- a/tests/fleet/world.h
+++ b/tests/fleet/world.h
@@ -35,6 +35,7 @@
 	GRand *rand;
 	mt_world_host_t *hosts[FLEET_HOSTS];
 	unsigned incarnations;
+	uint16_t store_port; /**< of a bare world; 0: none */
 	unsigned breaches;
 	unsigned vanished; /**< servers that are gone for good */
 	bool verbose;
@@ -51,6 +52,15 @@
 };
 
 mt_world_t *mt_world_new(guint32 seed, bool verbose);
+
+/**
+ * A world without hosts, whose owner advances its timers from `now` on. Its
+ * servers report in the platform's form, at ports after `store_port`.
+ */
+mt_world_t *mt_world_new_bare(guint32 seed, uint16_t store_port, mt_ms_t now);
+
+/** Ports of a bare world, for callers from outside. */
+mt_world_host_t *mt_world_caller(mt_world_t *world);
 void mt_world_start_host(mt_world_t *world, unsigned index);
 void mt_world_kill_host(mt_world_t *world, unsigned index);
 void mt_world_freeze_host(mt_world_t *world, unsigned index, bool frozen);
--- /dev/null
+++ b/tests/platformd/main.c
@@ -0,0 +1,448 @@
+/**
+ * @file main.c
+ * A stand-in of the users' platform for tests: its store and its backend
+ * servers behind the platform's own calls, in real time. What it answers comes
+ * from the fakes that the plays on virtual time use.
+ */
+#include <argtable2.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet/fake_servers.h"
+#include "fleet/fake_store.h"
+#include "net/http_server.h"
+#include "net/json_util.h"
+#include "net/loop.h"
+#include "platform/store_http.h"
+
+#define BODY_MAX_BYTES (4u * 1024u * 1024u)
+#define OFFSET_BYTES 8
+
+typedef struct mt_platformd_t {
+	mt_loop_t *loop;
+	mt_world_t *world;
+	mt_world_host_t *caller; /**< stands for every caller */
+	GPtrArray *servers;	 /**< mt_server_face_t */
+} mt_platformd_t;
+
+typedef struct mt_server_face_t {
+	mt_platformd_t *platform;
+	mt_name_t id;
+} mt_server_face_t;
+
+/** One call whose answer is due. */
+typedef struct mt_face_call_t {
+	mt_http_exchange_t *exchange; /**< NULL once the caller has gone */
+	bool newest;
+} mt_face_call_t;
+
+static void on_gone(void *ctx)
+{
+	mt_face_call_t *call = ctx;
+
+	call->exchange = NULL;
+}
+
+static mt_face_call_t *new_call(const mt_http_call_t *http)
+{
+	mt_face_call_t *call = g_new0(mt_face_call_t, 1);
+
+	call->exchange = http->exchange;
+	mt_http_on_gone(http->exchange, on_gone, call);
+	return call;
+}
+
+/** Answers and frees the call; a status of 0 leaves the caller waiting. */
+static void answer(mt_face_call_t *call, int status, const char *type,
+		   mt_str_t body)
+{
+	if (call->exchange && status) {
+		mt_http_on_gone(call->exchange, NULL, NULL);
+		mt_http_answer(call->exchange, status, type, body, NULL);
+	}
+	if (status || !call->exchange)
+		g_free(call);
+}
+
+static void answer_json(mt_face_call_t *call, int status, json_t *json)
+{
+	char *text = mt_json_take_text(json);
+
+	answer(call, status, "application/json", mt_str_from(text));
+	g_free(text);
+}
+
+static uint64_t query_number(const mt_http_call_t *http, const char *name,
+			     uint64_t fallback)
+{
+	mt_str_t text;
+	uint64_t value;
+
+	if (!mt_http_query(http->query, name, &text) ||
+	    !mt_str_to_u64(text, &value))
+		return fallback;
+	return value;
+}
+
+/** Freed by the caller. */
+static char *query_text(const mt_http_call_t *http, const char *name)
+{
+	mt_str_t text = {0};
+
+	mt_http_query(http->query, name, &text);
+	return g_strndup(text.data ? text.data : "", text.len);
+}
+
+/* Store. */
+
+static int status_of_store(mt_store_result_t result)
+{
+	switch (result) {
+	case MT_STORE_DONE:
+		return 200;
+	case MT_STORE_REFUSED:
+		return 503;
+	case MT_STORE_CONFLICT:
+		return 412;
+	case MT_STORE_FENCED:
+	case MT_STORE_OUT_OF_SEQUENCE:
+		return 409;
+	case MT_STORE_TRIMMED:
+		return 410;
+	default:
+		return 0;
+	}
+}
+
+static void on_appended(void *ctx, mt_store_result_t result, uint64_t offset)
+{
+	json_t *json = json_object();
+
+	mt_json_set_u64(json, "offset", offset);
+	if (result == MT_STORE_FENCED)
+		json_object_set_new(json, "reason", json_string("fenced"));
+	if (result == MT_STORE_OUT_OF_SEQUENCE)
+		json_object_set_new(json, "reason", json_string("seq"));
+	answer_json(ctx, status_of_store(result), json);
+}
+
+/** Frames have two offsets before them in an answer, none in a request. */
+static GArray *parse_records(mt_str_t body)
+{
+	GArray *records = g_array_new(FALSE, FALSE, sizeof(mt_store_record_t));
+	static char page[BODY_MAX_BYTES];
+	uint64_t end;
+
+	memset(page, 0, 2 * OFFSET_BYTES);
+	if (body.len > sizeof(page) - 2 * OFFSET_BYTES)
+		return records;
+	memcpy(page + 2 * OFFSET_BYTES, body.data, body.len);
+	mt_store_http_parse(
+		(mt_str_t){page, body.len + 2 * (size_t)OFFSET_BYTES}, 0,
+		records, &end);
+	return records;
+}
+
+static void on_append_call(mt_platformd_t *platform, const mt_http_call_t *http)
+{
+	const mt_store_port_t *store = &platform->caller->store_port;
+	GArray *records = parse_records(http->body);
+	char *topic = query_text(http, "topic");
+	char *producer = query_text(http, "producer");
+	mt_store_append_t append = {0};
+
+	append.topic = topic;
+	append.producer = producer;
+	append.records = (const mt_store_record_t *)records->data;
+	append.count = records->len;
+	append.at = query_number(http, "at", MT_STORE_ANYWHERE);
+	append.epoch = query_number(http, "epoch", 0);
+	append.sequence = query_number(http, "sequence", 0);
+	append.timeout_ms = 1000;
+	store->append(store->self, &append, on_appended, new_call(http));
+	g_array_unref(records);
+	g_free(topic);
+	g_free(producer);
+}
+
+static void answer_newest(mt_face_call_t *call, const mt_store_page_t *page)
+{
+	json_t *json = json_object();
+	json_t *items = json_array();
+
+	for (size_t i = 0; i < page->count; i++) {
+		const mt_store_record_t *record = &page->records[i];
+		json_t *item = json_object();
+		GBytes *value =
+			g_bytes_new(record->value.data, record->value.len);
+
+		json_object_set_new(
+			item, "key",
+			json_stringn(record->key.data, record->key.len));
+		mt_json_set_bytes(item, "value", value);
+		mt_json_set_u64(item, "offset", record->offset);
+		json_array_append_new(items, item);
+		g_bytes_unref(value);
+	}
+	json_object_set_new(json, "items", items);
+	json_object_set_new(json, "has_more", json_false());
+	mt_json_set_u64(json, "end_offset", page->end);
+	answer_json(call, 200, json);
+}
+
+static void answer_records(mt_face_call_t *call, const mt_store_page_t *page)
+{
+	GByteArray *body = g_byte_array_new();
+	GByteArray *frames = mt_store_http_frame(page->records, page->count);
+	uint64_t head[2] = {GUINT64_TO_BE(page->end), 0};
+
+	g_byte_array_append(body, (const guint8 *)head, sizeof(head));
+	g_byte_array_append(body, frames->data, frames->len);
+	answer(call, 200, "application/octet-stream",
+	       (mt_str_t){(const char *)body->data, body->len});
+	g_byte_array_unref(frames);
+	g_byte_array_unref(body);
+}
+
+static void on_page(void *ctx, const mt_store_page_t *page)
+{
+	mt_face_call_t *call = ctx;
+
+	if (page->result != MT_STORE_DONE)
+		answer(call, status_of_store(page->result), "text/plain",
+		       (mt_str_t){0});
+	else if (call->newest)
+		answer_newest(call, page);
+	else
+		answer_records(call, page);
+}
+
+static void on_store_call(void *ctx, const mt_http_call_t *http)
+{
+	mt_platformd_t *platform = ctx;
+	const mt_store_port_t *store = &platform->caller->store_port;
+	char *topic = query_text(http, "topic");
+	mt_face_call_t *call;
+
+	if (mt_str_equal(http->path, MT_STR("/mimosaturn/log-append"))) {
+		on_append_call(platform, http);
+	} else if (mt_str_equal(http->path, MT_STR("/mimosaturn/log-read"))) {
+		store->read(store->self, topic, query_number(http, "from", 0),
+			    query_number(http, "wait_ms", 0), on_page,
+			    new_call(http));
+	} else if (mt_str_equal(http->path, MT_STR("/mimosaturn/log-newest"))) {
+		call = new_call(http);
+		call->newest = true;
+		store->newest(store->self, topic, (mt_str_t){0}, on_page, call);
+	} else {
+		mt_http_answer(http->exchange, 404, "text/plain", (mt_str_t){0},
+			       NULL);
+	}
+	g_free(topic);
+}
+
+/* Servers. */
+
+static json_t *task_name(const mt_task_key_t *key)
+{
+	char text[80];
+
+	snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x.%u.%u.%u",
+		 key->job, key->occurrence, key->step, key->index);
+	return json_string(text);
+}
+
+static json_t *list_running(const mt_backend_answer_t *lists)
+{
+	json_t *rows = json_array();
+
+	for (size_t i = 0; i < lists->n_running; i++) {
+		const mt_running_t *run = &lists->running[i];
+		json_t *row = json_array();
+
+		json_array_append_new(row, task_name(&run->task));
+		json_array_append_new(row, json_integer(run->run));
+		json_array_append_new(row, json_string(""));
+		json_array_append_new(row, json_integer(run->percent));
+		json_array_append_new(rows, row);
+	}
+	return rows;
+}
+
+static json_t *list_ended(const mt_backend_answer_t *lists)
+{
+	static const char *const ends[] = {"done",   "failed", "stopped",
+					   "lapsed", "broken", "alone"};
+	json_t *rows = json_array();
+
+	for (size_t i = 0; i < lists->n_ended; i++) {
+		const mt_ended_t *ended = &lists->ended[i];
+		json_t *row = json_array();
+
+		json_array_append_new(row,
+				      json_integer((json_int_t)ended->number));
+		json_array_append_new(row, task_name(&ended->task));
+		json_array_append_new(row, json_integer(ended->run));
+		json_array_append_new(row, json_string(ends[ended->end]));
+		json_array_append_new(row, json_string(""));
+		json_array_append_new(rows, row);
+	}
+	return rows;
+}
+
+static void on_commanded(void *ctx, const mt_backend_answer_t *lists)
+{
+	static const struct {
+		mt_command_result_t result;
+		int status;
+		const char *reason;
+	} answers[] = {
+		{MT_COMMAND_DONE, 200, NULL},
+		{MT_COMMAND_FENCED, 409, "fence"},
+		{MT_COMMAND_OLD_RUN, 409, "old"},
+		{MT_COMMAND_LATE, 409, "late"},
+		{MT_COMMAND_NO_ROOM, 409, "room"},
+		{MT_COMMAND_REJECTED, 400, NULL},
+		{MT_COMMAND_BUSY, 503, NULL},
+	};
+	json_t *json = json_object();
+	int status = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
+		if (answers[i].result != lists->result)
+			continue;
+		status = answers[i].status;
+		if (answers[i].reason)
+			json_object_set_new(json, "reason",
+					    json_string(answers[i].reason));
+	}
+	mt_json_set_u64(json, "clock_ms", lists->clock_ms);
+	mt_json_set_u64(json, "born", (uint64_t)lists->born_ms);
+	json_object_set_new(json, "running", list_running(lists));
+	json_object_set_new(json, "finished", list_ended(lists));
+	answer_json(ctx, status, json);
+}
+
+static mt_task_key_t read_task(const json_t *json)
+{
+	mt_task_key_t key = {0};
+	const char *text = json_string_value(json_object_get(json, "task"));
+
+	if (text)
+		sscanf(text, "%16" G_GINT64_MODIFIER "x.%u.%u.%u", &key.job,
+		       &key.occurrence, &key.step, &key.index);
+	return key;
+}
+
+static uint64_t read_number(const json_t *json, const char *name)
+{
+	uint64_t value = 0;
+
+	mt_json_get_u64(json, name, &value);
+	return value;
+}
+
+static void on_server_call(void *ctx, const mt_http_call_t *http)
+{
+	mt_server_face_t *face = ctx;
+	const mt_backend_port_t *port = &face->platform->caller->backend_port;
+	mt_backend_target_t target = {face->id, {0}, 1};
+	json_t *json = mt_json_parse(http->body);
+	uint64_t term = read_number(json, "fencing_token");
+
+	if (mt_str_equal(http->path, MT_STR("/mimosaturn/run-start"))) {
+		mt_start_command_t start = {0};
+
+		start.task = read_task(json);
+		start.run = (uint32_t)read_number(json, "run_id");
+		start.term = term;
+		start.due_ms = read_number(json, "due_ms");
+		port->start(port->self, &target, &start, on_commanded,
+			    new_call(http));
+	} else if (mt_str_equal(http->path, MT_STR("/mimosaturn/run-stop"))) {
+		mt_stop_command_t stop = {read_task(json),
+					  (uint32_t)read_number(json, "run_id"),
+					  term};
+
+		port->stop(port->self, &target, &stop, on_commanded,
+			   new_call(http));
+	} else if (mt_str_equal(http->path, MT_STR("/mimosaturn/hold"))) {
+		mt_hold_command_t hold = {term, read_number(json, "last_seen"),
+					  read_number(json, "due_ms"),
+					  read_number(json, "wait_ms")};
+
+		port->hold(port->self, &target, &hold, on_commanded,
+			   new_call(http));
+	} else {
+		mt_http_answer(http->exchange, 404, "text/plain", (mt_str_t){0},
+			       NULL);
+	}
+	json_decref(json);
+}
+
+/* Start. */
+
+static void advance(void *ctx)
+{
+	mt_platformd_t *platform = ctx;
+
+	mt_timers_advance(platform->world->timers,
+			  mt_timers_now(mt_loop_timers(platform->loop)));
+}
+
+static bool listen_servers(mt_platformd_t *platform, uint16_t port)
+{
+	mt_name_t address = mt_name("127.0.0.1");
+
+	for (unsigned i = 0; i < FLEET_SERVERS; i++) {
+		mt_server_face_t *face = g_new0(mt_server_face_t, 1);
+		char id[24];
+
+		snprintf(id, sizeof(id), "server-%u", i);
+		face->platform = platform;
+		face->id = mt_name(id);
+		if (!mt_http_server_new(platform->loop, &address,
+					(uint16_t)(port + 1 + i),
+					BODY_MAX_BYTES, on_server_call, face))
+			return false;
+	}
+	return mt_http_server_new(platform->loop, &address, port,
+				  BODY_MAX_BYTES, on_store_call, platform);
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_int *port = arg_int1(NULL, "port", "N",
+					"of the store; the servers follow it");
+	struct arg_str *config = arg_str1(NULL, "config", "FILE",
+					  "the operators' configuration");
+	struct arg_end *end = arg_end(4);
+	void *table[] = {port, config, end};
+	mt_platformd_t platform = {0};
+	char *text;
+	gsize len;
+
+	if (arg_parse(argc, argv, table)) {
+		arg_print_errors(stderr, end, argv[0]);
+		return 2;
+	}
+	if (!g_file_get_contents(config->sval[0], &text, &len, NULL)) {
+		fprintf(stderr, "%s cannot be read\n", config->sval[0]);
+		return 2;
+	}
+	platform.loop = mt_loop_new();
+	platform.world =
+		mt_world_new_bare(1, (uint16_t)port->ival[0],
+				  mt_timers_now(mt_loop_timers(platform.loop)));
+	platform.caller = mt_world_caller(platform.world);
+	mt_fake_store_put(platform.world->store, "keyed.op", "config",
+			  (mt_str_t){text, len});
+	mt_timers_every(mt_loop_timers(platform.loop), 1, advance, &platform);
+	if (!listen_servers(&platform, (uint16_t)port->ival[0])) {
+		fprintf(stderr, "a port is in use\n");
+		return 3;
+	}
+	mt_loop_run(platform.loop);
+	return 0;
+}
--- /dev/null
+++ b/tests/scripts/entry-hosts.sh
@@ -0,0 +1,193 @@
+#!/usr/bin/env bash
+# The daemon for the users' platform as real processes, against the stand-in:
+# callers' answers, a leader killed, a planned stop, settings with errors.
+cd "$(dirname "$0")/../.." || exit 1
+. tests/scripts/lib.sh
+trap stop_all EXIT
+
+WORK=$(mktemp -d)
+BASE=$(pick_base)
+HOSTS=3
+passed=0
+failed=0
+
+# check NAME EXPECTED GOT
+check() {
+	if [ "$2" = "$3" ]; then
+		passed=$((passed + 1))
+	else
+		failed=$((failed + 1))
+		echo "$1: expected '$2', got '$3'"
+	fi
+}
+
+caller_port() {
+	echo $((BASE + 40 + $1))
+}
+
+write_settings() {
+	cat >"$WORK/host-$1.json" <<-EOF
+	{
+		"host": "host-$1", "data_centre": "here",
+		"callers": "127.0.0.1:$(caller_port "$1")",
+		"readiness": "127.0.0.1:$((BASE + 50 + $1))",
+		"metrics": "127.0.0.1:$((BASE + 60 + $1))",
+		"store": "127.0.0.1:$BASE",
+		"lease_max_ms": 10000, "stop_task_ms": 400, "restore_ms": 100,
+		"keep_ended_s": 120, "stop_grace_s": 6, "revoke_key_ms": 5000
+	}
+	EOF
+}
+
+cat >"$WORK/config.json" <<-EOF
+{"version": 3,
+ "routes": [
+  {"name": "urgent", "host": "jobs.example", "path_prefix": "/urgent/",
+   "service": "service", "priority": 0, "max_attempts": 4,
+   "slack_factor": 1.5, "target_latency_ms": 500},
+  {"name": "batch", "host": "jobs.example", "path_prefix": "/batch/",
+   "service": "service", "priority": 2, "max_attempts": 4,
+   "slack_factor": 3.0, "target_latency_ms": 3000}],
+ "tenants": [{"name": "shop", "api_keys": ["good"],
+              "guaranteed": {"gpu": 16}}]}
+EOF
+
+declare -A PID
+start_entry() {
+	"$BUILD/programs/mimosaturn-entry" --settings "$WORK/host-$1.json" \
+		>>"$WORK/host-$1.log" 2>&1 &
+	PID[$1]=$!
+	PIDS+=($!)
+}
+
+is_ready() {
+	curl -s -o /dev/null -w '%{http_code}' \
+		"http://127.0.0.1:$((BASE + 50 + $1))/mimosaturn/readyz"
+}
+
+# call HOST METHOD PATH [BODY]: prints status and body
+call() {
+	curl -s -X "$2" -H "Host: jobs.example" \
+		-H "Authorization: Token ${KEY:-good}" -d "${4:-}" \
+		-w ' %{http_code}' -m 4 \
+		"http://127.0.0.1:$(caller_port "$1")$3"
+}
+
+wait_ready() {
+	local try
+	for try in {1..200}; do
+		[ "$(is_ready "$1")" = 200 ] && return 0
+		sleep 0.05
+	done
+	echo "host $1 was not ready after $try tries" >&2
+	return 1
+}
+
+# wait_state HOST PATH STATE
+wait_state() {
+	local try answer
+	for try in {1..300}; do
+		answer=$(call "$1" GET "$2")
+		case "$answer" in
+		*"\"$3\""*)
+			echo "$3"
+			return
+			;;
+		esac
+		sleep 0.05
+	done
+	echo "$answer after $try tries"
+}
+
+find_leader() {
+	local i last
+	for i in $(seq 0 $((HOSTS - 1))); do
+		last=$(grep -h -E '"event":"office_(won|left)"' \
+			"$WORK/host-$i.log" | tail -1)
+		case "$last" in
+		*office_won*)
+			kill -0 "${PID[$i]}" 2>/dev/null && echo "$i"
+			;;
+		esac
+	done | head -1
+}
+
+job() {
+	printf '{"spec":"scan","steps":[{"count":%d,"cpu":4000,"mem_mb":1000,"gpu":1,"estimate_ms":%d%s}]}' \
+		"$1" "$2" "${3:-}"
+}
+
+"$BUILD/tests/platformd" --port "$BASE" --config "$WORK/config.json" \
+	>"$WORK/platform.log" 2>&1 &
+PIDS+=($!)
+for i in $(seq 0 $((HOSTS - 1))); do
+	write_settings "$i"
+	start_entry "$i"
+done
+for i in $(seq 0 $((HOSTS - 1))); do
+	wait_ready "$i"
+done
+
+# A job runs to its end and every host shows it.
+check "submit" "{} 200" \
+	"$(call 0 POST /urgent/00000000000000a1 "$(job 3 300 ',"gang":true')")"
+check "completed" completed "$(wait_state 1 /urgent/00000000000000a1 completed)"
+check "again" "{} 200" \
+	"$(call 2 POST /urgent/00000000000000a1 "$(job 3 300 ',"gang":true')")"
+check "same job" '{"state":"completed"} 200' \
+	"$(call 2 GET /urgent/00000000000000a1)"
+check "queue" '{"pending":0} 200' "$(call 0 GET /urgent/)"
+
+# What is refused, and that it says why.
+check "no queue" "{} 404" "$(call 0 POST /other/00000000000000a2 "$(job 1 1)")"
+check "no job" "{} 410" "$(call 0 GET /urgent/00000000000000ff)"
+check "bad key" "{} 401" \
+	"$(KEY=bad call 0 POST /urgent/00000000000000a2 "$(job 1 1)")"
+check "bad body" "{} 400" "$(call 0 POST /urgent/00000000000000a2 '{"spec":')"
+check "bad id" "{} 400" "$(call 0 POST /urgent/xyz "$(job 1 1)")"
+check "bad method" "{} 405" "$(call 0 PUT /urgent/00000000000000a2 "$(job 1 1)")"
+
+# A cancelled job stays cancelled.
+check "long job" "{} 200" "$(call 0 POST /batch/00000000000000b1 "$(job 2 60000)")"
+check "active" active "$(wait_state 1 /batch/00000000000000b1 active)"
+check "cancel" "{} 200" "$(call 1 DELETE /batch/00000000000000b1)"
+check "cancelled" cancelled "$(wait_state 2 /batch/00000000000000b1 cancelled)"
+
+# The leader is killed while a job of two steps runs.
+check "two steps" "{} 200" "$(call 1 POST /batch/00000000000000c1 \
+	'{"spec":"x","steps":[{"count":4,"cpu":1000,"mem_mb":10,"estimate_ms":1500},{"count":2,"cpu":1000,"mem_mb":10,"estimate_ms":300,"depends_on":[0]}]}')"
+check "begun" active "$(wait_state 1 /batch/00000000000000c1 active)"
+leader=$(find_leader)
+other=$(((leader + 1) % HOSTS))
+kill -9 "${PID[$leader]}"
+wait "${PID[$leader]}" 2>/dev/null
+check "after a kill" completed \
+	"$(wait_state "$other" /batch/00000000000000c1 completed)"
+start_entry "$leader"
+wait_ready "$leader"
+
+# A planned stop of the leader ends in time and hands over.
+leader=$(find_leader)
+other=$(((leader + 1) % HOSTS))
+check "before a stop" "{} 200" \
+	"$(call "$other" POST /batch/00000000000000d1 "$(job 2 1500)")"
+kill -TERM "${PID[$leader]}"
+sleep 0.3
+check "not ready while stopping" 503 "$(is_ready "$leader")"
+wait "${PID[$leader]}"
+check "clean exit" 0 $?
+check "after a stop" completed \
+	"$(wait_state "$other" /batch/00000000000000d1 completed)"
+
+# Settings with errors name the field; metrics are served.
+sed 's/"store": "[^"]*"/"store": "nowhere"/' "$WORK/host-0.json" \
+	>"$WORK/bad.json"
+check "bad settings" "field store: not an address and a port" \
+	"$("$BUILD/programs/mimosaturn-entry" --settings "$WORK/bad.json" 2>&1)"
+check "metrics" 1 "$(curl -s "http://127.0.0.1:$((BASE + 60 + other))/metrics" |
+	grep -c 'caller_answers_total{code="200"}')"
+check "log lines are JSON objects" 0 "$(cat "$WORK"/host-*.log | grep '^{' |
+	grep -vcE '^\{"event":"[a-z_]+","at_ms":[0-9]+,"clock_ms":[0-9]+,.*\}$')"
+
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ]
