--- /dev/null
+++ b/lib/dag/advice.c
@@ -0,0 +1,107 @@
+/** @file advice.c What the policy service has said of one step. */
+#include "dag/advice.h"
+
+/** A ticket is not used in the last part of its validity. */
+#define TICKET_MARGIN_MS 300u
+
+typedef struct mt_advised_server_t {
+	char *ticket; /**< NULL: denied */
+	mt_ms_t valid_until;
+	int64_t born_ms;
+} mt_advised_server_t;
+
+struct mt_advice_t {
+	GHashTable *servers; /**< mt_name_t to mt_advised_server_t */
+};
+
+static void free_server(gpointer data)
+{
+	mt_advised_server_t *server = data;
+
+	g_free(server->ticket);
+	g_free(server);
+}
+
+mt_advice_t *mt_advice_new(void)
+{
+	mt_advice_t *advice = g_new0(mt_advice_t, 1);
+
+	advice->servers = g_hash_table_new_full(mt_name_hash, mt_name_key_equal,
+						g_free, free_server);
+	return advice;
+}
+
+void mt_advice_free(mt_advice_t *advice)
+{
+	if (!advice)
+		return;
+	g_hash_table_destroy(advice->servers);
+	g_free(advice);
+}
+
+void mt_advice_take(mt_advice_t *advice, const mt_name_t *servers, size_t count,
+		    const mt_advice_answer_t *answer, mt_ms_t now)
+{
+	mt_ms_t margin = MIN(TICKET_MARGIN_MS, answer->validity_ms / 2);
+
+	for (size_t i = 0; i < count; i++)
+		g_hash_table_insert(advice->servers, mt_name_dup(&servers[i]),
+				    g_new0(mt_advised_server_t, 1));
+	for (size_t i = 0; i < answer->n_rows; i++) {
+		const mt_advice_row_t *row = &answer->rows[i];
+		mt_advised_server_t *server =
+			g_hash_table_lookup(advice->servers, &row->server);
+
+		if (!server)
+			continue;
+		g_free(server->ticket);
+		server->ticket = g_strndup(row->ticket.data, row->ticket.len);
+		server->valid_until = now + answer->validity_ms - margin;
+	}
+}
+
+void mt_advice_note_born(mt_advice_t *advice, const mt_name_t *server,
+			 int64_t born_ms)
+{
+	mt_advised_server_t *known =
+		g_hash_table_lookup(advice->servers, server);
+
+	if (known)
+		known->born_ms = born_ms;
+}
+
+mt_advice_state_t mt_advice_state(const mt_advice_t *advice,
+				  const mt_name_t *server, int64_t born_ms,
+				  mt_ms_t now)
+{
+	const mt_advised_server_t *known =
+		g_hash_table_lookup(advice->servers, server);
+
+	if (!known)
+		return MT_ADVICE_UNASKED;
+	if (!known->ticket)
+		return MT_ADVICE_DENIED;
+	if (known->born_ms != born_ms || now >= known->valid_until)
+		return MT_ADVICE_EXPIRED;
+	return MT_ADVICE_VALID;
+}
+
+const char *mt_advice_ticket(const mt_advice_t *advice, const mt_name_t *server,
+			     int64_t born_ms, mt_ms_t now)
+{
+	const mt_advised_server_t *known =
+		g_hash_table_lookup(advice->servers, server);
+
+	if (mt_advice_state(advice, server, born_ms, now) != MT_ADVICE_VALID)
+		return NULL;
+	return known->ticket;
+}
+
+void mt_advice_expire(mt_advice_t *advice, const mt_name_t *server)
+{
+	mt_advised_server_t *known =
+		g_hash_table_lookup(advice->servers, server);
+
+	if (known)
+		known->valid_until = 0;
+}
--- a/lib/dag/catalog.h
+++ b/lib/dag/catalog.h
@@ -19,6 +19,8 @@
 	double slack_factor;   /**< of the longest chain, in the objective */
 	uint32_t target_ms;    /**< added to the objective */
 	bool needs_no_key;
+	uint32_t decision_ms;	/**< the policy service takes so long */
+	uint32_t per_server_ms; /**< and so much more for each server named */
 	bool advised; /**< a policy service says which servers may run it */
 } mt_queue_t;
 
--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -486,6 +486,8 @@
 
 	mt_engine_stop(engine);
 	engine->leading = true;
+	engine->asking = false;
+	engine->ask_after = 0;
 	engine->generation++;
 	engine->term = term;
 	engine->led_since = mt_engine_now(engine);
--- a/lib/dag/engine.h
+++ b/lib/dag/engine.h
@@ -7,6 +7,7 @@
 #ifndef MT_DAG_ENGINE_H
 #define MT_DAG_ENGINE_H
 
+#include "dag/advice_port.h"
 #include "dag/backend_port.h"
 #include "dag/catalog.h"
 #include "dag/directory.h"
@@ -27,6 +28,7 @@
 	mt_kernel_t *kernel;
 	const mt_store_port_t *store;
 	const mt_backend_port_t *backends;
+	const mt_advice_port_t *advice; /**< NULL: there is no such service */
 	mt_table_t *table;
 	mt_directory_t *directory;
 	mt_name_t host;
--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -1,9 +1,9 @@
 /**
  * @file engine_internal.h
  * Shared by the files of the scheduler: engine.c (office, jobs, storing),
- * orders.c (commands to servers), ends.c (what servers report), rescue.c (runs
- * that should move) and planner.c
- * (view for the plan). Calls go engine -> planner -> orders -> ends.
+ * orders.c (commands to servers), ends.c (what servers report), advisor.c
+ * (policy service), rescue.c (runs that should move) and planner.c (view for
+ * the plan). Calls go engine -> planner -> orders -> ends.
  */
 #ifndef MT_DAG_ENGINE_INTERNAL_H
 #define MT_DAG_ENGINE_INTERNAL_H
@@ -24,6 +24,8 @@
 	GHashTable *jobs;     /**< id to mt_dag_job_t */
 	GHashTable *backends; /**< id to mt_backend_t */
 	GPtrArray *flushes;   /**< mt_flush_t under way */
+	bool asking;	   /**< a question to the policy service is under way */
+	mt_ms_t ask_after; /**< no question before this time */
 	uint64_t turn_timer;
 	uint64_t tick_timer;
 	mt_ms_t stored_at;  /**< when the last write was acknowledged */
@@ -44,6 +46,15 @@
 /** Places what can start and marks what has to stop for it. */
 void mt_planner_run(mt_engine_t *engine);
 
+/* advisor.c */
+
+/**
+ * Asks the policy service about further servers if `waiting` tasks of the step
+ * do not fit on those known to be allowed; one question at a time.
+ */
+void mt_advisor_consider(mt_engine_t *engine, mt_dag_step_t *step,
+			 uint32_t waiting, const GPtrArray *backends);
+
 /* orders.c */
 
 /** Sends the start of a task whose placement is stored. */
--- a/lib/dag/host.c
+++ b/lib/dag/host.c
@@ -217,6 +217,7 @@
 	deps.kernel = host->deps.kernel;
 	deps.store = host->deps.store;
 	deps.backends = host->deps.backends;
+	deps.advice = host->deps.advice;
 	deps.table = host->table;
 	deps.directory = host->directory;
 	deps.host = host->deps.host;
--- a/lib/dag/host.h
+++ b/lib/dag/host.h
@@ -22,6 +22,7 @@
 	mt_kernel_t *kernel;
 	const mt_store_port_t *store;
 	const mt_backend_port_t *backends;
+	const mt_advice_port_t *advice; /**< NULL: there is no such service */
 	const mt_directory_format_t *reports;
 	mt_config_format_t config;
 	MtDag__Job *(*decode_job)(mt_str_t body);
--- a/lib/dag/orders.c
+++ b/lib/dag/orders.c
@@ -143,9 +143,14 @@
 		give_back(engine, task, AVOID_BUSY_MS);
 		break;
 	case MT_COMMAND_REJECTED:
-	case MT_COMMAND_NO_TICKET:
 		give_back(engine, task, AVOID_BUSY_MS);
 		break;
+	case MT_COMMAND_NO_TICKET:
+		if (task->step->advice)
+			mt_advice_expire(task->step->advice,
+					 &task->server->info.target.id);
+		give_back(engine, task, 0);
+		break;
 	case MT_COMMAND_OLD_RUN:
 		/* It ended there; its end is in the list or was never run. */
 		task->acked_at = mt_engine_now(engine);
@@ -167,6 +172,16 @@
 	return engine->deps.store_age_ms(engine->deps.store_age_ctx);
 }
 
+/** Ticket of the policy service for this server; NULL: none. */
+static const char *ticket_of(const mt_dag_task_t *task, mt_ms_t now)
+{
+	if (!task->step->advice)
+		return NULL;
+	return mt_advice_ticket(task->step->advice,
+				&task->server->info.target.id,
+				task->server->born_ms, now);
+}
+
 void mt_orders_start(mt_engine_t *engine, mt_dag_task_t *task)
 {
 	mt_backend_t *backend = task->server;
@@ -178,7 +193,7 @@
 				      0,
 				      task->step->job->spec->payload,
 				      task->checkpoint,
-				      NULL};
+				      ticket_of(task, now)};
 
 	if (!backend->clock_known) {
 		mt_orders_hold(engine, backend);
@@ -186,6 +201,10 @@
 	}
 	if (store_age(engine) > START_AGE_MAX_MS)
 		return;
+	if (task->step->job->queue.advised && !command.ticket) {
+		give_back(engine, task, 0);
+		return;
+	}
 	command.due_ms =
 		mt_backend_clock(backend, now) + engine->deps.bounds.lease_ms;
 	mt_backend_note_lease(backend, now, engine->deps.bounds.lease_ms);
--- a/lib/dag/plan.c
+++ b/lib/dag/plan.c
@@ -60,6 +60,8 @@
 
 	if (scope->rack && at->rack != scope->rack)
 		return false;
+	if (scope->unit->allowed && !scope->unit->allowed[server])
+		return false;
 	return !scope->unit->label || has_label(at, scope->unit->label);
 }
 
--- a/lib/dag/plan.h
+++ b/lib/dag/plan.h
@@ -44,6 +44,7 @@
 	GQuark label;
 	GQuark data_rack;
 	uint32_t per_server_max; /**< 0: no limit */
+	const bool *allowed;	 /**< per server; NULL: all are */
 	const uint8_t *held;	 /**< per server, already of this step; NULL */
 	uint32_t priority;
 	bool guaranteed;  /**< within its account's guarantee */
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -306,10 +306,31 @@
 	return held;
 }
 
+/** Servers with a valid ticket; asks for more where these do not do. */
+static bool *find_allowed(mt_planner_t *planner, mt_dag_step_t *step,
+			  uint32_t waiting)
+{
+	bool *allowed;
+
+	if (!step->job->queue.advised)
+		return NULL;
+	mt_advisor_consider(planner->engine, step, waiting, planner->backends);
+	allowed = g_new0(bool, planner->backends->len + 1);
+	for (guint i = 0; i < planner->backends->len; i++) {
+		const mt_backend_t *backend = planner->backends->pdata[i];
+
+		allowed[i] =
+			mt_advice_state(step->advice, &backend->info.target.id,
+					backend->born_ms,
+					planner->now) == MT_ADVICE_VALID;
+	}
+	return allowed;
+}
+
 static void fill_unit(mt_planner_t *planner, mt_plan_unit_t *unit,
 		      const mt_candidate_step_t *candidate, unsigned *reserving)
 {
-	const mt_dag_step_t *step = candidate->step;
+	mt_dag_step_t *step = candidate->step;
 	bool spread = should_spread(candidate);
 
 	unit->need = mt_work_need(step);
@@ -318,6 +339,7 @@
 	unit->label = step->label;
 	unit->per_server_max = step->spec->per_server_max;
 	unit->held = count_held(planner, step);
+	unit->allowed = find_allowed(planner, step, unit->count);
 	unit->priority = step->job->queue.priority;
 	unit->guaranteed = candidate->guaranteed;
 	unit->may_reclaim = !unit->priority;
@@ -493,6 +515,7 @@
 	for (uint32_t i = 0; i < planner->plan.n_units; i++) {
 		g_free(planner->plan.units[i].chosen);
 		g_free((uint8_t *)planner->plan.units[i].held);
+		g_free((bool *)planner->plan.units[i].allowed);
 	}
 	g_free(planner->plan.units);
 	g_free(planner->plan.servers);
--- a/lib/dag/work.c
+++ b/lib/dag/work.c
@@ -56,6 +56,7 @@
 		for (uint32_t k = 0; k < step->spec->count; k++)
 			g_free(step->tasks[k].checkpoint);
 		g_free(step->tasks);
+		mt_advice_free(step->advice);
 	}
 	g_free(job->steps);
 	mt_dag__job__free_unpacked(job->spec, NULL);
--- a/lib/dag/work.h
+++ b/lib/dag/work.h
@@ -7,6 +7,7 @@
 #ifndef MT_DAG_WORK_H
 #define MT_DAG_WORK_H
 
+#include "dag/advice.h"
 #include "dag/backend.h"
 #include "dag/catalog.h"
 #include "dag/records.h"
@@ -54,6 +55,7 @@
 	uint32_t n_placed;   /**< tasks that stand at a server */
 	uint32_t run;	     /**< of a gang: number of its last start */
 	uint32_t failed_run; /**< of a gang: last run that counted as failed */
+	mt_advice_t *advice; /**< of an advised queue; NULL: not asked yet */
 	mt_ms_t ready_at;    /**< when it began to wait for room; 0: does not */
 	GQuark label;
 	GQuark data_rack;
--- a/programs/entryd/main.c
+++ b/programs/entryd/main.c
@@ -7,6 +7,7 @@
 
 #include "dag/host.h"
 #include "net/http_client.h"
+#include "platform/advice_http.h"
 #include "platform/callers.h"
 #include "platform/config_json.h"
 #include "platform/names.h"
@@ -167,6 +168,10 @@
 		settings->store.port));
 	deps.backends = mt_server_http_port(
 		mt_server_http_new(entryd->kernel, entryd->http));
+	if (settings->advice.port)
+		deps.advice = mt_advice_http_port(mt_advice_http_new(
+			entryd->kernel, entryd->http, &settings->advice.address,
+			settings->advice.port));
 	deps.reports = &mt_server_reports;
 	deps.config = (mt_config_format_t){WIRE_TOPIC_OPERATOR, WIRE_KEY_CONFIG,
 					   mt_config_decode};
--- a/programs/entryd/settings.c
+++ b/programs/entryd/settings.c
@@ -48,6 +48,15 @@
 	return true;
 }
 
+/** An empty or missing text leaves the port at 0. */
+static bool get_optional_endpoint(const json_t *json, const char *field,
+				  mt_endpoint_t *endpoint, GError **error)
+{
+	const char *text = json_string_value(json_object_get(json, field));
+
+	return !text || !*text || get_endpoint(json, field, endpoint, error);
+}
+
 static bool get_name(const json_t *json, const char *field, mt_name_t *name,
 		     GError **error)
 {
@@ -102,6 +111,8 @@
 	       get_endpoint(json, "readiness", &settings->readiness, error) &&
 	       get_endpoint(json, "metrics", &settings->metrics, error) &&
 	       get_endpoint(json, "store", &settings->store, error) &&
+	       get_optional_endpoint(json, "advice", &settings->advice,
+				     error) &&
 	       check_times(json, settings, error);
 }
 
