--- a/tests/fleet/fake_servers.c
+++ b/tests/fleet/fake_servers.c
@@ -18,6 +18,9 @@
 #define LATE_MAX_MS 12000
 #define FAIL_SHARE 0.02
 #define EXPIRY_MS 4500u
+#define TICKET_VALID_MS 3000u
+#define DECISION_MS 60u
+#define PER_SERVER_MS 3u
 
 /** A task of a cancelled job may begin this long after the answer. */
 #define CANCEL_MS 3000u
@@ -86,6 +89,9 @@
 	MT_ORDER_HOLD,
 } mt_order_kind_t;
 
+/** Longest ticket, in bytes. */
+#define TICKET_BYTES 96
+
 typedef struct mt_fake_order_t {
 	mt_fake_fleet_t *fleet;
 	mt_world_host_t *host;
@@ -100,6 +106,7 @@
 	mt_ms_t give_up_at;
 	mt_backend_cb cb;
 	void *ctx;
+	char ticket[TICKET_BYTES];
 	int64_t born; /**< lifetime of the server that received it */
 	mt_command_result_t result;
 } mt_fake_order_t;
@@ -409,6 +416,101 @@
 	return mt_dag__job__unpack(NULL, view.len, (const uint8_t *)view.data);
 }
 
+/* Policy. */
+
+/** Two servers in three may run a step. */
+static bool may_run(const mt_fake_server_t *server, const mt_task_key_t *step)
+{
+	return (server->index + step->job + step->step) % 3 != 0;
+}
+
+/** A ticket names step, server, lifetime and the end of its validity. */
+static void make_ticket(char *ticket, const mt_fake_server_t *server,
+			const mt_task_key_t *step)
+{
+	snprintf(ticket, TICKET_BYTES,
+		 "%" G_GINT64_MODIFIER "x.%u.%u %u %" G_GINT64_FORMAT
+		 " %" G_GUINT64_FORMAT,
+		 step->job, step->occurrence, step->step, server->index,
+		 server->born, now_of(server->fleet) + TICKET_VALID_MS);
+}
+
+static bool is_ticket_good(const mt_fake_server_t *server,
+			   const mt_fake_order_t *order)
+{
+	mt_task_key_t step = {0};
+	unsigned index = 0;
+	gint64 born = 0;
+	guint64 until = 0;
+
+	return sscanf(order->ticket,
+		      "%" G_GINT64_MODIFIER "x.%u.%u %u %" G_GINT64_MODIFIER
+		      "d %" G_GINT64_MODIFIER "u",
+		      &step.job, &step.occurrence, &step.step, &index, &born,
+		      &until) == 6 &&
+	       step.job == order->key.job &&
+	       step.occurrence == order->key.occurrence &&
+	       step.step == order->key.step && index == server->index &&
+	       born == server->born && until > now_of(server->fleet);
+}
+
+typedef struct mt_fake_question_t {
+	mt_world_host_t *host;
+	mt_task_key_t step;
+	mt_name_t *servers;
+	size_t n_servers;
+	mt_advice_cb cb;
+	void *ctx;
+} mt_fake_question_t;
+
+static void answer_question(void *ctx)
+{
+	mt_fake_question_t *question = ctx;
+	mt_fake_fleet_t *fleet = question->host->world->fleet;
+	mt_advice_answer_t answer = {MT_COMMAND_DONE, NULL, 0, TICKET_VALID_MS};
+	mt_advice_row_t *rows =
+		g_new0(mt_advice_row_t, question->n_servers + 1);
+	char(*tickets)[TICKET_BYTES] =
+		g_malloc0((question->n_servers + 1) * TICKET_BYTES);
+
+	for (size_t i = 0; i < question->n_servers; i++) {
+		unsigned index = 0;
+
+		sscanf(question->servers[i].text, "server-%u", &index);
+		if (!may_run(&fleet->servers[index], &question->step))
+			continue;
+		make_ticket(tickets[i], &fleet->servers[index],
+			    &question->step);
+		rows[answer.n_rows].server = question->servers[i];
+		rows[answer.n_rows++].ticket = mt_str_from(tickets[i]);
+	}
+	answer.rows = rows;
+	if (mt_world_chance(question->host->world, 0.05))
+		answer = (mt_advice_answer_t){MT_COMMAND_BUSY, NULL, 0, 0};
+	question->cb(question->ctx, &answer);
+	g_free(rows);
+	g_free(tickets);
+	g_free(question->servers);
+	g_free(question);
+}
+
+static void ask(void *self, const mt_advice_question_t *asked, mt_advice_cb cb,
+		void *ctx)
+{
+	mt_fake_question_t *question = g_new0(mt_fake_question_t, 1);
+
+	question->host = self;
+	question->step = asked->step;
+	question->servers = g_memdup2(
+		asked->servers, asked->n_servers * sizeof(*asked->servers));
+	question->n_servers = asked->n_servers;
+	question->cb = cb;
+	question->ctx = ctx;
+	mt_world_to_host(question->host,
+			 DECISION_MS + PER_SERVER_MS * asked->n_servers,
+			 answer_question, question);
+}
+
 static bool has_room(const mt_fake_server_t *server, const mt_amount_t *need)
 {
 	mt_amount_t room = {64000, 262144, 8};
@@ -497,6 +599,10 @@
 		mt_dag__job__free_unpacked(job, NULL);
 		return MT_COMMAND_DONE;
 	}
+	if (!strcmp(job->queue, "advised") && !is_ticket_good(server, order)) {
+		mt_dag__job__free_unpacked(job, NULL);
+		return MT_COMMAND_NO_TICKET;
+	}
 	if (!has_room(server, &need)) {
 		mt_dag__job__free_unpacked(job, NULL);
 		return MT_COMMAND_NO_ROOM;
@@ -766,6 +872,9 @@
 	order->run = command->run;
 	order->token = command->term;
 	order->due = command->due_ms;
+	if (command->ticket)
+		g_strlcpy(order->ticket, command->ticket,
+			  sizeof(order->ticket));
 }
 
 static void stop(void *self, const mt_backend_target_t *target,
@@ -796,6 +905,7 @@
 {
 	(void)fleet;
 	host->backend_port = (mt_backend_port_t){host, start, stop, hold};
+	host->advice_port = (mt_advice_port_t){host, ask};
 }
 
 /* Life of servers. */
--- a/tests/fleet/fake_store.c
+++ b/tests/fleet/fake_store.c
@@ -526,8 +526,8 @@
 	return &format;
 }
 
-static void add_queue(mt_catalog_t *catalog, const char *name,
-		      uint32_t priority)
+static mt_queue_t *add_queue(mt_catalog_t *catalog, const char *name,
+			     uint32_t priority)
 {
 	mt_queue_t *queue = mt_catalog_add_queue(catalog);
 
@@ -539,6 +539,7 @@
 	queue->attempts_max = 50;
 	queue->slack_factor = 3;
 	queue->target_ms = 1000;
+	return queue;
 }
 
 static mt_catalog_t *decode_config(mt_str_t text)
@@ -552,6 +553,7 @@
 	catalog = mt_catalog_new(version);
 	add_queue(catalog, "urgent", 0);
 	add_queue(catalog, "batch", 2);
+	add_queue(catalog, "advised", 1)->advised = true;
 	account = mt_catalog_add_account(catalog);
 	account->name = mt_name("shop");
 	account->guaranteed_gpu = 32;
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -186,7 +186,11 @@
 	job = g_new0(mt_caller_job_t, 1);
 	job->world = world;
 	job->id = spec->id;
-	job->queue = urgent ? "urgent" : "batch";
+	job->queue = urgent			   ? "urgent"
+		     : mt_world_chance(world, 0.3) ? "advised"
+						   : "batch";
+	free(spec->queue != protobuf_c_empty_string ? spec->queue : NULL);
+	spec->queue = strdup(job->queue);
 	job->body = mt_dag_pack(&spec->base);
 	g_ptr_array_add(play->jobs, job);
 	mt_fake_fleet_expect(world->fleet, spec);
--- a/tests/fleet/world.c
+++ b/tests/fleet/world.c
@@ -115,6 +115,7 @@
 	deps.kernel = host->kernel;
 	deps.store = &host->store_port;
 	deps.backends = &host->backend_port;
+	deps.advice = &host->advice_port;
 	deps.reports = mt_fake_store_reports();
 	deps.config = mt_fake_store_config();
 	deps.decode_job = mt_fake_store_decode_job;
--- a/tests/fleet/world.h
+++ b/tests/fleet/world.h
@@ -28,6 +28,7 @@
 	GQueue *late;	  /**< mt_world_event_t kept while frozen */
 	mt_store_port_t store_port;
 	mt_backend_port_t backend_port;
+	mt_advice_port_t advice_port;
 } mt_world_host_t;
 
 struct mt_world_t {
