--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -353,6 +353,8 @@
 
 static void log_final(mt_engine_t *engine, const mt_dag_job_t *job)
 {
+	mt_kernel_observe(engine->deps.kernel, "job_ms",
+			  mt_engine_now(engine) - job->seen_at);
 	mt_kernel_event(engine->deps.kernel, "job_ended",
 			"\"job\":\"%016" G_GINT64_MODIFIER
 			"x\",\"queue\":\"%s\",\"account\":\"%s\",\"state\":%d,"
--- a/lib/dag/front.c
+++ b/lib/dag/front.c
@@ -96,6 +96,7 @@
 			(unsigned)(mt_kernel_now(kernel) - op->since),
 			op->front->catalog ? op->front->catalog->version : 0,
 			(unsigned)mt_follower_age(op->front->deps.config));
+	mt_kernel_observe(kernel, "call_ms", mt_kernel_now(kernel) - op->since);
 	reply_now(cb, op->ctx, outcome);
 }
 
--- a/lib/dag/orders.c
+++ b/lib/dag/orders.c
@@ -112,6 +112,8 @@
 	mt_dag_job_t *job = task->step->job;
 
 	task->acked_at = mt_engine_now(engine);
+	mt_kernel_observe(engine->deps.kernel, "task_start_ms",
+			  task->acked_at - task->placed_at);
 	if (task->phase == MT_TASK_PLACED)
 		task->phase = MT_TASK_RUNNING;
 	job->begun = true;
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -478,6 +478,8 @@
 	}
 	if (next) {
 		log_placed(planner, candidate, next);
+		mt_kernel_observe(planner->engine->deps.kernel, "step_wait_ms",
+				  candidate->waited_ms);
 		step->ready_at = 0;
 	}
 }
--- a/lib/kernel/kernel.c
+++ b/lib/kernel/kernel.c
@@ -113,6 +113,24 @@
 	++*mt_kernel_counter(kernel, name);
 }
 
+void mt_kernel_observe(mt_kernel_t *kernel, const char *name, mt_ms_t ms)
+{
+	static const unsigned bounds_ms[] = {
+		5, 10, 25, 50, 100, 250, 500, 1000, 2500, 5000, 10000, 30000};
+	char *sum;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bounds_ms); i++) {
+		if (ms <= bounds_ms[i])
+			mt_kernel_count(kernel, "%s_bucket{le=\"%u\"}", name,
+					bounds_ms[i]);
+	}
+	mt_kernel_count(kernel, "%s_bucket{le=\"+Inf\"}", name);
+	mt_kernel_count(kernel, "%s_count", name);
+	sum = g_strdup_printf("%s_sum", name);
+	*mt_kernel_counter(kernel, sum) += ms;
+	g_free(sum);
+}
+
 static gint compare_names(gconstpointer a, gconstpointer b)
 {
 	return strcmp(a, b);
--- a/lib/kernel/kernel.h
+++ b/lib/kernel/kernel.h
@@ -57,6 +57,12 @@
 void mt_kernel_count(mt_kernel_t *kernel, const char *format, ...)
 	G_GNUC_PRINTF(2, 3);
 
+/**
+ * Counts a duration in the histogram of this name: cumulative buckets
+ * `NAME_bucket{le="..."}` in milliseconds, `NAME_sum` and `NAME_count`.
+ */
+void mt_kernel_observe(mt_kernel_t *kernel, const char *name, mt_ms_t ms);
+
 /** All counters in Prometheus text format, sorted by name. */
 char *mt_kernel_metrics_text(const mt_kernel_t *kernel);
 
--- a/tests/unit/test_kernel.c
+++ b/tests/unit/test_kernel.c
@@ -100,12 +100,51 @@
 	mt_timers_free(timers);
 }
 
+static mt_ms_t read_later(void)
+{
+	return 500;
+}
+
+static void a_clock_is_read_between_two_turns(void)
+{
+	mt_timers_t *timers = mt_timers_new(100);
+
+	CU_ASSERT_EQUAL(mt_timers_now(timers), 100);
+	mt_timers_set_clock(timers, read_later);
+	CU_ASSERT_EQUAL(mt_timers_now(timers), 500);
+	mt_timers_after(timers, 10, append_letter, NULL);
+	CU_ASSERT_EQUAL(mt_timers_next(timers), 510);
+	mt_timers_free(timers);
+}
+
+static void histograms_count_durations(void)
+{
+	mt_timers_t *timers = mt_timers_new(1);
+	mt_kernel_t *kernel = mt_kernel_new("test", timers, 1);
+
+	mt_kernel_observe(kernel, "wait_ms", 30);
+	mt_kernel_observe(kernel, "wait_ms", 40000);
+	CU_ASSERT_EQUAL(*mt_kernel_counter(kernel, "wait_ms_count"), 2);
+	CU_ASSERT_EQUAL(*mt_kernel_counter(kernel, "wait_ms_sum"), 40030);
+	CU_ASSERT_EQUAL(*mt_kernel_counter(kernel, "wait_ms_bucket{le=\"25\"}"),
+			0);
+	CU_ASSERT_EQUAL(*mt_kernel_counter(kernel, "wait_ms_bucket{le=\"50\"}"),
+			1);
+	CU_ASSERT_EQUAL(
+		*mt_kernel_counter(kernel, "wait_ms_bucket{le=\"+Inf\"}"), 2);
+	mt_kernel_free(kernel);
+	mt_timers_free(timers);
+}
+
 const mt_test_t mt_kernel_tests[] = {
 	{"timers run in order and once", timers_run_in_order_and_once},
 	{"timers replace missed periods by one",
 	 timers_replace_missed_periods_by_one},
 	{"names are checked", names_are_checked},
 	{"numbers are read whole", numbers_are_read_whole},
+	{"a clock is read between two turns",
+	 a_clock_is_read_between_two_turns},
+	{"histograms count durations", histograms_count_durations},
 	{"breaches are counted and told", breaches_are_counted_and_told},
 	{NULL, NULL},
 };
