--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SEEDS ?= 1
 JOBS ?= 300
 
-.PHONY: all deps build check demo demo-repeat soak bench mutants slopes format lint clean
+.PHONY: all deps build check demo demo-repeat fleet soak bench mutants slopes format lint clean
 
 all: build
 
@@ -29,6 +29,9 @@
 demo-repeat: build
 	@tests/scripts/demo-repeat.sh $(DEPLOYMENT) $(N)
 
+fleet: build
+	@$(BUILD)/tests/fleet --seed $(SEED) --seeds $(SEEDS)
+
 soak: build
 	@$(BUILD)/tests/soak --seed $(SEED) --seeds $(SEEDS) --events $(EVENTS)
 
