--- a/lib/dag/plan.c
+++ b/lib/dag/plan.c
@@ -54,6 +54,13 @@
 	return false;
 }
 
+/** Fillers and tasks with a latency target do not share a server. */
+static bool disturbs(const mt_plan_unit_t *unit, const mt_plan_server_t *server)
+{
+	return (unit->fills && server->serves) ||
+	       (unit->serves && server->fills);
+}
+
 static bool is_allowed(const mt_scope_t *scope, uint32_t server)
 {
 	const mt_plan_server_t *at = &scope->plan->servers[server];
@@ -62,6 +69,8 @@
 		return false;
 	if (scope->unit->allowed && !scope->unit->allowed[server])
 		return false;
+	if (disturbs(scope->unit, at))
+		return false;
 	return !scope->unit->label || has_label(at, scope->unit->label);
 }
 
@@ -170,6 +179,8 @@
 		mt_plan_server_t *server = &plan->servers[chosen[i]];
 		mt_amount_t lacking = unit->need;
 
+		server->serves = server->serves || unit->serves;
+		server->fills = server->fills || unit->fills;
 		mt_amount_sub(&lacking, &server->free);
 		mt_amount_sub(&server->free, &unit->need);
 		mt_amount_sub(&server->coming, &lacking);
--- a/lib/dag/plan.h
+++ b/lib/dag/plan.h
@@ -32,6 +32,8 @@
 	mt_amount_t coming; /**< of tasks that are being stopped */
 	GQuark rack;
 	GQuark labels[MT_PLAN_LABELS_MAX];
+	bool serves;	  /**< tasks with a latency target run there */
+	bool fills;	  /**< tasks that use what others leave run there */
 	uint32_t penalty; /**< servers with less are preferred */
 } mt_plan_server_t;
 
@@ -39,7 +41,9 @@
 typedef struct mt_plan_unit_t {
 	mt_amount_t need;
 	uint32_t count;
-	bool whole; /**< all or none */
+	bool whole;  /**< all or none */
+	bool serves; /**< has a latency target that fillers would harm */
+	bool fills;  /**< uses what others leave */
 	bool same_rack;
 	GQuark label;
 	GQuark data_rack;
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -116,6 +116,16 @@
 	return coming;
 }
 
+static void note_kinds(mt_plan_server_t *server, const mt_backend_t *backend)
+{
+	for (guint i = 0; i < backend->tasks->len; i++) {
+		const mt_dag_task_t *task = backend->tasks->pdata[i];
+
+		server->serves = server->serves || task->step->spec->target_ms;
+		server->fills = server->fills || task->step->spec->fills;
+	}
+}
+
 static gint compare_backends(gconstpointer a, gconstpointer b)
 {
 	const mt_backend_t *x = *(mt_backend_t *const *)a;
@@ -147,6 +157,7 @@
 		server->coming = room_coming(backend);
 		server->rack = backend->info.rack;
 		server->penalty = backend->fail_streak;
+		note_kinds(server, backend);
 		memcpy(server->labels, backend->info.labels,
 		       sizeof(server->labels));
 		g_hash_table_insert(planner->index, backend,
@@ -336,6 +347,8 @@
 	unit->need = mt_work_need(step);
 	unit->count = candidate->count;
 	unit->whole = step->spec->gang;
+	unit->serves = step->spec->target_ms > 0;
+	unit->fills = step->spec->fills;
 	unit->label = step->label;
 	unit->per_server_max = step->spec->per_server_max;
 	unit->held = count_held(planner, step);
--- a/tests/unit/script_dag.c
+++ b/tests/unit/script_dag.c
@@ -84,6 +84,8 @@
 		server->rack = quark(words, "rack");
 		server->labels[0] = quark(words, "label");
 		server->penalty = number(words, "penalty", 0);
+		server->serves = mt_script_flag(words, "serves");
+		server->fills = mt_script_flag(words, "fills");
 	}
 }
 
@@ -95,6 +97,8 @@
 	unit->need = amount(words, 1, 1);
 	unit->count = number(words, "count", 1);
 	unit->whole = mt_script_flag(words, "gang");
+	unit->serves = mt_script_flag(words, "serves");
+	unit->fills = mt_script_flag(words, "fills");
 	unit->same_rack = mt_script_flag(words, "same-rack");
 	unit->data_rack = quark(words, "data");
 	unit->label = quark(words, "label");
