--- a/tests/fleet/fake_store.c
+++ b/tests/fleet/fake_store.c
@@ -558,6 +558,8 @@
 	account->name = mt_name("shop");
 	account->guaranteed_gpu = 32;
 	mt_catalog_add_key(catalog, account, "key");
+	if (version < FLEET_REVOKING_VERSION)
+		mt_catalog_add_key(catalog, account, "revoked");
 	return catalog;
 }
 
--- a/tests/fleet/fake_store.h
+++ b/tests/fleet/fake_store.h
@@ -8,6 +8,9 @@
 
 #include "fleet/world.h"
 
+/** From this version of the configuration on, key "revoked" is not there. */
+#define FLEET_REVOKING_VERSION 2u
+
 typedef struct mt_fake_store_t mt_fake_store_t;
 
 mt_fake_store_t *mt_fake_store_new(mt_world_t *world);
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -19,6 +19,11 @@
 #define FAULT_EVERY_MS 2500
 #define RETRIES_MAX 4u
 #define CANCEL_SHARE 0.1
+
+/** A key that was taken away must be refused after this time. */
+#define REVOKE_MS 5000u
+#define REVOKE_AFTER_MS 12000u
+#define REVOKED_TRY_MS 100u
 #define VANISHED_MAX 2u
 #define NEVER_MS 10000000u
 
@@ -39,6 +44,7 @@
 	GPtrArray *jobs;
 	uint64_t last_id;
 	bool calm; /**< no further failures */
+	mt_ms_t revoked_at;
 } mt_play_t;
 
 static mt_world_host_t *pick_host(mt_world_t *world)
@@ -202,6 +208,61 @@
 		on_arrival, play);
 }
 
+/* A key that is taken away. */
+
+typedef struct mt_revoked_t {
+	mt_world_t *world;
+	mt_ms_t sent_at;
+	mt_ms_t revoked_at;
+} mt_revoked_t;
+
+static void on_revoked_reply(void *ctx, const mt_front_reply_t *reply)
+{
+	mt_revoked_t *call = ctx;
+
+	if (reply->outcome == MT_OUTCOME_PENDING &&
+	    call->sent_at > call->revoked_at + REVOKE_MS)
+		mt_world_breach(call->world,
+				"a key was accepted %u ms after its end",
+				(unsigned)(call->sent_at - call->revoked_at));
+	g_free(call);
+}
+
+/** Looks at a queue with the key, at any host, cut or not. */
+static void try_revoked(void *ctx)
+{
+	mt_play_t *play = ctx;
+	mt_world_t *world = play->world;
+	mt_world_host_t *host =
+		world->hosts[g_rand_int_range(world->rand, 0, FLEET_HOSTS)];
+	mt_revoked_t *revoked;
+	mt_front_call_t call = {0};
+
+	if (!host || host->frozen)
+		return;
+	revoked = g_new0(mt_revoked_t, 1);
+	revoked->world = world;
+	revoked->sent_at = mt_world_now(world);
+	revoked->revoked_at = play->revoked_at;
+	call.verb = MT_VERB_SHOW;
+	call.host = MT_STR("jobs.example");
+	call.path = MT_STR("/urgent/");
+	call.key = MT_STR("revoked");
+	call.timeout_ms = 3000;
+	mt_dag_front_call(mt_dag_host_front(host->host), &call,
+			  on_revoked_reply, revoked);
+}
+
+static void revoke(void *ctx)
+{
+	mt_play_t *play = ctx;
+
+	mt_fake_store_put(play->world->store, "keyed.op", "config",
+			  MT_STR("2"));
+	play->revoked_at = mt_world_now(play->world);
+	mt_timers_every(play->world->timers, REVOKED_TRY_MS, try_revoked, play);
+}
+
 /* Failures. */
 
 typedef struct mt_mend_t {
@@ -421,7 +482,7 @@
 static bool play_seed(guint32 seed, bool verbose)
 {
 	mt_world_t *world = mt_world_new(seed, verbose);
-	mt_play_t play = {world, g_ptr_array_new(), 0, false};
+	mt_play_t play = {world, g_ptr_array_new(), 0, false, 0};
 	mt_ms_t from = mt_world_now(world);
 	unsigned accepted = 0;
 
@@ -429,6 +490,7 @@
 	mt_world_run(world, from + WARM_UP_MS);
 	on_arrival(&play);
 	on_fault(&play);
+	mt_timers_after(world->timers, REVOKE_AFTER_MS, revoke, &play);
 	mt_world_run(world, from + WARM_UP_MS + TRAFFIC_MS);
 	make_calm(&play);
 	mt_world_run(world, from + WARM_UP_MS + TRAFFIC_MS + SETTLE_MS);
