--- a/lib/dag/plan.c
+++ b/lib/dag/plan.c
@@ -162,7 +162,8 @@
 			    slot.fit * scope->unit->need.gpu;
 		slots[n++] = slot;
 	}
-	qsort(slots, n, sizeof(*slots), compare_slots);
+	if (n)
+		qsort(slots, n, sizeof(*slots), compare_slots);
 	for (uint32_t i = 0; i < n && done < count; i++) {
 		for (uint32_t k = 0; k < slots[i].fit && done < count; k++)
 			chosen[done++] = slots[i].server;
@@ -331,7 +332,8 @@
 	bool fits;
 
 	scope->extra = extra;
-	qsort(all, groups->len, sizeof(*all), compare_groups);
+	if (groups->len)
+		qsort(all, groups->len, sizeof(*all), compare_groups);
 	while (n < groups->len && fit_in(scope) < scope->unit->count)
 		try_group(scope->plan, tried, extra, all[n++].group, true);
 	fits = fit_in(scope) >= scope->unit->count;
