Let a starved gang keep room on one rack, and stop work behind it in time

A gang that waits now keeps what is free on the rack nearest to holding it, and within 3 s of its latest start it may stop work of lower priority.

--- a/lib/dag/plan.c
+++ b/lib/dag/plan.c
@@ -429,6 +429,31 @@
 	return unit->same_rack || unit->data_rack;
 }
 
+/**
+ * The rack that already has room for most of the unit's tasks. Room that is
+ * kept there grows, so the next plan finds the same rack.
+ */
+static GQuark find_fullest_rack(const mt_plan_t *plan,
+				const mt_plan_unit_t *unit, const GQuark *racks)
+{
+	GQuark best = 0;
+	uint32_t best_fit = 0;
+
+	for (; *racks; racks++) {
+		mt_scope_t scope = {plan, unit, *racks, MT_ROOM_COMING, NULL};
+		uint32_t fit;
+
+		if (unit->data_rack && *racks != unit->data_rack)
+			continue;
+		fit = fit_in(&scope);
+		if (fit > best_fit) {
+			best = *racks;
+			best_fit = fit;
+		}
+	}
+	return best;
+}
+
 static void serve_in_rack(mt_plan_t *plan, mt_plan_unit_t *unit,
 			  const GQuark *racks)
 {
@@ -443,6 +468,8 @@
 	rack = find_rack(plan, unit, racks, MT_ROOM_COMING);
 	if (!rack && unit->may_reclaim)
 		reclaim(plan, unit, racks, true, &rack);
+	if (!rack && unit->reserves)
+		rack = find_fullest_rack(plan, unit, racks);
 	if (rack && unit->reserves)
 		reserve(plan, unit, rack);
 }
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -17,6 +17,9 @@
 #define RESERVING_MAX 2u
 #define RESERVE_AFTER_MS 2000u
 
+/** This long before its latest start a gang may stop work behind it. */
+#define PRESSED_MS 3000
+
 /** Fixed part of the cost of a stop, in core-seconds a core. */
 #define STOP_COST_S 0.3
 
@@ -338,6 +341,14 @@
 	return allowed;
 }
 
+/** A gang that would be late if it waited on; single tasks find gaps. */
+static bool is_pressed(const mt_planner_t *planner,
+		       const mt_candidate_step_t *candidate)
+{
+	return candidate->step->spec->gang &&
+	       (int64_t)planner->now >= candidate->latest_ms - PRESSED_MS;
+}
+
 static void fill_unit(mt_planner_t *planner, mt_plan_unit_t *unit,
 		      const mt_candidate_step_t *candidate, unsigned *reserving)
 {
@@ -355,7 +366,7 @@
 	unit->allowed = find_allowed(planner, step, unit->count);
 	unit->priority = step->job->queue.priority;
 	unit->guaranteed = candidate->guaranteed;
-	unit->may_reclaim = !unit->priority;
+	unit->may_reclaim = !unit->priority || is_pressed(planner, candidate);
 	unit->reserves = unit->may_reclaim;
 	unit->chosen = g_new(uint32_t, unit->count);
 	if (!spread && step->spec->same_rack && some_rack_holds(planner, step))
