--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -1,6 +1,7 @@
 /**
  * @file engine_internal.h
- * Shared by the files of the scheduler: engine.c (office, jobs, storing),
+ * Shared by the files of the scheduler: engine.c (office, jobs), flush.c
+ * (storing), guarantees.c,
  * orders.c (commands to servers), ends.c (what servers report), advisor.c
  * (policy service), rescue.c (runs that should move) and planner.c (view for
  * the plan). Calls go engine -> planner -> orders -> ends.
@@ -41,6 +42,25 @@
 /** Stops all tasks of a job that has reached a final state. */
 void mt_engine_stop_tasks(mt_engine_t *engine, mt_dag_job_t *job);
 
+/* flush.c */
+
+/**
+ * Writes the progress of changed jobs; once it is stored, sends the starts and
+ * lets servers forget the ends that it covers. Jobs that are over are let go.
+ */
+void mt_flush_changes(mt_engine_t *engine);
+
+/** For the list of writes under way. */
+void mt_flush_free(gpointer flush);
+
+/* guarantees.c */
+
+/**
+ * Jobs of priority 0 within their accounts' guarantees, the oldest first; a
+ * set to be destroyed by the caller.
+ */
+GHashTable *mt_guarantees_find(const mt_engine_t *engine);
+
 /* planner.c */
 
 /** Places what can start and marks what has to stop for it. */
--- /dev/null
+++ b/lib/dag/flush.c
@@ -0,0 +1,184 @@
+/** @file flush.c Stores what has changed, and does what waits for it. */
+#include "dag/engine_internal.h"
+
+/** Records that one write makes durable, and what waits for it. */
+typedef struct mt_flush_t {
+	mt_engine_t *engine;
+	GArray *starts; /**< mt_flushed_start_t */
+	GArray *ends;	/**< mt_flushed_end_t */
+} mt_flush_t;
+
+typedef struct mt_flushed_start_t {
+	mt_task_key_t key;
+	uint32_t run;
+} mt_flushed_start_t;
+
+typedef struct mt_flushed_end_t {
+	mt_backend_t *backend;
+	int64_t born_ms;
+	uint64_t number;
+} mt_flushed_end_t;
+
+void mt_flush_free(gpointer data)
+{
+	mt_flush_t *flush = data;
+
+	g_array_unref(flush->starts);
+	g_array_unref(flush->ends);
+	g_free(flush);
+}
+
+static void after_start(mt_engine_t *engine, const mt_flushed_start_t *start)
+{
+	mt_dag_job_t *job = mt_engine_job(engine, start->key.job);
+	mt_dag_task_t *task = job ? mt_work_task(job, &start->key) : NULL;
+
+	if (!task || task->run != start->run || task->phase != MT_TASK_PLACED ||
+	    !task->server)
+		return;
+	/* A later write of the job may cover the same placement. */
+	if (task->start_durable)
+		return;
+	task->start_durable = true;
+	mt_orders_start(engine, task);
+}
+
+static void after_end(mt_engine_t *engine, const mt_flushed_end_t *end)
+{
+	if (end->backend->born_ms != end->born_ms)
+		return;
+	end->backend->ends_stored = MAX(end->backend->ends_stored, end->number);
+	mt_orders_hold(engine, end->backend);
+}
+
+static void on_flushed(void *ctx, mt_store_result_t result)
+{
+	mt_flush_t *flush = ctx;
+	mt_engine_t *engine = flush->engine;
+
+	if (result != MT_STORE_DONE) {
+		/* Another leader holds the office now. */
+		g_ptr_array_remove(engine->flushes, flush);
+		mt_engine_stop(engine);
+		return;
+	}
+	engine->stored_at = mt_engine_now(engine);
+	for (guint i = 0; i < flush->starts->len; i++)
+		after_start(engine, &g_array_index(flush->starts,
+						   mt_flushed_start_t, i));
+	for (guint i = 0; i < flush->ends->len; i++)
+		after_end(engine,
+			  &g_array_index(flush->ends, mt_flushed_end_t, i));
+	g_ptr_array_remove(engine->flushes, flush);
+}
+
+static mt_flush_t *new_flush(mt_engine_t *engine)
+{
+	mt_flush_t *flush = g_new0(mt_flush_t, 1);
+
+	flush->engine = engine;
+	flush->starts = g_array_new(FALSE, FALSE, sizeof(mt_flushed_start_t));
+	flush->ends = g_array_new(FALSE, FALSE, sizeof(mt_flushed_end_t));
+	g_ptr_array_add(engine->flushes, flush);
+	return flush;
+}
+
+static void collect_starts(mt_flush_t *flush, const mt_dag_job_t *job)
+{
+	for (uint32_t i = 0; i < job->n_steps; i++) {
+		const mt_dag_step_t *step = &job->steps[i];
+
+		for (uint32_t k = 0; step->n_placed && k < step->spec->count;
+		     k++) {
+			const mt_dag_task_t *task = &step->tasks[k];
+			mt_flushed_start_t start = {mt_work_key(task),
+						    task->run};
+
+			if (task->phase == MT_TASK_PLACED &&
+			    !task->start_durable)
+				g_array_append_val(flush->starts, start);
+		}
+	}
+}
+
+static void add_progress(mt_engine_t *engine, mt_dag_job_t *job)
+{
+	mt_record_key_t key = mt_record_key(MT_RECORD_PROGRESS, job->id);
+	GBytes *bytes = mt_work_pack(job);
+
+	mt_writer_add(engine->writer, mt_str_from(key.text),
+		      mt_bytes_view(bytes));
+	g_bytes_unref(bytes);
+	job->dirty = false;
+}
+
+static void collect_ends(mt_engine_t *engine, mt_flush_t *flush)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, engine->backends);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		mt_backend_t *backend = value;
+		mt_flushed_end_t end = {backend, backend->born_ms,
+					backend->ends_read};
+
+		if (backend->ends_read > backend->ends_stored)
+			g_array_append_val(flush->ends, end);
+	}
+}
+
+static void log_final(mt_engine_t *engine, const mt_dag_job_t *job)
+{
+	mt_kernel_observe(engine->deps.kernel, "job_ms",
+			  mt_engine_now(engine) - job->seen_at);
+	mt_kernel_event(engine->deps.kernel, "job_ended",
+			"\"job\":\"%016" G_GINT64_MODIFIER
+			"x\",\"queue\":\"%s\",\"account\":\"%s\",\"state\":%d,"
+			"\"took_ms\":%u,\"objective_ms\":%u",
+			job->id, job->spec->queue, job->spec->account,
+			job->state,
+			(unsigned)(mt_engine_now(engine) - job->seen_at),
+			mt_work_objective_ms(job));
+}
+
+static bool is_over(const mt_dag_job_t *job)
+{
+	return mt_state_is_final(job->state) && !mt_work_n_placed(job);
+}
+
+void mt_flush_changes(mt_engine_t *engine)
+{
+	mt_flush_t *flush = NULL;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, engine->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		mt_dag_job_t *job = value;
+
+		if (job->dirty) {
+			if (!flush)
+				flush = new_flush(engine);
+			collect_starts(flush, job);
+			add_progress(engine, job);
+		}
+		if (is_over(job)) {
+			log_final(engine, job);
+			g_hash_table_iter_remove(&iter);
+		}
+	}
+	if (!flush) {
+		/* Ends that change no job need no record, but ends that a
+		 * write under way covers do. */
+		if (!engine->flushes->len) {
+			flush = new_flush(engine);
+			collect_ends(engine, flush);
+			on_flushed(flush, MT_STORE_DONE);
+		}
+		return;
+	}
+	collect_ends(engine, flush);
+	engine->written_at = mt_engine_now(engine);
+	mt_writer_commit(engine->writer, true, on_flushed, flush);
+}
--- /dev/null
+++ b/lib/dag/guarantees.c
@@ -0,0 +1,49 @@
+/** @file guarantees.c Which jobs stand within a guarantee. */
+#include "dag/engine_internal.h"
+
+static gint compare_age(gconstpointer a, gconstpointer b)
+{
+	const mt_dag_job_t *x = *(mt_dag_job_t *const *)a;
+	const mt_dag_job_t *y = *(mt_dag_job_t *const *)b;
+
+	if (x->seen_at != y->seen_at)
+		return x->seen_at < y->seen_at ? -1 : 1;
+	return x->id < y->id ? -1 : x->id > y->id;
+}
+
+GHashTable *mt_guarantees_find(const mt_engine_t *engine)
+{
+	GHashTable *guaranteed = g_hash_table_new(NULL, NULL);
+	GPtrArray *urgent = g_ptr_array_new();
+	GHashTable *used = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, engine->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const mt_dag_job_t *job = value;
+
+		if (!job->queue.priority && !mt_state_is_final(job->state))
+			g_ptr_array_add(urgent, value);
+	}
+	g_ptr_array_sort(urgent, compare_age);
+	for (guint i = 0; i < urgent->len; i++) {
+		mt_dag_job_t *job = urgent->pdata[i];
+		const mt_client_account_t *account =
+			engine->catalog ? mt_catalog_account(engine->catalog,
+							     job->spec->account)
+					: NULL;
+		guint sum = GPOINTER_TO_UINT(g_hash_table_lookup(
+				    used, job->spec->account)) +
+			    mt_work_gpu_wanted(job);
+
+		if (!account || sum > account->guaranteed_gpu)
+			continue;
+		g_hash_table_insert(used, job->spec->account,
+				    GUINT_TO_POINTER(sum));
+		g_hash_table_add(guaranteed, job);
+	}
+	g_hash_table_destroy(used);
+	g_ptr_array_unref(urgent);
+	return guaranteed;
+}
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -45,55 +45,6 @@
 	mt_plan_t plan;
 } mt_planner_t;
 
-/* Guarantees. */
-
-static gint compare_age(gconstpointer a, gconstpointer b)
-{
-	const mt_dag_job_t *x = *(mt_dag_job_t *const *)a;
-	const mt_dag_job_t *y = *(mt_dag_job_t *const *)b;
-
-	if (x->seen_at != y->seen_at)
-		return x->seen_at < y->seen_at ? -1 : 1;
-	return x->id < y->id ? -1 : x->id > y->id;
-}
-
-/** Jobs of priority 0, the oldest first, as far as the guarantee goes. */
-static void find_guaranteed(mt_planner_t *planner)
-{
-	GPtrArray *urgent = g_ptr_array_new();
-	GHashTable *used = g_hash_table_new(g_str_hash, g_str_equal);
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, planner->engine->jobs);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const mt_dag_job_t *job = value;
-
-		if (!job->queue.priority && !mt_state_is_final(job->state))
-			g_ptr_array_add(urgent, value);
-	}
-	g_ptr_array_sort(urgent, compare_age);
-	for (guint i = 0; i < urgent->len; i++) {
-		mt_dag_job_t *job = urgent->pdata[i];
-		const mt_client_account_t *account =
-			planner->engine->catalog
-				? mt_catalog_account(planner->engine->catalog,
-						     job->spec->account)
-				: NULL;
-		guint sum = GPOINTER_TO_UINT(g_hash_table_lookup(
-				    used, job->spec->account)) +
-			    mt_work_gpu_wanted(job);
-
-		if (!account || sum > account->guaranteed_gpu)
-			continue;
-		g_hash_table_insert(used, job->spec->account,
-				    GUINT_TO_POINTER(sum));
-		g_hash_table_add(planner->guaranteed, job);
-	}
-	g_hash_table_destroy(used);
-	g_ptr_array_unref(urgent);
-}
-
 /* Servers. */
 
 static bool is_usable(const mt_planner_t *planner, const mt_backend_t *backend)
@@ -601,16 +552,13 @@
 void mt_planner_run(mt_engine_t *engine)
 {
 	GHashTable *services = list_services(engine);
-	mt_planner_t shared = {0};
+	GHashTable *guaranteed = mt_guarantees_find(engine);
 	GHashTableIter iter;
 	gpointer key;
 
-	shared.engine = engine;
-	shared.guaranteed = g_hash_table_new(NULL, NULL);
-	find_guaranteed(&shared);
 	g_hash_table_iter_init(&iter, services);
 	while (g_hash_table_iter_next(&iter, &key, NULL))
-		plan_service(engine, key, shared.guaranteed);
-	g_hash_table_destroy(shared.guaranteed);
+		plan_service(engine, key, guaranteed);
+	g_hash_table_destroy(guaranteed);
 	g_hash_table_destroy(services);
 }
