Remove jobs from the store after they have been shown long enough

Before, ended jobs stayed in the keyed topic for ever, and each takeover read them. The leader drops 50 at most each 5 s.

--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -283,6 +283,7 @@
 		mt_rescue_tick(engine, value);
 	}
 	beat(engine);
+	mt_sweep_ended(engine);
 	mt_engine_wake(engine);
 }
 
--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -30,6 +30,7 @@
 	uint64_t turn_timer;
 	uint64_t tick_timer;
 	mt_ms_t stored_at;  /**< when the last write was acknowledged */
+	mt_ms_t swept_at;   /**< when ended jobs were last looked for */
 	mt_ms_t written_at; /**< when the last write was handed in */
 };
 
@@ -61,6 +62,11 @@
  */
 GHashTable *mt_guarantees_find(const mt_engine_t *engine);
 
+/* sweep.c */
+
+/** Now and then removes jobs that ended `keep_ended_ms` ago. */
+void mt_sweep_ended(mt_engine_t *engine);
+
 /* planner.c */
 
 /** Places what can start and marks what has to stop for it. */
--- a/lib/dag/host.c
+++ b/lib/dag/host.c
@@ -279,6 +279,11 @@
 	return !host->draining && mt_dag_front_is_ready(host->front);
 }
 
+unsigned mt_dag_host_jobs(const mt_dag_host_t *host)
+{
+	return mt_table_size(host->table);
+}
+
 bool mt_dag_host_is_leading(const mt_dag_host_t *host)
 {
 	return mt_engine_is_leading(host->engine);
--- a/lib/dag/host.h
+++ b/lib/dag/host.h
@@ -42,6 +42,9 @@
 /** True when callers may be sent here. */
 bool mt_dag_host_is_ready(const mt_dag_host_t *host);
 
+/** Jobs that this host knows, ended ones included. */
+unsigned mt_dag_host_jobs(const mt_dag_host_t *host);
+
 /** True while this host schedules. */
 bool mt_dag_host_is_leading(const mt_dag_host_t *host);
 
--- /dev/null
+++ b/lib/dag/sweep.c
@@ -0,0 +1,47 @@
+/** @file sweep.c Removes jobs that ended long ago from the store. */
+#include "dag/engine_internal.h"
+
+/** Time between two looks, and the most jobs that one removes. */
+#define SWEEP_MS 5000u
+#define SWEEP_MAX_JOBS 50u
+
+typedef struct mt_sweep_t {
+	mt_engine_t *engine;
+	unsigned removed;
+} mt_sweep_t;
+
+static void drop_record(mt_engine_t *engine, mt_record_kind_t kind, uint64_t id)
+{
+	mt_record_key_t key = mt_record_key(kind, id);
+
+	mt_writer_add(engine->writer, mt_str_from(key.text), (mt_str_t){0});
+}
+
+/** The job's own record goes last, so that what is left can be found again. */
+static void sweep_job(void *ctx, const mt_table_job_t *job)
+{
+	mt_sweep_t *sweep = ctx;
+	mt_engine_t *engine = sweep->engine;
+	mt_ms_t ended_at = job->ended_at;
+
+	if (!ended_at || sweep->removed >= SWEEP_MAX_JOBS ||
+	    mt_engine_now(engine) - ended_at <
+		    engine->deps.bounds.keep_ended_ms)
+		return;
+	sweep->removed++;
+	drop_record(engine, MT_RECORD_PROGRESS, job->id);
+	drop_record(engine, MT_RECORD_CANCEL, job->id);
+	drop_record(engine, MT_RECORD_JOB, job->id);
+}
+
+void mt_sweep_ended(mt_engine_t *engine)
+{
+	mt_sweep_t sweep = {engine, 0};
+
+	if (mt_engine_now(engine) - engine->swept_at < SWEEP_MS)
+		return;
+	engine->swept_at = mt_engine_now(engine);
+	mt_table_each(engine->deps.table, sweep_job, &sweep);
+	if (sweep.removed)
+		mt_writer_commit(engine->writer, true, NULL, NULL);
+}
--- a/lib/dag/table.c
+++ b/lib/dag/table.c
@@ -183,6 +183,11 @@
 	return pending;
 }
 
+unsigned mt_table_size(const mt_table_t *table)
+{
+	return g_hash_table_size(table->jobs);
+}
+
 void mt_table_each(const mt_table_t *table, mt_table_cb cb, void *ctx)
 {
 	GHashTableIter iter;
--- a/lib/dag/table.h
+++ b/lib/dag/table.h
@@ -51,6 +51,9 @@
 /** Jobs of a queue of which no task has started. */
 unsigned mt_table_pending(const mt_table_t *table, const mt_name_t *queue);
 
+/** Jobs that the table holds, ended ones included. */
+unsigned mt_table_size(const mt_table_t *table);
+
 typedef void (*mt_table_cb)(void *ctx, const mt_table_job_t *job);
 void mt_table_each(const mt_table_t *table, mt_table_cb cb, void *ctx);
 
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -20,6 +20,9 @@
 #define RETRIES_MAX 4u
 #define CANCEL_SHARE 0.1
 
+/** Ended jobs are gone from the store after this time. */
+#define FORGET_MS 320000u
+
 /** A key that was taken away must be refused after this time. */
 #define REVOKE_MS 5000u
 #define REVOKE_AFTER_MS 12000u
@@ -501,6 +504,13 @@
 		for (unsigned k = 0; job->accepted && k < FLEET_HOSTS; k++)
 			check_job(world, job, k);
 	}
+	mt_world_run(world, mt_world_now(world) + FORGET_MS);
+	for (unsigned k = 0; k < FLEET_HOSTS; k++) {
+		if (mt_dag_host_jobs(world->hosts[k]->host))
+			mt_world_breach(
+				world, "host %u still has %u jobs", k,
+				mt_dag_host_jobs(world->hosts[k]->host));
+	}
 	printf("seed %u: %s, %u jobs, %u accepted, %u gangs alone\n", seed,
 	       world->breaches ? "FAILED" : "passed", play.jobs->len, accepted,
 	       mt_fake_fleet_alone(world->fleet));
--- a/tests/fleet/world.c
+++ b/tests/fleet/world.c
@@ -125,7 +125,7 @@
 		 ++world->incarnations);
 	deps.incarnation = mt_name(name);
 	deps.key_age_max_ms = 2500;
-	deps.bounds = (mt_engine_bounds_t){6000, 400, 100, 150000, 0};
+	deps.bounds = (mt_engine_bounds_t){6000, 400, 100, 200000, 0};
 	deps.wall_ms = wall_ms;
 	host->host = mt_dag_host_new(&deps);
 }
