--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -292,12 +292,16 @@
 	return allowed;
 }
 
-/** A gang that would be late if it waited on; single tasks find gaps. */
+/**
+ * A gang that would be late if it waited on; single tasks find gaps. One that
+ * is late already stops nothing, or an overload would only move work about.
+ */
 static bool is_pressed(const mt_planner_t *planner,
 		       const mt_candidate_step_t *candidate)
 {
 	return candidate->step->spec->gang &&
-	       (int64_t)planner->now >= candidate->latest_ms - PRESSED_MS;
+	       (int64_t)planner->now >= candidate->latest_ms - PRESSED_MS &&
+	       (int64_t)planner->now <= candidate->latest_ms + PRESSED_MS;
 }
 
 static void fill_unit(mt_planner_t *planner, mt_plan_unit_t *unit,
