Parse addresses in one place; drop state that nothing reads

Gone: stored_final, stored_at, mt_engine_summary() and the unused parameter of latest_start(). No change of behaviour.

--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -245,8 +245,6 @@
 
 	if (result != MT_STORE_DONE)
 		mt_engine_stop(engine);
-	else
-		engine->stored_at = mt_engine_now(engine);
 }
 
 static void beat(mt_engine_t *engine)
@@ -307,7 +305,6 @@
 	engine->generation++;
 	engine->term = term;
 	engine->led_since = mt_engine_now(engine);
-	engine->stored_at = engine->led_since;
 	engine->written_at = engine->led_since;
 	engine->writer = mt_writer_new(&writer);
 	mt_table_each(engine->deps.table, add_job, engine);
@@ -371,12 +368,3 @@
 	release->ctx = ctx;
 	write_leader(engine, true, on_released, release);
 }
-
-char *mt_engine_summary(const mt_engine_t *engine)
-{
-	return g_strdup_printf("{\"leading\":%s,\"term\":%" G_GUINT64_FORMAT
-			       ",\"jobs\":%u,\"servers\":%u}\n",
-			       engine->leading ? "true" : "false", engine->term,
-			       g_hash_table_size(engine->jobs),
-			       g_hash_table_size(engine->backends));
-}
--- a/lib/dag/engine.h
+++ b/lib/dag/engine.h
@@ -59,7 +59,4 @@
 
 bool mt_engine_is_leading(const mt_engine_t *engine);
 
-/** A line for operators: jobs, tasks and servers by state. */
-char *mt_engine_summary(const mt_engine_t *engine);
-
 #endif
--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -29,7 +29,6 @@
 	mt_ms_t ask_after; /**< no question before this time */
 	uint64_t turn_timer;
 	uint64_t tick_timer;
-	mt_ms_t stored_at;  /**< when the last write was acknowledged */
 	mt_ms_t swept_at;   /**< when ended jobs were last looked for */
 	mt_ms_t written_at; /**< when the last write was handed in */
 };
--- a/lib/dag/flush.c
+++ b/lib/dag/flush.c
@@ -62,7 +62,6 @@
 		mt_engine_stop(engine);
 		return;
 	}
-	engine->stored_at = mt_engine_now(engine);
 	for (guint i = 0; i < flush->starts->len; i++)
 		after_start(engine, &g_array_index(flush->starts,
 						   mt_flushed_start_t, i));
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -138,12 +138,10 @@
 	return mt_work_due_at(step) <= planner->wall_ms;
 }
 
-static int64_t latest_start(const mt_planner_t *planner,
-			    const mt_dag_job_t *job)
+static int64_t latest_start(const mt_dag_job_t *job)
 {
 	uint32_t chain = mt_work_chain_left_ms(job);
 
-	(void)planner;
 	return (int64_t)job->seen_at +
 	       (int64_t)(chain * job->queue.slack_factor) +
 	       job->queue.target_ms - chain;
@@ -163,7 +161,7 @@
 			continue;
 		candidate.guaranteed =
 			g_hash_table_contains(planner->guaranteed, job);
-		candidate.latest_ms = latest_start(planner, job);
+		candidate.latest_ms = latest_start(job);
 		if (!step->ready_at)
 			step->ready_at = planner->now;
 		candidate.waited_ms = planner->now - step->ready_at;
--- a/lib/dag/work.h
+++ b/lib/dag/work.h
@@ -67,8 +67,7 @@
 	MtDag__State state;
 	bool cancelled;
 	bool begun;
-	bool dirty; /**< progress differs from the store's record */
-	bool stored_final;
+	bool dirty;	  /**< progress differs from the store's record */
 	uint32_t n_steps; /**< over all occurrences */
 	mt_dag_step_t *steps;
 	mt_ms_t seen_at;   /**< when this scheduler learnt of it */
--- a/lib/net/json_util.c
+++ b/lib/net/json_util.c
@@ -52,6 +52,21 @@
 	return true;
 }
 
+bool mt_json_get_address(const json_t *object, const char *key,
+			 mt_name_t *address, uint16_t *port)
+{
+	const char *text = json_string_value(json_object_get(object, key));
+	const char *colon = text ? strrchr(text, ':') : NULL;
+	uint64_t number;
+
+	if (!colon || !mt_str_to_u64(mt_str_from(colon + 1), &number) ||
+	    !number || number > UINT16_MAX)
+		return false;
+	*address = mt_name_from((mt_str_t){text, (size_t)(colon - text)});
+	*port = (uint16_t)number;
+	return true;
+}
+
 GBytes *mt_json_get_bytes(const json_t *object, const char *key)
 {
 	const json_t *value = json_object_get(object, key);
--- a/lib/net/json_util.h
+++ b/lib/net/json_util.h
@@ -19,6 +19,10 @@
 bool mt_json_get_u32(const json_t *object, const char *key, uint32_t *value);
 bool mt_json_get_bool(const json_t *object, const char *key, bool *value);
 
+/** Reads a member that holds an IP number, a colon and a port above 0. */
+bool mt_json_get_address(const json_t *object, const char *key,
+			 mt_name_t *address, uint16_t *port);
+
 /** Reads a base64 member; NULL when it is missing or malformed. */
 GBytes *mt_json_get_bytes(const json_t *object, const char *key);
 
--- a/programs/entryd/settings.c
+++ b/programs/entryd/settings.c
@@ -35,17 +35,10 @@
 static bool get_endpoint(const json_t *json, const char *field,
 			 mt_endpoint_t *endpoint, GError **error)
 {
-	const char *text = json_string_value(json_object_get(json, field));
-	const char *colon = text ? strrchr(text, ':') : NULL;
-	uint64_t port;
-
-	if (!colon || !mt_str_to_u64(mt_str_from(colon + 1), &port) || !port ||
-	    port > UINT16_MAX)
-		return fail(error, field, "not an address and a port");
-	endpoint->address =
-		mt_name_from((mt_str_t){text, (size_t)(colon - text)});
-	endpoint->port = (uint16_t)port;
-	return true;
+	if (mt_json_get_address(json, field, &endpoint->address,
+				&endpoint->port))
+		return true;
+	return fail(error, field, "not an address and a port");
 }
 
 /** An empty or missing text leaves the port at 0. */
