Read to the end before a job is called unknown; gather reads of hosts that do not lead

The fresh read before a 410 took one page and called the job unknown; the host also took each page for a proof that its records, and its configuration, were current.

Now a sync reads up to the end that the topic had at its first answer, and only a read that reaches the end proves freshness.

A host that neither leads nor may have to reads the records once in 100 ms; a job that goes on is shown after a fresh read.

Ruled out: the job record was in the store (its start was placed from it).

--- a/lib/dag/election.c
+++ b/lib/dag/election.c
@@ -4,6 +4,9 @@
 /** A leader of whom nothing is read for so long is taken to be lost. */
 #define SILENCE_MS 1000u
 
+/** A leader that is silent for so long may have to be replaced. */
+#define DOUBT_MS 500u
+
 /** A store that did not answer for so long may have hidden the leader. */
 #define READ_GAP_MS 1600u
 
@@ -58,6 +61,17 @@
 	       !mt_name_equal(&election->leader, &election->incarnation);
 }
 
+static bool has_no_holder(const mt_election_t *election)
+{
+	return !election->leader.len || election->released ||
+	       is_own_predecessor(election);
+}
+
+bool mt_election_is_vacant(const mt_election_t *election, mt_ms_t now)
+{
+	return has_no_holder(election) || now - election->sign_at > DOUBT_MS;
+}
+
 bool mt_election_should_claim(const mt_election_t *election, mt_ms_t now)
 {
 	mt_ms_t wait = SILENCE_MS;
@@ -65,8 +79,7 @@
 	if (mt_election_is_leader(election) || now < election->claim_after ||
 	    now - election->read_at > READ_GAP_MS)
 		return false;
-	if (!election->leader.len || election->released ||
-	    is_own_predecessor(election))
+	if (has_no_holder(election))
 		wait = RELEASE_WAIT_MS;
 	return now - election->sign_at >= wait + election->rank_ms;
 }
--- a/lib/dag/election.h
+++ b/lib/dag/election.h
@@ -39,6 +39,9 @@
 
 bool mt_election_is_leader(const mt_election_t *election);
 
+/** True when nobody holds the office, or its holder is silent for a while. */
+bool mt_election_is_vacant(const mt_election_t *election, mt_ms_t now);
+
 /** True when the office is vacant or its holder silent for too long. */
 bool mt_election_should_claim(const mt_election_t *election, mt_ms_t now);
 
--- a/lib/dag/follower.c
+++ b/lib/dag/follower.c
@@ -22,11 +22,18 @@
 	mt_ms_t fresh_at;
 	mt_ms_t round_trip;
 	mt_ms_t retry_ms;
+	mt_ms_t pace_ms; /**< least time between two reads */
+	uint64_t timer;	 /**< the next read waits for it; 0: does not */
+	bool gathers;	 /**< it waits for the pace, not to retry */
+	unsigned calls;	 /**< of the store, under way */
+	mt_ms_t snapshot_sent_at; /**< when its first page was asked for */
 };
 
 typedef struct mt_sync_t {
 	mt_follower_t *follower;
 	mt_ms_t sent_at;
+	uint64_t until; /**< end of the topic at the first answer */
+	bool answered;
 	mt_follower_sync_cb cb;
 	void *ctx;
 } mt_sync_t;
@@ -52,18 +59,41 @@
 	return follower;
 }
 
-static void note_answer(mt_follower_t *follower, mt_ms_t sent_at)
+/** Everything that the topic held at `sent_at` has been handed over. */
+static void note_fresh(mt_follower_t *follower, mt_ms_t sent_at)
 {
 	follower->have_answer = true;
 	follower->fresh_at = MAX(follower->fresh_at, sent_at);
-	follower->retry_ms = RETRY_MIN_MS;
+}
+
+static void free_follower(mt_follower_t *follower)
+{
+	g_free(follower->snapshot_key);
+	g_free(follower->topic);
+	g_free(follower);
+}
+
+/** A call was answered. @return false when the follower is gone */
+static bool take_answer(mt_follower_t *follower)
+{
+	follower->calls--;
+	if (!follower->stopped)
+		return true;
+	if (!follower->calls)
+		free_follower(follower);
+	return false;
+}
+
+static void call_later(mt_follower_t *follower, mt_ms_t delay, mt_timer_cb cb)
+{
+	follower->timer = mt_timers_after(mt_kernel_timers(follower->kernel),
+					  delay, cb, follower);
 }
 
 static void retry(mt_follower_t *follower, mt_timer_cb cb)
 {
-	mt_timers_after(mt_kernel_timers(follower->kernel),
-			mt_kernel_jitter(follower->kernel, follower->retry_ms),
-			cb, follower);
+	call_later(follower,
+		   mt_kernel_jitter(follower->kernel, follower->retry_ms), cb);
 	follower->retry_ms = MIN(follower->retry_ms * 2, RETRY_MAX_MS);
 }
 
@@ -81,16 +111,32 @@
 		follower->handler.on_page(follower->handler.ctx);
 }
 
+/** Reads on when the pace allows it. */
+static void read_at_pace(mt_follower_t *follower)
+{
+	if (!follower->pace_ms) {
+		read_on(follower);
+		return;
+	}
+	follower->gathers = true;
+	call_later(follower, follower->pace_ms, read_on);
+}
+
 static void on_read(void *ctx, const mt_store_page_t *page)
 {
 	mt_follower_t *follower = ctx;
 
-	if (follower->stopped)
+	if (!take_answer(follower))
 		return;
 	if (page->result == MT_STORE_DONE) {
-		note_answer(follower, follower->sent_at);
+		follower->retry_ms = RETRY_MIN_MS;
 		apply(follower, page);
-		read_on(follower);
+		if (follower->next >= page->end) {
+			note_fresh(follower, follower->sent_at);
+			read_at_pace(follower);
+		} else {
+			read_on(follower);
+		}
 		return;
 	}
 	if (page->result == MT_STORE_TRIMMED) {
@@ -108,8 +154,9 @@
 {
 	mt_follower_t *follower = ctx;
 
-	if (follower->stopped)
-		return;
+	follower->timer = 0;
+	follower->gathers = false;
+	follower->calls++;
 	follower->sent_at = mt_kernel_now(follower->kernel);
 	follower->store->read(follower->store->self, follower->topic,
 			      follower->next, follower->wait_ms, on_read,
@@ -120,6 +167,7 @@
 {
 	g_clear_pointer(&follower->snapshot_key, g_free);
 	follower->synced = true;
+	note_fresh(follower, follower->snapshot_sent_at);
 	/* Records after the first page come again by reading on. */
 	follower->next = follower->snapshot_end;
 	if (follower->handler.on_snapshot)
@@ -132,6 +180,7 @@
 static void begin_snapshot(mt_follower_t *follower, const mt_store_page_t *page)
 {
 	follower->snapshot_end = page->end;
+	follower->snapshot_sent_at = follower->sent_at;
 	if (follower->handler.on_snapshot)
 		follower->handler.on_snapshot(follower->handler.ctx, true);
 }
@@ -141,13 +190,13 @@
 	mt_follower_t *follower = ctx;
 	mt_ms_t now = mt_kernel_now(follower->kernel);
 
-	if (follower->stopped)
+	if (!take_answer(follower))
 		return;
 	if (page->result != MT_STORE_DONE) {
 		retry(follower, read_snapshot);
 		return;
 	}
-	note_answer(follower, follower->sent_at);
+	follower->retry_ms = RETRY_MIN_MS;
 	follower->round_trip =
 		MIN(follower->round_trip, now - follower->sent_at);
 	if (!follower->snapshot_key)
@@ -170,27 +219,55 @@
 {
 	mt_follower_t *follower = ctx;
 
-	if (follower->stopped)
-		return;
+	follower->timer = 0;
+	follower->calls++;
 	follower->sent_at = mt_kernel_now(follower->kernel);
 	follower->store->newest(follower->store->self, follower->topic,
 				mt_str_from(follower->snapshot_key), on_newest,
 				follower);
 }
 
+static void on_sync(void *ctx, const mt_store_page_t *page);
+
+static void read_for_sync(mt_sync_t *sync)
+{
+	mt_follower_t *follower = sync->follower;
+
+	follower->calls++;
+	follower->store->read(follower->store->self, follower->topic,
+			      follower->next, 0, on_sync, sync);
+}
+
+static void end_sync(mt_sync_t *sync, bool current)
+{
+	if (current)
+		note_fresh(sync->follower, sync->sent_at);
+	sync->cb(sync->ctx, current);
+	g_free(sync);
+}
+
 static void on_sync(void *ctx, const mt_store_page_t *page)
 {
 	mt_sync_t *sync = ctx;
 	mt_follower_t *follower = sync->follower;
-	bool current = page->result == MT_STORE_DONE && !follower->stopped &&
-		       follower->synced;
 
-	if (current) {
-		note_answer(follower, sync->sent_at);
-		apply(follower, page);
+	if (!take_answer(follower)) {
+		sync->cb(sync->ctx, false);
+		g_free(sync);
+		return;
 	}
-	sync->cb(sync->ctx, current);
-	g_free(sync);
+	if (page->result != MT_STORE_DONE || !follower->synced) {
+		end_sync(sync, false);
+		return;
+	}
+	if (!sync->answered)
+		sync->until = page->end;
+	sync->answered = true;
+	apply(follower, page);
+	if (follower->next >= sync->until)
+		end_sync(sync, true);
+	else
+		read_for_sync(sync);
 }
 
 void mt_follower_sync(mt_follower_t *follower, mt_follower_sync_cb cb,
@@ -202,8 +279,16 @@
 	sync->sent_at = mt_kernel_now(follower->kernel);
 	sync->cb = cb;
 	sync->ctx = ctx;
-	follower->store->read(follower->store->self, follower->topic,
-			      follower->next, 0, on_sync, sync);
+	read_for_sync(sync);
+}
+
+void mt_follower_set_pace(mt_follower_t *follower, mt_ms_t pace_ms)
+{
+	follower->pace_ms = pace_ms;
+	if (pace_ms || !follower->gathers)
+		return;
+	mt_timers_cancel(mt_kernel_timers(follower->kernel), follower->timer);
+	read_on(follower);
 }
 
 bool mt_follower_is_synced(const mt_follower_t *follower)
@@ -216,11 +301,6 @@
 	return follower->next;
 }
 
-mt_ms_t mt_follower_fresh_at(const mt_follower_t *follower)
-{
-	return follower->fresh_at;
-}
-
 mt_ms_t mt_follower_age(const mt_follower_t *follower)
 {
 	if (!follower->have_answer)
@@ -235,5 +315,8 @@
 
 void mt_follower_stop(mt_follower_t *follower)
 {
+	mt_timers_cancel(mt_kernel_timers(follower->kernel), follower->timer);
 	follower->stopped = true;
+	if (!follower->calls)
+		free_follower(follower);
 }
--- a/lib/dag/follower.h
+++ b/lib/dag/follower.h
@@ -33,21 +33,33 @@
 /** Offset after the last record that was handed over. */
 uint64_t mt_follower_next(const mt_follower_t *follower);
 
-/** When the last answered read was sent: the state is at least so young. */
-mt_ms_t mt_follower_fresh_at(const mt_follower_t *follower);
-
-/** Milliseconds since mt_follower_fresh_at(); MT_NEVER_MS before the first. */
+/**
+ * Milliseconds since the last read was sent that reached the topic's end: the
+ * state is at least so young. MT_NEVER_MS before the first.
+ */
 mt_ms_t mt_follower_age(const mt_follower_t *follower);
 
 /** Shortest time that an answer of the store has taken. */
 mt_ms_t mt_follower_round_trip(const mt_follower_t *follower);
 
-/** Reads once without waiting, then tells whether the state is current. */
+/**
+ * Reads up to the topic's present end, then tells whether the state is
+ * current.
+ */
 typedef void (*mt_follower_sync_cb)(void *ctx, bool current);
 void mt_follower_sync(mt_follower_t *follower, mt_follower_sync_cb cb,
 		      void *ctx);
 
-/** Stops reading; calls nothing any more. */
+/**
+ * Least time from an answer to the next read, so that records that come close
+ * together are read by one call. 0, the default, reads on at once.
+ */
+void mt_follower_set_pace(mt_follower_t *follower, mt_ms_t pace_ms);
+
+/**
+ * Stops reading and calls the handler no more; it is freed once the calls of
+ * the store that are under way have been answered.
+ */
 void mt_follower_stop(mt_follower_t *follower);
 
 #endif
--- a/lib/dag/front.c
+++ b/lib/dag/front.c
@@ -13,6 +13,12 @@
 /** This host is not offered to callers when its records are older. */
 #define READY_AGE_MAX_MS 2500u
 
+/** A job that goes on is shown from records not older than this. */
+#define SHOW_AGE_MAX_MS 20u
+
+/** Without the store for so long, what is known is shown at once. */
+#define SHOW_WAIT_AGE_MS 1000u
+
 /** A store that has not taken a write for so long refuses new ones. */
 #define WRITE_STALL_MS 800u
 
@@ -255,18 +261,29 @@
 	g_free(op);
 }
 
+/** The end of a job may stand in records that are still to be read. */
+static bool should_read_first(const mt_dag_front_t *front,
+			      const mt_table_job_t *job)
+{
+	mt_ms_t age = mt_follower_age(front->deps.records);
+
+	return !mt_state_is_final(mt_table_state(job)) &&
+	       age > SHOW_AGE_MAX_MS && age <= SHOW_WAIT_AGE_MS;
+}
+
 static void look_up(mt_dag_front_t *front, const mt_front_call_t *call,
 		    uint64_t id, mt_front_cb cb, void *ctx)
 {
 	const mt_table_job_t *job = mt_table_find(front->deps.table, id);
 	mt_front_op_t *op;
 
-	if (job && call->verb == MT_VERB_SHOW) {
+	if (job && call->verb == MT_VERB_SHOW &&
+	    !should_read_first(front, job)) {
 		show_job(job, cb, ctx);
 		return;
 	}
 	op = new_op(front, call, id, cb, ctx);
-	if (job)
+	if (job && call->verb == MT_VERB_CANCEL)
 		finish_known(op, job);
 	else
 		mt_follower_sync(front->deps.records, on_synced, op);
--- a/lib/dag/host.c
+++ b/lib/dag/host.c
@@ -9,6 +9,9 @@
 #define CONFIG_WAIT_MS 1000u
 #define ELECTION_TICK_MS 50u
 
+/** A host that does not lead reads the records at most this often. */
+#define RECORDS_PACE_MS 100u
+
 /** A claim whose answer is lost is settled by reading on. */
 #define CLAIM_TIMEOUT_MS 1000u
 
@@ -100,6 +103,15 @@
 		mt_election_on_sign(&host->election, now_of(host));
 }
 
+/** Who leads, or may soon, reads each record as it comes. */
+static void set_pace(mt_dag_host_t *host)
+{
+	bool close = mt_election_is_leader(&host->election) ||
+		     mt_election_is_vacant(&host->election, now_of(host));
+
+	mt_follower_set_pace(host->records, close ? 0 : RECORDS_PACE_MS);
+}
+
 /** Follows what the records say of the office. */
 static void on_page(void *ctx)
 {
@@ -176,6 +188,7 @@
 	mt_ms_t round_trip = mt_follower_round_trip(host->records);
 
 	watch_store(host);
+	set_pace(host);
 	if (host->claiming || host->draining || !host->catalog ||
 	    !mt_follower_is_synced(host->records))
 		return;
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -65,6 +65,7 @@
 	for (guint i = 0; i < paths->len; i++)
 		CU_add_test(scripts, paths->pdata[i], run_next_script);
 	add_suite("kernel", mt_kernel_tests);
+	add_suite("follower", mt_follower_tests);
 	add_suite("runner", mt_runner_tests);
 	add_suite("damaged input", mt_mutated_tests);
 	CU_basic_set_mode(CU_BRM_NORMAL);
