Let larger hosts lead first

Cause: on the grown sites hosts have 0.12 or 0.5 cores, and whoever claimed first led.

Each host writes its size when its process starts; smaller ones claim 600 ms later, and a small leader yields when a larger host starts. Hosts of one size lose no time.

--- a/lib/dag/dag.pb-c.c
+++ b/lib/dag/dag.pb-c.c
@@ -277,6 +277,51 @@
   assert(message->base.descriptor == &mt_dag__leader__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mt_dag__host__init
+                     (MtDag__Host         *message)
+{
+  static const MtDag__Host init_value = MT_DAG__HOST__INIT;
+  *message = init_value;
+}
+size_t mt_dag__host__get_packed_size
+                     (const MtDag__Host *message)
+{
+  assert(message->base.descriptor == &mt_dag__host__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mt_dag__host__pack
+                     (const MtDag__Host *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mt_dag__host__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mt_dag__host__pack_to_buffer
+                     (const MtDag__Host *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mt_dag__host__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+MtDag__Host *
+       mt_dag__host__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (MtDag__Host *)
+     protobuf_c_message_unpack (&mt_dag__host__descriptor,
+                                allocator, len, data);
+}
+void   mt_dag__host__free_unpacked
+                     (MtDag__Host *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mt_dag__host__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor mt_dag__step__field_descriptors[18] =
 {
   {
@@ -1051,6 +1096,57 @@
   (ProtobufCMessageInit) mt_dag__leader__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor mt_dag__host__field_descriptors[2] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__Host, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cores_milli",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__Host, cores_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mt_dag__host__field_indices_by_name[] = {
+  1,   /* field[1] = cores_milli */
+  0,   /* field[0] = name */
+};
+static const ProtobufCIntRange mt_dag__host__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mt_dag__host__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mt_dag.Host",
+  "Host",
+  "MtDag__Host",
+  "mt_dag",
+  sizeof(MtDag__Host),
+  2,
+  mt_dag__host__field_descriptors,
+  mt_dag__host__field_indices_by_name,
+  1,  mt_dag__host__number_ranges,
+  (ProtobufCMessageInit) mt_dag__host__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue mt_dag__state__enum_values_by_number[5] =
 {
   { "QUEUED", "MT_DAG__STATE__QUEUED", 0 },
--- a/lib/dag/dag.pb-c.h
+++ b/lib/dag/dag.pb-c.h
@@ -21,6 +21,7 @@
 typedef struct MtDag__Placement MtDag__Placement;
 typedef struct MtDag__Progress MtDag__Progress;
 typedef struct MtDag__Leader MtDag__Leader;
+typedef struct MtDag__Host MtDag__Host;
 
 
 /* --- enums --- */
@@ -200,6 +201,23 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
+/*
+ * An entry host, written when its process starts.
+ */
+struct  MtDag__Host
+{
+  ProtobufCMessage base;
+  char *name;
+  /*
+   * thousandths of a core that it may use
+   */
+  uint32_t cores_milli;
+};
+#define MT_DAG__HOST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mt_dag__host__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 /* MtDag__Step methods */
 void   mt_dag__step__init
                      (MtDag__Step         *message);
@@ -314,6 +332,25 @@
 void   mt_dag__leader__free_unpacked
                      (MtDag__Leader *message,
                       ProtobufCAllocator *allocator);
+/* MtDag__Host methods */
+void   mt_dag__host__init
+                     (MtDag__Host         *message);
+size_t mt_dag__host__get_packed_size
+                     (const MtDag__Host   *message);
+size_t mt_dag__host__pack
+                     (const MtDag__Host   *message,
+                      uint8_t             *out);
+size_t mt_dag__host__pack_to_buffer
+                     (const MtDag__Host   *message,
+                      ProtobufCBuffer     *buffer);
+MtDag__Host *
+       mt_dag__host__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mt_dag__host__free_unpacked
+                     (MtDag__Host *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*MtDag__Step_Closure)
@@ -334,6 +371,9 @@
 typedef void (*MtDag__Leader_Closure)
                  (const MtDag__Leader *message,
                   void *closure_data);
+typedef void (*MtDag__Host_Closure)
+                 (const MtDag__Host *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -347,6 +387,7 @@
 extern const ProtobufCMessageDescriptor mt_dag__placement__descriptor;
 extern const ProtobufCMessageDescriptor mt_dag__progress__descriptor;
 extern const ProtobufCMessageDescriptor mt_dag__leader__descriptor;
+extern const ProtobufCMessageDescriptor mt_dag__host__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/lib/dag/election.c
+++ b/lib/dag/election.c
@@ -15,11 +15,17 @@
 
 #define BACK_OFF_MS 300u
 
+/** Larger hosts are given so long to claim first. */
+#define SMALLER_WAIT_MS 600u
+
 void mt_election_init(mt_election_t *election, const mt_name_t *host,
-		      const mt_name_t *incarnation, mt_ms_t now)
+		      const mt_name_t *incarnation, uint32_t cores_milli,
+		      mt_ms_t now)
 {
 	*election = (mt_election_t){.host = *host,
 				    .incarnation = *incarnation,
+				    .cores_milli = cores_milli,
+				    .largest_milli = cores_milli,
 				    .sign_at = now,
 				    .read_at = now};
 }
@@ -36,6 +42,19 @@
 	election->sign_at = now;
 }
 
+void mt_election_on_host(mt_election_t *election, const MtDag__Host *host)
+{
+	election->largest_milli =
+		MAX(election->largest_milli, host->cores_milli);
+}
+
+bool mt_election_should_yield(const mt_election_t *election,
+			      const MtDag__Host *host, uint64_t offset)
+{
+	return mt_election_is_leader(election) && offset > election->term &&
+	       host->cores_milli > election->cores_milli;
+}
+
 void mt_election_on_sign(mt_election_t *election, mt_ms_t now)
 {
 	election->sign_at = now;
@@ -81,6 +100,8 @@
 		return false;
 	if (has_no_holder(election))
 		wait = RELEASE_WAIT_MS;
+	if (election->cores_milli < election->largest_milli)
+		wait += SMALLER_WAIT_MS;
 	return now - election->sign_at >= wait + election->rank_ms;
 }
 
--- a/lib/dag/election.h
+++ b/lib/dag/election.h
@@ -13,8 +13,10 @@
 
 typedef struct mt_election_t {
 	mt_name_t host;
-	mt_name_t incarnation; /**< of this process */
-	mt_name_t leader;      /**< incarnation of the leader, or empty */
+	mt_name_t incarnation;	/**< of this process */
+	uint32_t cores_milli;	/**< of this host, in thousandths of a core */
+	uint32_t largest_milli; /**< of the largest host that is known */
+	mt_name_t leader;	/**< incarnation of the leader, or empty */
 	mt_name_t leader_host;
 	uint64_t term;	     /**< offset of the leader's first record */
 	bool released;	     /**< the leader has given up its office */
@@ -25,7 +27,18 @@
 } mt_election_t;
 
 void mt_election_init(mt_election_t *election, const mt_name_t *host,
-		      const mt_name_t *incarnation, mt_ms_t now);
+		      const mt_name_t *incarnation, uint32_t cores_milli,
+		      mt_ms_t now);
+
+/** The record of a host, this one included, was read. */
+void mt_election_on_host(mt_election_t *election, const MtDag__Host *host);
+
+/**
+ * True when a host that has started at `offset` would lead better than this
+ * one, which leads now.
+ */
+bool mt_election_should_yield(const mt_election_t *election,
+			      const MtDag__Host *host, uint64_t offset);
 
 /** A leader record was read. */
 void mt_election_on_leader(mt_election_t *election, const MtDag__Leader *leader,
--- a/lib/dag/host.c
+++ b/lib/dag/host.c
@@ -31,7 +31,9 @@
 	mt_catalog_t *catalog;
 	mt_election_t election;
 	bool claiming;
+	bool announced; /**< its own record has been handed in */
 	bool draining;
+	bool yielding; /**< the office is being left to a larger host */
 	bool released;
 	bool config_lost; /**< the store was last seen not to answer */
 };
@@ -87,6 +89,49 @@
 	mt_dag__leader__free_unpacked(leader, NULL);
 }
 
+static void ignore_release(void *ctx)
+{
+}
+
+/** A host has started; a larger one leads better than this one. */
+static void on_host_record(mt_dag_host_t *host, const mt_store_record_t *record)
+{
+	MtDag__Host *other = mt_dag__host__unpack(
+		NULL, record->value.len, (const uint8_t *)record->value.data);
+
+	if (!other) {
+		mt_log(host->deps.kernel, MT_LOG_ERR, "host",
+		       "the record of a host cannot be decoded");
+		return;
+	}
+	mt_election_on_host(&host->election, other);
+	if (mt_election_should_yield(&host->election, other, record->offset) &&
+	    !host->yielding) {
+		host->yielding = true;
+		mt_kernel_event(host->deps.kernel, "office_yielded",
+				"\"to_larger_host\":\"%s\"", other->name);
+		mt_engine_release(host->engine, ignore_release, NULL);
+	}
+	mt_dag__host__free_unpacked(other, NULL);
+}
+
+/** Tells the other hosts the size of this one. */
+static void announce(mt_dag_host_t *host)
+{
+	MtDag__Host record = MT_DAG__HOST__INIT;
+	mt_record_key_t key = mt_record_host_key(&host->deps.host);
+	GBytes *bytes;
+
+	host->announced = true;
+	record.name = host->deps.host.text;
+	record.cores_milli = host->deps.cores_milli;
+	bytes = mt_dag_pack(&record.base);
+	mt_writer_add(host->writer, mt_str_from(key.text),
+		      mt_bytes_view(bytes));
+	mt_writer_commit(host->writer, true, NULL, NULL);
+	g_bytes_unref(bytes);
+}
+
 static void on_record(void *ctx, const mt_store_record_t *record)
 {
 	mt_dag_host_t *host = ctx;
@@ -97,6 +142,8 @@
 		return;
 	if (kind == MT_RECORD_LEADER)
 		on_leader_record(host, record->value);
+	else if (kind == MT_RECORD_HOST)
+		on_host_record(host, record);
 	else
 		mt_table_apply(host->table, record);
 	if (kind == MT_RECORD_PROGRESS)
@@ -119,9 +166,11 @@
 	bool leads = mt_election_is_leader(&host->election);
 
 	mt_election_on_read(&host->election, now_of(host));
+	if (!leads)
+		host->yielding = false;
 	if (host->engine && mt_engine_is_leading(host->engine) && !leads)
 		mt_engine_stop(host->engine);
-	else if (host->engine && leads && !host->draining &&
+	else if (host->engine && leads && !host->draining && !host->yielding &&
 		 !mt_engine_is_leading(host->engine))
 		mt_engine_lead(host->engine, host->election.term);
 }
@@ -189,6 +238,8 @@
 
 	watch_store(host);
 	set_pace(host);
+	if (!host->announced && mt_follower_is_synced(host->records))
+		announce(host);
 	if (host->claiming || host->draining || !host->catalog ||
 	    !mt_follower_is_synced(host->records))
 		return;
@@ -267,7 +318,7 @@
 	host->directory =
 		mt_directory_new(deps->kernel, deps->store, deps->reports);
 	mt_election_init(&host->election, &deps->host, &deps->incarnation,
-			 now_of(host));
+			 deps->cores_milli, now_of(host));
 	make_writer(host);
 	host->records =
 		mt_follower_new(deps->kernel, deps->store, MT_RECORDS_TOPIC,
--- a/lib/dag/records.c
+++ b/lib/dag/records.c
@@ -14,6 +14,11 @@
 	return key;
 }
 
+mt_record_key_t mt_record_host_key(const mt_name_t *host)
+{
+	return mt_record_key(MT_RECORD_HOST, mt_name_hash(host));
+}
+
 bool mt_job_id_from(mt_str_t text, uint64_t *id)
 {
 	uint64_t value = 0;
@@ -40,6 +45,7 @@
 	case MT_RECORD_CANCEL:
 	case MT_RECORD_PROGRESS:
 	case MT_RECORD_LEADER:
+	case MT_RECORD_HOST:
 		*kind = (mt_record_kind_t)key.data[0];
 		break;
 	default:
--- a/lib/dag/records.h
+++ b/lib/dag/records.h
@@ -20,6 +20,7 @@
 	MT_RECORD_CANCEL = 'c',	  /**< its cancellation */
 	MT_RECORD_PROGRESS = 'p', /**< its progress, by the leader */
 	MT_RECORD_LEADER = 'l',	  /**< who schedules */
+	MT_RECORD_HOST = 'h',	  /**< an entry host and its size */
 } mt_record_kind_t;
 
 /** Hexadecimal digits of a job's id. */
@@ -32,6 +33,9 @@
 /** Key of a record; `job` is ignored for MT_RECORD_LEADER. */
 mt_record_key_t mt_record_key(mt_record_kind_t kind, uint64_t job);
 
+/** Key of the record of an entry host. */
+mt_record_key_t mt_record_host_key(const mt_name_t *host);
+
 /** @return false when the key is none of the system's */
 bool mt_record_parse_key(mt_str_t key, mt_record_kind_t *kind, uint64_t *job);
 
--- a/lib/dag/table.c
+++ b/lib/dag/table.c
@@ -140,7 +140,7 @@
 	uint64_t id;
 
 	if (!mt_record_parse_key(record->key, &kind, &id) ||
-	    kind == MT_RECORD_LEADER)
+	    kind == MT_RECORD_LEADER || kind == MT_RECORD_HOST)
 		return;
 	if (!record->value.len) {
 		g_hash_table_remove(table->jobs, &id);
--- a/programs/entryd/main.c
+++ b/programs/entryd/main.c
@@ -178,6 +178,7 @@
 	deps.decode_job = mt_job_decode;
 	deps.host = settings->host;
 	deps.incarnation = make_incarnation(&settings->host);
+	deps.cores_milli = settings->cores_milli;
 	deps.key_age_max_ms = settings->key_age_max_ms;
 	deps.bounds = settings->bounds;
 	deps.wall_ms = wall_ms;
--- a/programs/entryd/settings.c
+++ b/programs/entryd/settings.c
@@ -19,6 +19,10 @@
 #define KEEP_MARGIN_MS 30000u
 
 #define MS_PER_S 1000u
+#define MILLI_PER_CORE 1000.0
+
+/** More cores than this are a mistake in the file. */
+#define CORES_MAX 4096.0
 
 GQuark mt_entry_error_quark(void)
 {
@@ -69,6 +73,18 @@
 	return true;
 }
 
+static bool get_cores(const json_t *json, const char *field, uint32_t *milli,
+		      GError **error)
+{
+	const json_t *value = json_object_get(json, field);
+	double cores = json_number_value(value);
+
+	if (!json_is_number(value) || cores <= 0 || cores > CORES_MAX)
+		return fail(error, field, "not a number of cores above 0");
+	*milli = (uint32_t)(cores * MILLI_PER_CORE);
+	return true;
+}
+
 static bool check_times(const json_t *json, mt_entry_settings_t *settings,
 			GError **error)
 {
@@ -100,6 +116,7 @@
 {
 	return get_name(json, "host", &settings->host, error) &&
 	       get_name(json, "data_centre", &settings->dc, error) &&
+	       get_cores(json, "cores", &settings->cores_milli, error) &&
 	       get_endpoint(json, "callers", &settings->callers, error) &&
 	       get_endpoint(json, "readiness", &settings->readiness, error) &&
 	       get_endpoint(json, "metrics", &settings->metrics, error) &&
--- a/programs/entryd/settings.h
+++ b/programs/entryd/settings.h
@@ -26,6 +26,7 @@
 typedef struct mt_entry_settings_t {
 	mt_name_t host;
 	mt_name_t dc;
+	uint32_t cores_milli; /**< that it may use, in thousandths of a core */
 	mt_endpoint_t callers;
 	mt_endpoint_t readiness;
 	mt_endpoint_t metrics;
--- a/tests/fleet/world.c
+++ b/tests/fleet/world.c
@@ -124,6 +124,8 @@
 	snprintf(name, sizeof(name), "host-%u-%u", index,
 		 ++world->incarnations);
 	deps.incarnation = mt_name(name);
+	/* Half of the hosts are larger than the others. */
+	deps.cores_milli = index % 2 ? 500 : 120;
 	deps.key_age_max_ms = 2500;
 	deps.bounds = (mt_engine_bounds_t){6000, 400, 100, 200000, 0};
 	deps.wall_ms = wall_ms;
--- a/tests/scripts/entry-hosts.sh
+++ b/tests/scripts/entry-hosts.sh
@@ -29,7 +29,7 @@
 write_settings() {
 	cat >"$WORK/host-$1.json" <<-EOF
 	{
-		"host": "host-$1", "data_centre": "here",
+		"host": "host-$1", "data_centre": "here", "cores": 0.25,
 		"callers": "127.0.0.1:$(caller_port "$1")",
 		"readiness": "127.0.0.1:$((BASE + 50 + $1))",
 		"metrics": "127.0.0.1:$((BASE + 60 + $1))",
--- a/tests/unit/script_dag.c
+++ b/tests/unit/script_dag.c
@@ -175,6 +175,18 @@
 	mt_election_on_leader(&group->election, &leader, group->now);
 }
 
+static void read_host(mt_dag_group_t *group, char **words, GString *out)
+{
+	MtDag__Host host = MT_DAG__HOST__INIT;
+	uint64_t offset = mt_script_number(words, "offset", 1);
+
+	host.name = (char *)mt_script_option(words, "name", "");
+	host.cores_milli = mt_script_number(words, "cores_milli", 250);
+	mt_election_on_host(&group->election, &host);
+	if (mt_election_should_yield(&group->election, &host, offset))
+		g_string_append(out, "yields\n");
+}
+
 static bool election_command(mt_dag_group_t *group, char **words, GString *out)
 {
 	mt_name_t host;
@@ -183,10 +195,14 @@
 	if (!strcmp(words[0], "election-start")) {
 		host = mt_name(mt_script_option(words, "host", "a"));
 		process = mt_name(mt_script_option(words, "process", "a-1"));
-		mt_election_init(&group->election, &host, &process, group->now);
+		mt_election_init(&group->election, &host, &process,
+				 mt_script_number(words, "cores_milli", 250),
+				 group->now);
 		group->election.rank_ms = mt_script_number(words, "rank", 0);
 	} else if (!strcmp(words[0], "election-leader")) {
 		read_leader(group, words);
+	} else if (!strcmp(words[0], "election-host")) {
+		read_host(group, words, out);
 	} else if (!strcmp(words[0], "election-sign")) {
 		mt_election_on_sign(&group->election, group->now);
 	} else if (!strcmp(words[0], "election-read")) {
