In a crowd, start only what will probably end

Each gap was filled with tasks that the next urgent job stopped.

lib/dag/survival learns, by priority, how often running tasks are stopped for others, and the planner holds a step back whose tasks would reach their end with a chance below 0.85, unless they have checkpoints or the service has room.

--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -278,6 +278,19 @@
 	mt_flush_changes(engine);
 }
 
+/** Counts the time that tasks have run since the last tick. */
+static void learn_survival(mt_engine_t *engine, const mt_backend_t *backend)
+{
+	for (guint i = 0; i < backend->tasks->len; i++) {
+		const mt_dag_task_t *task = backend->tasks->pdata[i];
+
+		if (task->phase == MT_TASK_RUNNING)
+			mt_survival_note_run(&engine->survival,
+					     task->step->job->queue.priority,
+					     TICK_MS / 1000.0);
+	}
+}
+
 static void tick(void *ctx)
 {
 	mt_engine_t *engine = ctx;
@@ -287,7 +300,9 @@
 	if (!engine->leading)
 		return;
 	g_hash_table_iter_init(&iter, engine->backends);
+	mt_survival_age(&engine->survival, TICK_MS / 1000.0);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		learn_survival(engine, value);
 		mt_orders_tick(engine, value);
 		mt_rescue_tick(engine, value);
 	}
--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -11,6 +11,7 @@
 
 #include "dag/engine.h"
 #include "dag/follower.h"
+#include "dag/survival.h"
 #include "dag/work.h"
 #include "dag/writer.h"
 
@@ -29,9 +30,10 @@
 	mt_ms_t ask_after; /**< no question before this time */
 	uint64_t turn_timer;
 	uint64_t tick_timer;
-	mt_ms_t turned_at;  /**< when the last turn began */
-	mt_ms_t swept_at;   /**< when ended jobs were last looked for */
-	mt_ms_t written_at; /**< when the last write was handed in */
+	mt_survival_t survival; /**< how soon tasks are stopped for others */
+	mt_ms_t turned_at;	/**< when the last turn began */
+	mt_ms_t swept_at;	/**< when ended jobs were last looked for */
+	mt_ms_t written_at;	/**< when the last write was handed in */
 };
 
 /** Has the scheduler look at everything again, soon. */
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -20,6 +20,12 @@
 /** This long before its latest start a gang may stop work behind it. */
 #define PRESSED_MS 3000
 
+/** From this share of its room in use a service is crowded. */
+#define CROWDED_SHARE 0.7
+
+/** In a crowd a task is started only with this chance to end unstopped. */
+#define SURVIVAL_MIN 0.85
+
 /** Fixed part of the cost of a stop, in core-seconds a core. */
 #define STOP_COST_S 0.3
 
@@ -37,6 +43,7 @@
 	mt_ms_t now;
 	int64_t wall_ms;
 	const mt_name_t *service;
+	bool crowded;		/**< most of the service's room is in use */
 	GPtrArray *backends;	/**< mt_backend_t, in the order of the plan */
 	GHashTable *index;	/**< backend to index plus one */
 	GArray *candidates;	/**< mt_candidate_step_t */
@@ -119,6 +126,29 @@
 	}
 }
 
+/** True when more than CROWDED_SHARE of the cores or accelerators is used. */
+static bool is_crowded(const mt_planner_t *planner)
+{
+	GHashTableIter iter;
+	gpointer value;
+	double cpu[2] = {0};
+	double gpu[2] = {0};
+
+	g_hash_table_iter_init(&iter, planner->engine->backends);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const mt_backend_t *backend = value;
+
+		if (!is_usable(planner, backend))
+			continue;
+		cpu[0] += backend->used.cpu_milli;
+		cpu[1] += backend->info.capacity.cpu_milli;
+		gpu[0] += backend->used.gpu;
+		gpu[1] += backend->info.capacity.gpu;
+	}
+	return cpu[0] > CROWDED_SHARE * cpu[1] ||
+	       gpu[0] > CROWDED_SHARE * gpu[1];
+}
+
 /* Units. */
 
 /** Waiting tasks that may start now; a gang counts only as a whole. */
@@ -147,6 +177,24 @@
 	       job->queue.target_ms - chain;
 }
 
+/**
+ * False for a step whose tasks would probably be stopped for others before
+ * they end, with all that they have done. Where there is room enough nothing
+ * is held back.
+ */
+static bool is_worth_starting(const mt_planner_t *planner,
+			      const mt_dag_step_t *step)
+{
+	const mt_dag_job_t *job = step->job;
+
+	if (!planner->crowded || step->spec->checkpointing ||
+	    step->spec->lasting || !job->queue.priority)
+		return true;
+	return mt_survival_chance(
+		       &planner->engine->survival, job->queue.priority,
+		       step->spec->estimate_ms / 1000.0) >= SURVIVAL_MIN;
+}
+
 static void add_steps(mt_planner_t *planner, mt_dag_job_t *job)
 {
 	for (uint32_t i = 0; i < job->n_steps; i++) {
@@ -154,7 +202,8 @@
 		mt_candidate_step_t candidate = {step, 0, false, 0, 0};
 
 		if (step->n_done == step->spec->count ||
-		    !is_due(planner, step) || !mt_work_step_is_ready(step))
+		    !is_due(planner, step) || !mt_work_step_is_ready(step) ||
+		    !is_worth_starting(planner, step))
 			continue;
 		candidate.count = count_waiting(step);
 		if (!candidate.count)
@@ -476,6 +525,8 @@
 				task->index, task->run,
 				task->step->job->queue.priority,
 				planner->plan.victims[i].cost);
+		mt_survival_note_stop(&planner->engine->survival,
+				      task->step->job->queue.priority);
 		mt_orders_stop(planner->engine, task);
 	}
 }
@@ -521,6 +572,7 @@
 	planner.index = g_hash_table_new(NULL, NULL);
 	planner.candidates =
 		g_array_new(FALSE, FALSE, sizeof(mt_candidate_step_t));
+	planner.crowded = is_crowded(&planner);
 	collect_candidates(&planner);
 	if (planner.candidates->len) {
 		collect_servers(&planner);
--- /dev/null
+++ b/lib/dag/survival.c
@@ -0,0 +1,47 @@
+/** @file survival.c Learns how soon tasks are stopped for others. */
+#include "dag/survival.h"
+
+#include <glib.h>
+#include <math.h>
+
+/** After so long an observation counts by a factor of e less. */
+#define MEMORY_S 5.0
+
+/** Running time without a stop that is assumed before anything is seen. */
+#define PRIOR_S 60.0
+
+static unsigned level_of(uint32_t priority)
+{
+	return MIN(priority, MT_SURVIVAL_LEVELS - 1);
+}
+
+void mt_survival_age(mt_survival_t *survival, double seconds)
+{
+	double kept = exp(-seconds / MEMORY_S);
+
+	for (unsigned i = 0; i < MT_SURVIVAL_LEVELS; i++) {
+		survival->ran_s[i] *= kept;
+		survival->stops[i] *= kept;
+	}
+}
+
+void mt_survival_note_run(mt_survival_t *survival, uint32_t priority,
+			  double seconds)
+{
+	survival->ran_s[level_of(priority)] += seconds;
+}
+
+void mt_survival_note_stop(mt_survival_t *survival, uint32_t priority)
+{
+	survival->stops[level_of(priority)] += 1;
+}
+
+double mt_survival_chance(const mt_survival_t *survival, uint32_t priority,
+			  double seconds)
+{
+	unsigned level = level_of(priority);
+	double stops_per_s =
+		survival->stops[level] / (survival->ran_s[level] + PRIOR_S);
+
+	return exp(-stops_per_s * seconds);
+}
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -67,6 +67,7 @@
 	add_suite("kernel", mt_kernel_tests);
 	add_suite("follower", mt_follower_tests);
 	add_suite("runner", mt_runner_tests);
+	add_suite("survival", mt_survival_tests);
 	add_suite("damaged input", mt_mutated_tests);
 	CU_basic_set_mode(CU_BRM_NORMAL);
 	CU_basic_run_tests();
