Fault soak of the real programs: signals, loopback proxies, a stand-in that fails

tests/chaos starts the stand-in and four entry hosts as processes and harms them from outside: SIGSTOP, SIGKILL, SIGTERM in series and overlapping, connections delayed, reset, cut one way or both, answers of the store lost, orders carried out late, servers crashed, history dropped. It checks what callers see while it runs, and the stand-in's audits of its servers.

--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,9 @@
 EVENTS ?= 100000
 SEEDS ?= 1
 JOBS ?= 300
+SECONDS_OF_FAULTS ?= 15
 
-.PHONY: all deps build check demo demo-repeat fleet soak bench mutants slopes format lint clean
+.PHONY: all deps build check demo demo-repeat fleet soak chaos bench mutants slopes format lint clean
 
 all: build
 
@@ -35,6 +36,9 @@
 soak: build
 	@$(BUILD)/tests/soak --seed $(SEED) --seeds $(SEEDS) --events $(EVENTS)
 
+chaos: build
+	@tests/scripts/chaos.sh $(SEED) $(SEEDS) $(SECONDS_OF_FAULTS)
+
 bench: build
 	@$(BUILD)/tests/bench --seed $(SEED)
 
--- a/tests/check.sh
+++ b/tests/check.sh
@@ -54,6 +54,7 @@
 suite "soak" build/tests/soak --seed 1 --seeds "$SOAK_SEEDS" \
 	--events "$SOAK_EVENTS"
 suite "entry hosts on the platform" tests/scripts/entry-hosts.sh
+suite "fault soak of real processes" tests/scripts/chaos.sh 1 3 8
 suite "callers' interface" tests/scripts/callers.sh
 suite "demo of the Workshop" tests/check-demo.sh workshop 200
 suite "demo of Ladesaeulen" tests/check-demo.sh ladesaeulen 200
--- a/tests/fleet/fake_servers.c
+++ b/tests/fleet/fake_servers.c
@@ -149,7 +149,7 @@
 		"\"capacity\":{\"cpu\":64000,\"mem_mb\":262144,\"gpu\":8},"
 		"\"labels\":[\"a\",\"%s\"],\"born\":%" G_GINT64_FORMAT
 		",\"remaining_ms\":%u}",
-		server->fleet->world->store_port + 1 + server->index,
+		server->fleet->world->server_port + server->index,
 		server->draining ? "draining" : "ready", server->rack,
 		server->born, left);
 }
--- a/tests/fleet/world.c
+++ b/tests/fleet/world.c
@@ -167,7 +167,8 @@
 	return world;
 }
 
-mt_world_t *mt_world_new_bare(guint32 seed, uint16_t store_port, mt_ms_t now)
+mt_world_t *mt_world_new_bare(guint32 seed, uint16_t store_port,
+			      uint16_t server_port, mt_ms_t now)
 {
 	mt_world_t *world = g_new0(mt_world_t, 1);
 
@@ -175,6 +176,7 @@
 	world->timers = mt_timers_new(now);
 	world->rand = g_rand_new_with_seed(seed);
 	world->store_port = store_port;
+	world->server_port = server_port;
 	world->store = mt_fake_store_new(world);
 	world->fleet = mt_fake_fleet_new(world, FLEET_SERVERS);
 	return world;
--- a/tests/fleet/world.h
+++ b/tests/fleet/world.h
@@ -36,7 +36,8 @@
 	GRand *rand;
 	mt_world_host_t *hosts[FLEET_HOSTS];
 	unsigned incarnations;
-	uint16_t store_port; /**< of a bare world; 0: none */
+	uint16_t store_port;  /**< of a bare world; 0: none */
+	uint16_t server_port; /**< first port that its servers report */
 	unsigned breaches;
 	unsigned vanished; /**< servers that are gone for good */
 	bool verbose;
@@ -56,9 +57,10 @@
 
 /**
  * A world without hosts, whose owner advances its timers from `now` on. Its
- * servers report in the platform's form, at ports after `store_port`.
+ * servers report in the platform's form, at ports from `server_port` on.
  */
-mt_world_t *mt_world_new_bare(guint32 seed, uint16_t store_port, mt_ms_t now);
+mt_world_t *mt_world_new_bare(guint32 seed, uint16_t store_port,
+			      uint16_t server_port, mt_ms_t now);
 
 /** Ports of a bare world, for callers from outside. */
 mt_world_host_t *mt_world_caller(mt_world_t *world);
--- a/tests/platformd/main.c
+++ b/tests/platformd/main.c
@@ -218,6 +218,49 @@
 		answer_records(call, page);
 }
 
+/* Faults and audits, for tests only. */
+
+/** Share in percent of a fault, or what is in force. */
+static double read_share(const mt_http_call_t *http, const char *name,
+			 double now)
+{
+	return (double)query_number(http, name, (uint64_t)(now * 100)) / 100;
+}
+
+/** Changes the faults that the query names; others stay. */
+static void on_faults_call(mt_platformd_t *platform, const mt_http_call_t *http)
+{
+	mt_world_t *world = platform->world;
+	uint64_t crash = query_number(http, "crash", FLEET_SERVERS);
+
+	world->store_down =
+		query_number(http, "store_down", world->store_down) != 0;
+	world->store_extra_ms =
+		query_number(http, "store_extra_ms", world->store_extra_ms);
+	world->store_lost = read_share(http, "store_lost", world->store_lost);
+	world->order_lost = read_share(http, "order_lost", world->order_lost);
+	world->order_late = read_share(http, "order_late", world->order_late);
+	world->order_busy = read_share(http, "order_busy", world->order_busy);
+	if (crash < FLEET_SERVERS)
+		mt_fake_fleet_crash(world->fleet, (unsigned)crash,
+				    query_number(http, "down_ms", 1000));
+	if (query_number(http, "drop_history", 0))
+		mt_fake_store_compact(world->store, MT_RECORDS_TOPIC);
+	mt_http_answer(http->exchange, 200, "text/plain", (mt_str_t){0}, NULL);
+}
+
+/** Tells how many rules the servers have seen broken. */
+static void on_audit_call(const mt_platformd_t *platform,
+			  const mt_http_call_t *http)
+{
+	char *text = g_strdup_printf("%u", platform->world->breaches);
+
+	fflush(stdout);
+	mt_http_answer(http->exchange, 200, "text/plain", mt_str_from(text),
+		       NULL);
+	g_free(text);
+}
+
 static void on_store_call(void *ctx, const mt_http_call_t *http)
 {
 	mt_platformd_t *platform = ctx;
@@ -235,6 +278,10 @@
 		call = new_call(http);
 		call->newest = true;
 		store->newest(store->self, topic, (mt_str_t){0}, on_page, call);
+	} else if (mt_str_equal(http->path, MT_STR("/test/faults"))) {
+		on_faults_call(platform, http);
+	} else if (mt_str_equal(http->path, MT_STR("/test/audit"))) {
+		on_audit_call(platform, http);
 	} else {
 		mt_http_answer(http->exchange, 404, "text/plain", (mt_str_t){0},
 			       NULL);
@@ -417,8 +464,12 @@
 					"of the store; the servers follow it");
 	struct arg_str *config = arg_str1(NULL, "config", "FILE",
 					  "the operators' configuration");
+	struct arg_int *reported =
+		arg_int0(NULL, "reported-port", "N",
+			 "first port that servers report; default: their own");
+	struct arg_int *seed = arg_int0(NULL, "seed", "N", "default 1");
 	struct arg_end *end = arg_end(4);
-	void *table[] = {port, config, end};
+	void *table[] = {port, config, reported, seed, end};
 	mt_platformd_t platform = {0};
 	char *text;
 	gsize len;
@@ -431,10 +482,13 @@
 		fprintf(stderr, "%s cannot be read\n", config->sval[0]);
 		return 2;
 	}
+	if (!reported->count)
+		reported->ival[0] = port->ival[0] + 1;
 	platform.loop = mt_loop_new();
-	platform.world =
-		mt_world_new_bare(1, (uint16_t)port->ival[0],
-				  mt_timers_now(mt_loop_timers(platform.loop)));
+	platform.world = mt_world_new_bare(
+		seed->count ? (guint32)seed->ival[0] : 1,
+		(uint16_t)port->ival[0], (uint16_t)reported->ival[0],
+		mt_timers_now(mt_loop_timers(platform.loop)));
 	platform.caller = mt_world_caller(platform.world);
 	mt_fake_store_put(platform.world->store, "keyed.op", "config",
 			  (mt_str_t){text, len});
