--- a/lib/dag/ends.c
+++ b/lib/dag/ends.c
@@ -35,22 +35,25 @@
 	mt_engine_stop_tasks(engine, job);
 }
 
-/**
- * The rest of a gang cannot go on without a member.
- * @param all false: members that run end by themselves
- */
-static void stop_gang(mt_engine_t *engine, mt_dag_step_t *step, bool all)
+/** A member has ended: those that run end by themselves, others never do. */
+static void stop_waiting_members(mt_engine_t *engine, mt_dag_step_t *step)
 {
 	for (uint32_t i = 0; i < step->spec->count; i++) {
-		mt_dag_task_t *task = &step->tasks[i];
-
-		if (!task->server || task->phase == MT_TASK_DONE)
-			continue;
-		if (all || task->phase == MT_TASK_PLACED)
-			mt_orders_stop(engine, task);
+		if (step->tasks[i].phase == MT_TASK_PLACED)
+			mt_orders_stop(engine, &step->tasks[i]);
 	}
 }
 
+static void stop_rest(mt_engine_t *engine, mt_dag_step_t *step, mt_end_t end)
+{
+	if (!step->spec->gang)
+		return;
+	if (end == MT_END_FAILED || end == MT_END_BROKEN)
+		stop_waiting_members(engine, step);
+	else
+		mt_orders_stop_gang(engine, step);
+}
+
 void mt_ends_lost(mt_engine_t *engine, mt_dag_task_t *task, const char *why)
 {
 	mt_dag_step_t *step = task->step;
@@ -64,7 +67,7 @@
 		task->server ? task->server->info.target.id.text : "", why);
 	mt_work_unplace(task);
 	if (step->spec->gang && step->n_done < step->spec->count)
-		stop_gang(engine, step, true);
+		mt_orders_stop_gang(engine, step);
 	mt_engine_wake(engine);
 }
 
@@ -96,12 +99,11 @@
 		note_failure(engine, backend);
 		if (!mt_work_fail(task))
 			fail_job(engine, job);
-		else if (task->step->spec->gang)
-			stop_gang(engine, task->step, false);
+		else
+			stop_rest(engine, task->step, end);
 	} else {
 		mt_work_unplace(task);
-		if (task->step->spec->gang)
-			stop_gang(engine, task->step, end != MT_END_BROKEN);
+		stop_rest(engine, task->step, end);
 	}
 	mt_work_update_state(job);
 }
--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -91,6 +91,9 @@
 /** Has a placed or running task stopped; repeated until it is gone. */
 void mt_orders_stop(mt_engine_t *engine, mt_dag_task_t *task);
 
+/** Has every member of a gang stopped, wherever it stands. */
+void mt_orders_stop_gang(mt_engine_t *engine, mt_dag_step_t *step);
+
 /** Sends the next hold if the server needs one and none is under way. */
 void mt_orders_hold(mt_engine_t *engine, mt_backend_t *backend);
 
--- a/lib/dag/orders.c
+++ b/lib/dag/orders.c
@@ -96,15 +96,17 @@
 /**
  * This attempt to start was refused: the task waits for another server, at
  * once if no earlier attempt can still be carried out, else after a stop that
- * bars the run.
+ * bars the run. The others of a gang would wait for it in vain.
  */
 static void give_back(mt_engine_t *engine, mt_dag_task_t *task, mt_ms_t ms)
 {
 	avoid(engine, task->server, ms);
-	if (task->unsure)
-		mt_orders_stop(engine, task);
-	else
+	if (!task->unsure)
 		mt_ends_lost(engine, task, "start refused");
+	else if (task->step->spec->gang)
+		mt_orders_stop_gang(engine, task->step);
+	else
+		mt_orders_stop(engine, task);
 }
 
 static void on_started(mt_engine_t *engine, mt_dag_task_t *task)
@@ -214,6 +216,8 @@
 	task->start_sent_at = now;
 	if (!task->first_sent_at)
 		task->first_sent_at = now;
+	if (!task->step->sent_at)
+		task->step->sent_at = now;
 	engine->deps.backends->start(
 		engine->deps.backends->self, &backend->info.target, &command,
 		on_start_answer, new_order(engine, backend, &key, task->run));
@@ -265,6 +269,14 @@
 	send_stop(engine, task->server, &key, task->run);
 }
 
+void mt_orders_stop_gang(mt_engine_t *engine, mt_dag_step_t *step)
+{
+	for (uint32_t i = 0; i < step->spec->count; i++) {
+		if (step->tasks[i].phase != MT_TASK_DONE)
+			mt_orders_stop(engine, &step->tasks[i]);
+	}
+}
+
 void mt_orders_stop_stray(mt_engine_t *engine, mt_backend_t *backend,
 			  const mt_task_key_t *key, uint32_t run)
 {
@@ -403,19 +415,19 @@
 
 /* What is repeated. */
 
-/** Members that wait for one that does not come are started anew. */
+/**
+ * Members that wait for one that does not come are started anew. That one may
+ * not even have been sent: its server may have restarted meanwhile.
+ */
 static void tick_gang(mt_engine_t *engine, mt_dag_task_t *task, mt_ms_t now)
 {
 	mt_dag_step_t *step = task->step;
 
 	if (!step->spec->gang || task->stop_wanted ||
-	    task->phase != MT_TASK_PLACED || !task->first_sent_at ||
-	    now - task->first_sent_at < GANG_START_MS)
+	    task->phase != MT_TASK_PLACED || !step->sent_at ||
+	    now - step->sent_at < GANG_START_MS)
 		return;
-	for (uint32_t i = 0; i < step->spec->count; i++) {
-		if (step->tasks[i].server)
-			mt_orders_stop(engine, &step->tasks[i]);
-	}
+	mt_orders_stop_gang(engine, step);
 }
 
 /**
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -510,24 +510,34 @@
 	}
 }
 
+static void log_preempted(const mt_planner_t *planner,
+			  const mt_dag_task_t *task, double cost)
+{
+	mt_kernel_event(planner->engine->deps.kernel, "run_preempted",
+			"\"job\":\"%016" G_GINT64_MODIFIER
+			"x\",\"step\":%u,\"task\":%u,\"run\":%u,"
+			"\"priority\":%u,\"cost\":%.1f",
+			task->step->job->id, task->step->number, task->index,
+			task->run, task->step->job->queue.priority, cost);
+}
+
+/** A gang is stopped with members on servers that the plan does not have. */
 static void stop_victims(mt_planner_t *planner)
 {
+	mt_engine_t *engine = planner->engine;
+
 	for (uint32_t i = 0; i < planner->plan.n_victims; i++) {
 		mt_dag_task_t *task = planner->victims->pdata[i];
 
-		if (!planner->plan.victims[i].stopped || !task->server)
+		if (!planner->plan.victims[i].stopped)
 			continue;
-		mt_kernel_event(planner->engine->deps.kernel, "run_preempted",
-				"\"job\":\"%016" G_GINT64_MODIFIER
-				"x\",\"step\":%u,\"task\":%u,\"run\":%u,"
-				"\"priority\":%u,\"cost\":%.1f",
-				task->step->job->id, task->step->number,
-				task->index, task->run,
-				task->step->job->queue.priority,
-				planner->plan.victims[i].cost);
-		mt_survival_note_stop(&planner->engine->survival,
+		log_preempted(planner, task, planner->plan.victims[i].cost);
+		mt_survival_note_stop(&engine->survival,
 				      task->step->job->queue.priority);
-		mt_orders_stop(planner->engine, task);
+		if (task->step->spec->gang)
+			mt_orders_stop_gang(engine, task->step);
+		else
+			mt_orders_stop(engine, task);
 	}
 }
 
--- a/lib/dag/rescue.c
+++ b/lib/dag/rescue.c
@@ -75,10 +75,7 @@
 		mt_orders_stop(engine, task);
 		return;
 	}
-	for (uint32_t i = 0; i < step->spec->count; i++) {
-		if (step->tasks[i].phase != MT_TASK_DONE)
-			mt_orders_stop(engine, &step->tasks[i]);
-	}
+	mt_orders_stop_gang(engine, step);
 }
 
 void mt_rescue_tick(mt_engine_t *engine, mt_backend_t *backend)
--- a/lib/dag/work.c
+++ b/lib/dag/work.c
@@ -141,7 +141,10 @@
 	task->moved_at = now;
 	task->saved_at = now;
 	task->percent = 0;
-	task->step->run = MAX(task->step->run, run);
+	if (run > task->step->run) {
+		task->step->run = run;
+		task->step->sent_at = 0;
+	}
 	task->step->n_placed++;
 	task->step->job->dirty = true;
 	g_ptr_array_add(server->tasks, task);
--- a/lib/dag/work.h
+++ b/lib/dag/work.h
@@ -54,6 +54,7 @@
 	uint32_t n_done;
 	uint32_t n_placed;   /**< tasks that stand at a server */
 	uint32_t run;	     /**< of a gang: number of its last start */
+	mt_ms_t sent_at;     /**< of that run: its first start; 0: none yet */
 	uint32_t failed_run; /**< of a gang: last run that counted as failed */
 	mt_advice_t *advice; /**< of an advised queue; NULL: not asked yet */
 	mt_ms_t ready_at;    /**< when it began to wait for room; 0: does not */
--- /dev/null
+++ b/tests/unit/test_planner.c
@@ -0,0 +1,228 @@
+/**
+ * @file test_planner.c
+ * Tests of what the scheduler does with a plan, over servers that only count
+ * what they are told.
+ */
+#include <CUnit/Basic.h>
+
+#include "dag/engine_internal.h"
+#include "unit/tests.h"
+
+#define SERVERS 2u
+#define CAPACITY_GPU 8u
+
+typedef struct mt_planned_t {
+	mt_timers_t *timers;
+	mt_kernel_t *kernel;
+	mt_backend_port_t port;
+	unsigned stops;
+	mt_engine_t *engine;
+	mt_backend_t *servers[SERVERS];
+} mt_planned_t;
+
+static void count_stop(void *self, const mt_backend_target_t *target,
+		       const mt_stop_command_t *command, mt_backend_cb cb,
+		       void *ctx)
+{
+	mt_planned_t *test = self;
+
+	test->stops++;
+	g_free(ctx);
+}
+
+static int64_t wall_ms(void)
+{
+	return 0;
+}
+
+static mt_ms_t no_age(void *ctx)
+{
+	return 0;
+}
+
+static mt_backend_t *add_server(mt_planned_t *test, const char *id)
+{
+	mt_backend_t *server = g_new0(mt_backend_t, 1);
+
+	server->info.target.id = mt_name(id);
+	server->info.target.port = 1;
+	server->info.service = mt_name("service");
+	server->info.capacity = (mt_amount_t){64000, 64000, CAPACITY_GPU};
+	server->tasks = g_ptr_array_new();
+	server->listed = true;
+	server->taken_over = true;
+	server->clock_known = true;
+	g_hash_table_insert(test->engine->backends, &server->info.target.id,
+			    server);
+	return server;
+}
+
+static void set_up(mt_planned_t *test)
+{
+	mt_engine_deps_t deps = {0};
+
+	*test = (mt_planned_t){0};
+	test->timers = mt_timers_new(10000);
+	test->kernel = mt_kernel_new("test", test->timers, 1);
+	test->port = (mt_backend_port_t){test, NULL, count_stop, NULL};
+	deps.kernel = test->kernel;
+	deps.backends = &test->port;
+	deps.wall_ms = wall_ms;
+	deps.store_age_ms = no_age;
+	test->engine = mt_engine_new(&deps);
+	test->servers[0] = add_server(test, "server-0");
+	test->servers[1] = add_server(test, "server-1");
+}
+
+static void tear_down(mt_planned_t *test)
+{
+	g_hash_table_destroy(test->engine->jobs);
+	g_hash_table_destroy(test->engine->backends);
+	g_ptr_array_unref(test->engine->flushes);
+	g_free(test->engine);
+	mt_kernel_free(test->kernel);
+	mt_timers_free(test->timers);
+}
+
+/** A job of one step whose tasks need a whole server each. */
+static mt_dag_job_t *add_job(mt_planned_t *test, uint64_t id, uint32_t priority,
+			     uint32_t count)
+{
+	MtDag__Job job = MT_DAG__JOB__INIT;
+	MtDag__Step step = MT_DAG__STEP__INIT;
+	MtDag__Step *steps[] = {&step};
+	GBytes *bytes;
+	mt_str_t view;
+	mt_dag_job_t *work;
+
+	step.count = count;
+	step.gpu = CAPACITY_GPU;
+	step.cpu_milli = 1000;
+	step.estimate_ms = 5000;
+	step.gang = count > 1;
+	job.id = id;
+	job.service = (char *)"service";
+	job.priority = priority;
+	job.attempts_max = 3;
+	job.n_steps = 1;
+	job.steps = steps;
+	bytes = mt_dag_pack(&job.base);
+	view = mt_bytes_view(bytes);
+	work = mt_work_job_new(
+		mt_dag__job__unpack(NULL, view.len, (const uint8_t *)view.data),
+		9000);
+	g_bytes_unref(bytes);
+	work->queue.service = mt_name("service");
+	work->queue.priority = priority;
+	g_hash_table_insert(test->engine->jobs, &work->id, work);
+	return work;
+}
+
+/** A gang of two that runs, one member on each server. */
+static mt_dag_step_t *run_gang(mt_planned_t *test)
+{
+	mt_dag_step_t *step = &add_job(test, 1, 2, SERVERS)->steps[0];
+
+	for (unsigned i = 0; i < SERVERS; i++) {
+		mt_work_place(&step->tasks[i], test->servers[i], 1, 9000);
+		step->tasks[i].start_durable = true;
+		step->tasks[i].phase = MT_TASK_RUNNING;
+	}
+	return step;
+}
+
+/**
+ * An urgent job needs the first server; a member on one that is avoided, and
+ * so not in the plan, must not be left to wait for the rest of its gang.
+ */
+static void a_gang_is_stopped_as_a_whole(void)
+{
+	mt_planned_t test;
+	mt_dag_step_t *gang;
+
+	set_up(&test);
+	gang = run_gang(&test);
+	test.servers[1]->avoid_until = 99999;
+	add_job(&test, 2, 0, 1);
+	mt_planner_run(test.engine);
+	CU_ASSERT_TRUE(gang->tasks[0].stop_wanted);
+	CU_ASSERT_TRUE(gang->tasks[1].stop_wanted);
+	CU_ASSERT_EQUAL(test.stops, 2);
+	tear_down(&test);
+}
+
+/** Without a start that was sent, the members just wait again. */
+static void a_gang_that_was_not_sent_waits_as_a_whole(void)
+{
+	mt_planned_t test;
+	mt_dag_step_t *gang;
+
+	set_up(&test);
+	gang = run_gang(&test);
+	for (unsigned i = 0; i < SERVERS; i++) {
+		gang->tasks[i].start_durable = false;
+		gang->tasks[i].phase = MT_TASK_PLACED;
+	}
+	test.servers[1]->misses = 1;
+	add_job(&test, 2, 0, 1);
+	mt_planner_run(test.engine);
+	CU_ASSERT_EQUAL(gang->tasks[0].phase, MT_TASK_WAITING);
+	CU_ASSERT_EQUAL(gang->tasks[1].phase, MT_TASK_WAITING);
+	CU_ASSERT_EQUAL(test.stops, 0);
+	tear_down(&test);
+}
+
+static void busy_after_silence(void *self, const mt_backend_target_t *target,
+			       const mt_start_command_t *command,
+			       mt_backend_cb cb, void *ctx)
+{
+	mt_backend_answer_t answer = {0};
+
+	answer.result = MT_COMMAND_BUSY;
+	cb(ctx, &answer);
+}
+
+/**
+ * A start got no answer, and the server turns the second attempt away: the
+ * member may run or not, the others are stopped with it.
+ */
+static void a_gang_with_a_refused_member_is_stopped(void)
+{
+	mt_planned_t test;
+	mt_dag_step_t *gang;
+
+	set_up(&test);
+	gang = run_gang(&test);
+	gang->tasks[1].phase = MT_TASK_PLACED;
+	gang->tasks[1].unsure = true;
+	test.port.start = busy_after_silence;
+	mt_orders_start(test.engine, &gang->tasks[1]);
+	CU_ASSERT_TRUE(gang->tasks[0].stop_wanted);
+	CU_ASSERT_TRUE(gang->tasks[1].stop_wanted);
+	CU_ASSERT_EQUAL(test.stops, 2);
+	tear_down(&test);
+}
+
+static void nothing_is_stopped_where_there_is_room(void)
+{
+	mt_planned_t test;
+	mt_dag_job_t *urgent;
+
+	set_up(&test);
+	urgent = add_job(&test, 2, 0, 1);
+	mt_planner_run(test.engine);
+	CU_ASSERT_EQUAL(urgent->steps[0].tasks[0].phase, MT_TASK_PLACED);
+	CU_ASSERT_EQUAL(test.stops, 0);
+	tear_down(&test);
+}
+
+const mt_test_t mt_planner_tests[] = {
+	{"a gang is stopped as a whole", a_gang_is_stopped_as_a_whole},
+	{"a gang that was not sent waits as a whole",
+	 a_gang_that_was_not_sent_waits_as_a_whole},
+	{"a gang with a refused member is stopped",
+	 a_gang_with_a_refused_member_is_stopped},
+	{"nothing is stopped where there is room",
+	 nothing_is_stopped_where_there_is_room},
+	{NULL, NULL},
+};
