Keep no payload of ended jobs; accept submissions while the records are read

The end of a job now replaces its record by a short one in the same write, and a host that still reads the records accepts submissions (a record that is there already changes nothing); it turns looks and cancellations away at once.

Ruled out: age of the configuration (1.3 to 2.0 s in the refused calls).

--- a/lib/dag/flush.c
+++ b/lib/dag/flush.c
@@ -100,15 +100,29 @@
 	}
 }
 
-static void add_progress(mt_engine_t *engine, mt_dag_job_t *job)
+/** Adds a record to the write that is being filled; takes over `bytes`. */
+static void add_record(mt_engine_t *engine, mt_record_kind_t kind, uint64_t job,
+		       GBytes *bytes)
 {
-	mt_record_key_t key = mt_record_key(MT_RECORD_PROGRESS, job->id);
-	GBytes *bytes = mt_work_pack(job);
+	mt_record_key_t key = mt_record_key(kind, job);
 
 	mt_writer_add(engine->writer, mt_str_from(key.text),
 		      mt_bytes_view(bytes));
 	g_bytes_unref(bytes);
+}
+
+/**
+ * The end of a job and its short record are one write: whoever reads the short
+ * one knows the end, and a host that starts has little to read.
+ */
+static void add_progress(mt_engine_t *engine, mt_dag_job_t *job)
+{
+	add_record(engine, MT_RECORD_PROGRESS, job->id, mt_work_pack(job));
 	job->dirty = false;
+	if (!mt_state_is_final(job->state) || job->trimmed)
+		return;
+	add_record(engine, MT_RECORD_JOB, job->id, mt_work_pack_ended(job));
+	job->trimmed = true;
 }
 
 static void collect_ends(mt_engine_t *engine, mt_flush_t *flush)
--- a/lib/dag/front.c
+++ b/lib/dag/front.c
@@ -62,13 +62,13 @@
 
 static bool is_current(const mt_dag_front_t *front, mt_ms_t age_max)
 {
-	return front->catalog && mt_follower_is_synced(front->deps.records) &&
-	       mt_follower_age(front->deps.config) <= age_max;
+	return front->catalog && mt_follower_age(front->deps.config) <= age_max;
 }
 
 bool mt_dag_front_is_ready(const mt_dag_front_t *front)
 {
 	return is_current(front, READY_AGE_MAX_MS) &&
+	       mt_follower_is_synced(front->deps.records) &&
 	       mt_follower_age(front->deps.records) <= READY_AGE_MAX_MS;
 }
 
@@ -191,6 +191,10 @@
 	job->target_ms = queue->target_ms;
 }
 
+/**
+ * A host that still reads the records accepts as well: the record of a job
+ * that is known already changes nothing.
+ */
 static void submit(mt_dag_front_t *front, const mt_front_call_t *call,
 		   uint64_t id, const mt_queue_t *queue,
 		   const mt_client_account_t *account, mt_front_cb cb,
@@ -336,6 +340,12 @@
 		refuse(front, "unknown key", MT_OUTCOME_BAD_KEY, cb, ctx);
 		return;
 	}
+	if (call->verb != MT_VERB_SUBMIT &&
+	    !mt_follower_is_synced(front->deps.records)) {
+		refuse(front, "records are still being read",
+		       MT_OUTCOME_NOT_DONE, cb, ctx);
+		return;
+	}
 	rest = (mt_str_t){call->path.data + strlen(queue->path_prefix),
 			  call->path.len - strlen(queue->path_prefix)};
 	if (!rest.len && call->verb == MT_VERB_SHOW)
--- a/lib/dag/work.c
+++ b/lib/dag/work.c
@@ -423,6 +423,16 @@
 	return bytes;
 }
 
+GBytes *mt_work_pack_ended(const mt_dag_job_t *job)
+{
+	MtDag__Job ended = *job->spec;
+
+	ended.payload = (char *)protobuf_c_empty_string;
+	ended.n_steps = 0;
+	ended.steps = NULL;
+	return mt_dag_pack(&ended.base);
+}
+
 static bool step_fits(const mt_dag_job_t *job, const MtDag__StepProgress *in,
 		      uint32_t *at)
 {
--- a/lib/dag/work.h
+++ b/lib/dag/work.h
@@ -68,7 +68,8 @@
 	MtDag__State state;
 	bool cancelled;
 	bool begun;
-	bool dirty;	  /**< progress differs from the store's record */
+	bool dirty;   /**< progress differs from the store's record */
+	bool trimmed; /**< its own record has been replaced by a short one */
 	uint32_t n_steps; /**< over all occurrences */
 	mt_dag_step_t *steps;
 	mt_ms_t seen_at;   /**< when this scheduler learnt of it */
@@ -129,6 +130,9 @@
 /** Progress record; freed with g_bytes_unref(). */
 GBytes *mt_work_pack(const mt_dag_job_t *job);
 
+/** Record of a job that has ended: without payload and steps. */
+GBytes *mt_work_pack_ended(const mt_dag_job_t *job);
+
 /** Finds or makes the server of a placement. */
 typedef mt_backend_t *(*mt_work_server_cb)(void *ctx, const char *id,
 					   int64_t born_ms);
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -66,7 +66,7 @@
 		CU_add_test(scripts, paths->pdata[i], run_next_script);
 	add_suite("kernel", mt_kernel_tests);
 	add_suite("follower", mt_follower_tests);
-	add_suite("planner", mt_planner_tests);
+	add_suite("engine", mt_engine_tests);
 	add_suite("runner", mt_runner_tests);
 	add_suite("survival", mt_survival_tests);
 	add_suite("damaged input", mt_mutated_tests);
--- a/tests/unit/test_planner.c
+++ b/tests/unit/test_engine.c
@@ -1,9 +1,11 @@
 /**
- * @file test_planner.c
- * Tests of what the scheduler does with a plan, over servers that only count
- * what they are told.
+ * @file test_engine.c
+ * Tests of the scheduler over servers that only count what they are told, and
+ * a store that keeps the last write.
  */
 #include <CUnit/Basic.h>
+#include <stdlib.h>
+#include <string.h>
 
 #include "dag/engine_internal.h"
 #include "unit/tests.h"
@@ -216,7 +218,50 @@
 	tear_down(&test);
 }
 
-const mt_test_t mt_planner_tests[] = {
+/** Records of the last append, as "key:length of the value " each. */
+static void keep_append(void *self, const mt_store_append_t *append,
+			mt_store_append_cb cb, void *ctx)
+{
+	GString *text = self;
+
+	g_string_truncate(text, 0);
+	for (size_t i = 0; i < append->count; i++)
+		g_string_append_printf(
+			text, "%c:%s ", append->records[i].key.data[0],
+			append->records[i].value.len > 100 ? "long" : "short");
+}
+
+/** A host that starts reads every record: ended jobs must be small. */
+static void an_ended_job_keeps_no_payload(void)
+{
+	mt_planned_t test;
+	GString *written = g_string_new(NULL);
+	mt_store_port_t store = {written, keep_append, NULL, NULL};
+	mt_writer_deps_t deps = {0};
+	mt_dag_job_t *job;
+	char *payload;
+
+	set_up(&test);
+	deps.kernel = test.kernel;
+	deps.store = &store;
+	deps.topic = MT_RECORDS_TOPIC;
+	deps.producer = "test";
+	test.engine->writer = mt_writer_new(&deps);
+	job = add_job(&test, 1, 2, 1);
+	payload = g_strnfill(1000, 'x');
+	if (job->spec->payload != protobuf_c_empty_string)
+		free(job->spec->payload);
+	job->spec->payload = strdup(payload);
+	g_free(payload);
+	job->state = MT_DAG__STATE__COMPLETED;
+	job->dirty = true;
+	mt_flush_changes(test.engine);
+	CU_ASSERT_STRING_EQUAL(written->str, "p:short a:short ");
+	g_string_free(written, TRUE);
+	tear_down(&test);
+}
+
+const mt_test_t mt_engine_tests[] = {
 	{"a gang is stopped as a whole", a_gang_is_stopped_as_a_whole},
 	{"a gang that was not sent waits as a whole",
 	 a_gang_that_was_not_sent_waits_as_a_whole},
@@ -224,5 +269,6 @@
 	 a_gang_with_a_refused_member_is_stopped},
 	{"nothing is stopped where there is room",
 	 nothing_is_stopped_where_there_is_room},
+	{"an ended job keeps no payload", an_ended_job_keeps_no_payload},
 	{NULL, NULL},
 };
--- a/tests/unit/tests.h
+++ b/tests/unit/tests.h
@@ -10,7 +10,7 @@
 /** Ended by an entry without a name. */
 extern const mt_test_t mt_kernel_tests[];
 extern const mt_test_t mt_follower_tests[];
-extern const mt_test_t mt_planner_tests[];
+extern const mt_test_t mt_engine_tests[];
 extern const mt_test_t mt_runner_tests[];
 extern const mt_test_t mt_survival_tests[];
 extern const mt_test_t mt_mutated_tests[];
