--- a/tests/scripts/mutants.sh
+++ b/tests/scripts/mutants.sh
@@ -14,14 +14,30 @@
 failed=0
 
 build() {
-	make -C build -j"$(nproc)" soak unit >/dev/null 2>"$SCRATCH/errors"
+	make -C build -j"$(nproc)" soak unit fleet >/dev/null 2>"$SCRATCH/errors"
 }
 
-# Names what fails: "unit", "soak seed N" or nothing.
+# Plays the hosts of the users' platform: "fleet seed N" or nothing.
+noticed_by_fleet() {
+	local seed
+	for seed in $(seq 1 20 101); do
+		timeout 150 build/tests/fleet --seed "$seed" --seeds 20 \
+			>"$SCRATCH/fleet.$seed" 2>&1 || true &
+	done
+	wait
+	sed -n -E 's/^seed ([0-9]+): (FAILED|[1-9][0-9]* breaches).*/fleet seed \1/p' \
+		"$SCRATCH"/fleet.* | sort -k3n | head -1
+}
+
+# Names what fails: "unit", "soak seed N", "fleet seed N" or nothing.
 noticed() {
 	local seed
 	timeout 60 build/tests/unit tests/scripted >/dev/null 2>&1 ||
 		{ echo unit; return; }
+	if [ "$PLAY" = fleet ]; then
+		noticed_by_fleet
+		return
+	fi
 	for seed in $(seq 1 25 226); do
 		timeout 150 build/tests/soak --seed "$seed" --seeds 25 \
 			--events 60000 >"$SCRATCH/soak.$seed" 2>&1 || true &
@@ -57,6 +73,7 @@
 }
 
 build || exit 1
+PLAY=soak
 mutant "absence judged from a cached report" lib/node/recover.c \
 	's/return server->leased && server->renewed_at > run->created_at;/return server->leased;/'
 mutant "claim not bound to its run" lib/node/run_commands.c \
@@ -93,5 +110,35 @@
 	's/outcome->epoch != job->epoch \|\|//'
 mutant "task forgotten before its outcome is in the log" lib/node/run_phases.c \
 	's/(learn_from\(runner, run\);)/$1 mt_run_clean(runner, run);/'
+
+PLAY=fleet
+mutant "lease taken for over too early" lib/dag/backend.c \
+	's/lapse_at = now \+ lease_ms \+ drift \+ LAPSE_MARGIN_MS/lapse_at = now + drift + 0 * LAPSE_MARGIN_MS/'
+mutant "start sent before its placement is stored" lib/dag/work.c \
+	's/task->start_durable = false;/task->start_durable = true;/'
+mutant "end forgotten before it is stored" lib/dag/orders.c \
+	's/\{engine->term, backend->ends_stored, 0, 0\}/{engine->term, backend->ends_read, 0, 0}/'
+mutant "run not barred after a start without an answer" lib/dag/orders.c \
+	's/if \(!task->unsure\)/if (true)/'
+mutant "step started before those it waits for" lib/dag/work.c \
+	's/if \(!is_done\(sibling/if (false \&\& !is_done(sibling/'
+mutant "cancelled job not stopped" lib/dag/engine.c \
+	's/mt_work_update_state\(job\);\n\tmt_engine_stop_tasks\(engine, job\);/mt_work_update_state(job);/'
+mutant "failed runs not counted" lib/dag/work.c \
+	's/counts->fails\+\+;//'
+mutant "gang stopped in part" lib/dag/planner.c \
+	's/if \(task->step->spec->gang\)\s*mt_orders_stop_gang/if (false) mt_orders_stop_gang/'
+mutant "job called unknown after one page" lib/dag/follower.c \
+	's/if \(follower->next >= sync->until\)/if (true)/'
+mutant "unfinished page proves freshness" lib/dag/follower.c \
+	's/if \(follower->next >= page->end\)/if (true)/'
+mutant "keys trusted without news" lib/dag/front.c \
+	's/mt_follower_age\(front->deps.config\) <= age_max/true/'
+mutant "small leader keeps the office" lib/dag/election.c \
+	's/host->cores_milli > election->cores_milli/false/'
+mutant "stops for others not learnt" lib/dag/survival.c \
+	's/survival->stops\[level_of\(priority\)\] \+= 1;//'
+mutant "ended job keeps its payload" lib/dag/work.c \
+	's/ended.payload = \(char \*\)protobuf_c_empty_string;//'
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -69,6 +69,7 @@
 	add_suite("engine", mt_engine_tests);
 	add_suite("runner", mt_runner_tests);
 	add_suite("survival", mt_survival_tests);
+	add_suite("work", mt_work_tests);
 	add_suite("damaged input", mt_mutated_tests);
 	CU_basic_set_mode(CU_BRM_NORMAL);
 	CU_basic_run_tests();
--- /dev/null
+++ b/tests/unit/test_work.c
@@ -0,0 +1,114 @@
+/** @file test_work.c Tests of the scheduler's model of a job. */
+#include <CUnit/Basic.h>
+
+#include "dag/work.h"
+#include "unit/tests.h"
+
+#define ATTEMPTS 3u
+
+static mt_dag_job_t *make_job(uint32_t count, bool gang)
+{
+	MtDag__Job job = MT_DAG__JOB__INIT;
+	MtDag__Step step = MT_DAG__STEP__INIT;
+	MtDag__Step *steps[] = {&step};
+	GBytes *bytes;
+	mt_str_t view;
+	mt_dag_job_t *work;
+
+	step.count = count;
+	step.gang = gang;
+	job.id = 1;
+	job.attempts_max = ATTEMPTS;
+	job.n_steps = 1;
+	job.steps = steps;
+	bytes = mt_dag_pack(&job.base);
+	view = mt_bytes_view(bytes);
+	work = mt_work_job_new(
+		mt_dag__job__unpack(NULL, view.len, (const uint8_t *)view.data),
+		0);
+	work->queue.attempts_max = ATTEMPTS;
+	g_bytes_unref(bytes);
+	return work;
+}
+
+static mt_backend_t *make_server(void)
+{
+	mt_backend_t *server = g_new0(mt_backend_t, 1);
+
+	server->info.target.id = mt_name("server");
+	server->tasks = g_ptr_array_new();
+	return server;
+}
+
+static void free_server(mt_backend_t *server)
+{
+	g_ptr_array_unref(server->tasks);
+	g_free(server);
+}
+
+static mt_backend_t *find_server(void *ctx, const char *id, int64_t born_ms)
+{
+	return ctx;
+}
+
+/** The record of a job in a new scheduler. */
+static mt_dag_job_t *take_over(mt_dag_job_t *job, mt_backend_t *server)
+{
+	mt_dag_job_t *taken =
+		make_job(job->steps[0].spec->count, job->steps[0].spec->gang);
+	GBytes *record = mt_work_pack(job);
+
+	CU_ASSERT_TRUE(mt_work_unpack(taken, mt_bytes_view(record), find_server,
+				      server, 0));
+	g_bytes_unref(record);
+	mt_work_job_free(job);
+	return taken;
+}
+
+static bool fail_once(mt_dag_job_t *job, mt_backend_t *server)
+{
+	mt_dag_task_t *task = &job->steps[0].tasks[0];
+
+	mt_work_place(task, server, task->run + 1, 0);
+	return mt_work_fail(task);
+}
+
+/** Failed runs count on over changes of the scheduler. */
+static void attempts_survive_a_takeover(void)
+{
+	mt_backend_t *server = make_server();
+	mt_dag_job_t *job = make_job(2, false);
+
+	for (unsigned i = 1; i < ATTEMPTS; i++) {
+		CU_ASSERT_TRUE(fail_once(job, server));
+		job = take_over(job, server);
+	}
+	CU_ASSERT_FALSE(fail_once(job, server));
+	mt_work_job_free(job);
+	free_server(server);
+}
+
+/** Members of one run of a gang that fail together are one failed attempt. */
+static void a_run_of_a_gang_fails_once(void)
+{
+	mt_backend_t *server = make_server();
+	mt_dag_job_t *job = make_job(2, true);
+	mt_dag_task_t *tasks = job->steps[0].tasks;
+
+	for (unsigned run = 1; run < ATTEMPTS; run++) {
+		mt_work_place(&tasks[0], server, run, 0);
+		mt_work_place(&tasks[1], server, run, 0);
+		CU_ASSERT_TRUE(mt_work_fail(&tasks[0]));
+		CU_ASSERT_TRUE(mt_work_fail(&tasks[1]));
+	}
+	mt_work_place(&tasks[0], server, ATTEMPTS, 0);
+	CU_ASSERT_FALSE(mt_work_fail(&tasks[0]));
+	mt_work_job_free(job);
+	free_server(server);
+}
+
+const mt_test_t mt_work_tests[] = {
+	{"attempts survive a takeover", attempts_survive_a_takeover},
+	{"a run of a gang fails once", a_run_of_a_gang_fails_once},
+	{NULL, NULL},
+};
