Soak: the stand-in learns a job when its first start is sent; paused time is no stopping time

A start whose answer it had lost was carried out seconds later, when the job had ended and its record held no steps any more; the stand-in read the record only then. It now reads it when the first start is sent. The soak writes a log of its faults, and says with which signal the stand-in ended.

--- a/tests/chaos/faults.c
+++ b/tests/chaos/faults.c
@@ -125,6 +125,11 @@
 		return;
 	}
 	mt_proxy_harm(proxy, &harm);
+	mt_scene_note(faults->scene,
+		      "a connection: delay %u ms, requests cut %d, answers "
+		      "cut %d",
+		      (unsigned)harm.delay_ms, harm.cut_requests,
+		      harm.cut_answers);
 	later(faults, NULL, proxy, pick(faults, 300, 5000), mend);
 }
 
@@ -140,6 +145,7 @@
 	mt_http_request_t request = {0};
 
 	note_fault(faults);
+	mt_scene_note(faults->scene, "the stand-in: %s", query);
 	request.address = mt_name("127.0.0.1");
 	request.port = faults->scene->store_port;
 	request.method = "POST";
--- a/tests/chaos/scene.c
+++ b/tests/chaos/scene.c
@@ -44,17 +44,37 @@
 	return mt_loop_timers(scene->loop);
 }
 
+/** Writes the time and the text as one line. */
+static void write_line(const mt_scene_t *scene, FILE *file, const char *what,
+		       const char *format, va_list args)
+{
+	fprintf(file, "%s%.3f s: ", what,
+		(double)(mt_scene_now(scene) - scene->begun_at) / 1000.0);
+	vfprintf(file, format, args);
+	fprintf(file, "\n");
+	fflush(file);
+}
+
+void mt_scene_note(mt_scene_t *scene, const char *format, ...)
+{
+	va_list args;
+
+	va_start(args, format);
+	write_line(scene, scene->log, "", format, args);
+	va_end(args);
+}
+
 void mt_scene_breach(mt_scene_t *scene, const char *format, ...)
 {
 	va_list args;
 
 	scene->breaches++;
-	printf("  breach at %.3f s: ",
-	       (double)(mt_scene_now(scene) - scene->begun_at) / 1000.0);
 	va_start(args, format);
-	vprintf(format, args);
+	write_line(scene, stdout, "  breach at ", format, args);
+	va_end(args);
+	va_start(args, format);
+	write_line(scene, scene->log, "breach at ", format, args);
 	va_end(args);
-	printf("\n");
 }
 
 static char *path_in(const mt_scene_t *scene, const char *format, unsigned i)
@@ -107,15 +127,15 @@
 {
 	mt_scene_host_t *host = process->data;
 	mt_scene_t *scene = host->scene;
-	mt_ms_t now = mt_scene_now(scene);
+	mt_ms_t took =
+		mt_scene_now(scene) - host->stop_sent_at - host->paused_ms;
 
 	if (host->stopping && !number && status)
 		mt_scene_breach(scene, "host %u ended with status %d",
 				host->index, (int)status);
-	if (host->stopping && !number && now - host->stop_sent_at > STOP_MAX_MS)
+	if (host->stopping && !number && took > STOP_MAX_MS)
 		mt_scene_breach(scene, "host %u took %u ms to stop",
-				host->index,
-				(unsigned)(now - host->stop_sent_at));
+				host->index, (unsigned)took);
 	if (!scene->ending && !host->stopping && number != SIGKILL)
 		mt_scene_breach(scene,
 				"host %u ended by itself, status %d, signal %d",
@@ -143,11 +163,28 @@
 	g_free(log);
 }
 
+/** A host that is paused cannot stop meanwhile. */
+static void note_pause(mt_scene_host_t *host, int number)
+{
+	mt_ms_t now = mt_scene_now(host->scene);
+
+	if (number == SIGSTOP && !host->paused_at)
+		host->paused_at = now;
+	if (number != SIGSTOP && host->paused_at) {
+		host->paused_ms += now - host->paused_at;
+		host->paused_at = 0;
+	}
+	if (number == SIGTERM)
+		host->paused_ms = 0;
+}
+
 void mt_scene_signal_host(mt_scene_host_t *host, int number)
 {
 	if (!host->runs)
 		return;
+	note_pause(host, number);
 	host->disturbed_at = mt_scene_now(host->scene);
+	mt_scene_note(host->scene, "host %u: signal %d", host->index, number);
 	if (number == SIGTERM) {
 		host->stopping = true;
 		host->stop_sent_at = host->disturbed_at;
@@ -199,7 +236,10 @@
 
 	scene->platform_runs = false;
 	if (!scene->ending)
-		mt_scene_breach(scene, "the stand-in ended by itself");
+		mt_scene_breach(
+			scene,
+			"the stand-in ended by itself, status %d, signal %d",
+			(int)status, number);
 	uv_close((uv_handle_t *)process, NULL);
 }
 
@@ -247,12 +287,18 @@
 mt_scene_t *mt_scene_new(const char *build, uint16_t port, guint32 seed)
 {
 	mt_scene_t *scene = g_new0(mt_scene_t, 1);
+	char *path;
 
 	scene->loop = mt_loop_new();
 	scene->http = mt_http_client_new(scene->loop);
 	scene->rand = g_rand_new_with_seed(seed);
 	scene->build = g_strdup(build);
 	scene->dir = g_dir_make_tmp("mimosaturn-chaos-XXXXXX", NULL);
+	path = path_in(scene, "soak.log", 0);
+	scene->log = fopen(path, "w");
+	g_free(path);
+	if (!scene->log)
+		scene->log = stderr;
 	scene->store_port = port;
 	scene->begun_at = mt_scene_now(scene);
 	if (start_all(scene, port, seed))
--- a/tests/chaos/scene.h
+++ b/tests/chaos/scene.h
@@ -7,6 +7,7 @@
 #define MT_CHAOS_SCENE_H
 
 #include <glib.h>
+#include <stdio.h>
 
 #include "chaos/proxy.h"
 #include "net/http_client.h"
@@ -27,6 +28,8 @@
 	bool runs;
 	bool stopping; /**< a planned stop is under way */
 	mt_ms_t stop_sent_at;
+	mt_ms_t paused_at;    /**< 0: is not paused */
+	mt_ms_t paused_ms;    /**< in all since the planned stop began */
 	mt_ms_t disturbed_at; /**< last fault at this host */
 } mt_scene_host_t;
 
@@ -46,6 +49,7 @@
 	mt_ms_t healed_at;    /**< 0: faults still come */
 	bool ending;
 	unsigned breaches;
+	FILE *log; /**< faults and breaches, with their times */
 };
 
 /** Starts everything; NULL when a program or a port is missing. */
@@ -63,6 +67,10 @@
 mt_ms_t mt_scene_now(const mt_scene_t *scene);
 mt_timers_t *mt_scene_timers(const mt_scene_t *scene);
 
+/** Notes what the soak does in its log, to trace a breach. */
+void mt_scene_note(mt_scene_t *scene, const char *format, ...)
+	G_GNUC_PRINTF(2, 3);
+
 /** A promise does not hold. */
 void mt_scene_breach(mt_scene_t *scene, const char *format, ...)
 	G_GNUC_PRINTF(2, 3);
--- a/tests/fleet/fake_servers.c
+++ b/tests/fleet/fake_servers.c
@@ -399,23 +399,42 @@
 
 /* Orders. */
 
-/** What callers handed in, or, for callers from outside, what was stored. */
+/** What was handed in; NULL when it is not known. */
 static MtDag__Job *job_of(mt_fake_fleet_t *fleet, uint64_t id)
 {
 	GBytes *bytes = g_hash_table_lookup(fleet->jobs, &id);
-	mt_record_key_t key = mt_record_key(MT_RECORD_JOB, id);
-	mt_str_t view = {0};
+	mt_str_t view;
 
-	if (bytes)
-		view = mt_bytes_view(bytes);
-	else if (fleet->world->store_port)
-		view = mt_fake_store_get(fleet->world->store, MT_RECORDS_TOPIC,
-					 key.text);
-	if (!view.len)
+	if (!bytes)
 		return NULL;
+	view = mt_bytes_view(bytes);
 	return mt_dag__job__unpack(NULL, view.len, (const uint8_t *)view.data);
 }
 
+/**
+ * Callers from outside hand in unseen: when the first start of a job is sent,
+ * its record says what was asked for. The record of an ended job does not.
+ */
+static void learn_job(mt_fake_fleet_t *fleet, uint64_t id)
+{
+	mt_record_key_t key = mt_record_key(MT_RECORD_JOB, id);
+	MtDag__Job *job;
+	mt_str_t view;
+
+	if (!fleet->world->store_port ||
+	    g_hash_table_contains(fleet->jobs, &id))
+		return;
+	view = mt_fake_store_get(fleet->world->store, MT_RECORDS_TOPIC,
+				 key.text);
+	if (!view.len)
+		return;
+	job = mt_dag__job__unpack(NULL, view.len, (const uint8_t *)view.data);
+	if (job && job->n_steps)
+		mt_fake_fleet_expect(fleet, job);
+	if (job)
+		mt_dag__job__free_unpacked(job, NULL);
+}
+
 /* Policy. */
 
 /** Two servers in three may run a step. */
@@ -871,6 +890,7 @@
 	order->key = command->task;
 	order->run = command->run;
 	order->token = command->term;
+	learn_job(order->fleet, command->task.job);
 	order->due = command->due_ms;
 	if (command->ticket)
 		g_strlcpy(order->ticket, command->ticket,
