Index racks and victims once a plan; split the plan by job

Cause: each attempt to make room went through all victims for each rack and each group, and whether some rack could hold a gang was worked out with all servers for each server: quadratic in what a larger fleet has more of.

One function counts how often an amount fits (it stood in plan.c, planner.c and advisor.c).

--- a/lib/dag/advisor.c
+++ b/lib/dag/advisor.c
@@ -70,16 +70,9 @@
 {
 	mt_amount_t need = mt_work_need(step);
 	mt_amount_t room = backend->info.capacity;
-	uint32_t tasks = 0;
 
 	mt_amount_sub(&room, &backend->used);
-	while (tasks < step->spec->count && mt_amount_fits(&need, &room)) {
-		mt_amount_sub(&room, &need);
-		tasks++;
-		if (!need.cpu_milli && !need.mem_mb && !need.gpu)
-			return step->spec->count;
-	}
-	return tasks;
+	return MIN(mt_amount_times(&need, &room), step->spec->count);
 }
 
 /** Adds servers in one state of advice until the question is full. */
--- a/lib/dag/plan.h
+++ b/lib/dag/plan.h
@@ -21,6 +21,9 @@
 	uint32_t gpu;
 } mt_amount_t;
 
+/** How often `need` goes into `room`; UINT32_MAX when it needs nothing. */
+uint32_t mt_amount_times(const mt_amount_t *need, const mt_amount_t *room);
+
 bool mt_amount_fits(const mt_amount_t *need, const mt_amount_t *room);
 void mt_amount_add(mt_amount_t *sum, const mt_amount_t *part);
 
--- /dev/null
+++ b/lib/dag/plan_reclaim.c
@@ -0,0 +1,168 @@
+/** @file plan_reclaim.c Which running tasks are stopped for a unit. */
+#include <stdlib.h>
+
+#include "dag/plan_internal.h"
+
+typedef struct mt_group_cost_t {
+	uint32_t group;
+	double cost;
+} mt_group_cost_t;
+
+static bool is_victim_of(const mt_plan_victim_t *victim,
+			 const mt_plan_unit_t *unit)
+{
+	if (victim->stopped)
+		return false;
+	if (victim->priority > unit->priority)
+		return true;
+	return unit->guaranteed && !victim->guaranteed &&
+	       victim->priority == unit->priority;
+}
+
+static void add_groups_on(const mt_scope_t *scope, uint32_t server, bool *seen,
+			  GArray *groups)
+{
+	const mt_buckets_t *victims = &scope->index->by_server;
+
+	for (uint32_t i = victims->start[server];
+	     i < victims->start[server + 1]; i++) {
+		const mt_plan_victim_t *victim =
+			&scope->plan->victims[victims->items[i]];
+		mt_group_cost_t group = {
+			victim->group, scope->index->group_cost[victim->group]};
+
+		if (seen[victim->group] || !is_victim_of(victim, scope->unit))
+			continue;
+		seen[victim->group] = true;
+		g_array_append_val(groups, group);
+	}
+}
+
+/** Groups that have a member in the scope, with what stopping them loses. */
+static GArray *list_groups(const mt_scope_t *scope)
+{
+	GArray *groups = g_array_new(FALSE, FALSE, sizeof(mt_group_cost_t));
+	bool *seen = g_new0(bool, scope->index->by_group.n_keys + 1);
+
+	for (uint32_t i = 0; i < scope->rack->n_servers; i++) {
+		uint32_t server = scope->rack->servers[i];
+
+		if (mt_scope_allows(scope, server))
+			add_groups_on(scope, server, seen, groups);
+	}
+	g_free(seen);
+	return groups;
+}
+
+/** Marks or unmarks the members of a group that are not stopped yet. */
+static void try_group(const mt_scope_t *scope, bool *tried, mt_amount_t *extra,
+		      uint32_t group, bool on)
+{
+	const mt_buckets_t *members = &scope->index->by_group;
+
+	for (uint32_t i = members->start[group]; i < members->start[group + 1];
+	     i++) {
+		uint32_t at = members->items[i];
+		const mt_plan_victim_t *victim = &scope->plan->victims[at];
+
+		if (victim->stopped)
+			continue;
+		tried[at] = on;
+		if (on)
+			mt_amount_add(&extra[victim->server], &victim->amount);
+		else
+			mt_amount_sub(&extra[victim->server], &victim->amount);
+	}
+}
+
+static int compare_groups(const void *a, const void *b)
+{
+	const mt_group_cost_t *x = a;
+	const mt_group_cost_t *y = b;
+
+	if (x->cost != y->cost)
+		return x->cost < y->cost ? -1 : 1;
+	return x->group < y->group ? -1 : x->group > y->group;
+}
+
+/**
+ * Marks the victims that make the unit fit into the scope, the cheapest
+ * groups first, and gives back those that turn out needless.
+ * @return the cost, or a negative value when it does not fit
+ */
+static double choose_victims(mt_scope_t *scope, bool *tried)
+{
+	GArray *groups = list_groups(scope);
+	mt_group_cost_t *all = (mt_group_cost_t *)groups->data;
+	mt_amount_t *extra = g_new0(mt_amount_t, scope->plan->n_servers);
+	double cost = 0;
+	guint n = 0;
+	bool fits;
+
+	scope->extra = extra;
+	if (groups->len)
+		qsort(all, groups->len, sizeof(*all), compare_groups);
+	while (n < groups->len && mt_scope_fit(scope) < scope->unit->count)
+		try_group(scope, tried, extra, all[n++].group, true);
+	fits = mt_scope_fit(scope) >= scope->unit->count;
+	while (fits && n-- > 0) {
+		try_group(scope, tried, extra, all[n].group, false);
+		if (mt_scope_fit(scope) >= scope->unit->count)
+			continue;
+		try_group(scope, tried, extra, all[n].group, true);
+		cost += all[n].cost;
+	}
+	scope->extra = NULL;
+	g_free(extra);
+	g_array_unref(groups);
+	return fits ? cost : -1;
+}
+
+/** Stops the marked victims; their room is coming. */
+static void stop_tried(mt_plan_t *plan, const bool *tried)
+{
+	for (uint32_t i = 0; i < plan->n_victims; i++) {
+		mt_plan_victim_t *victim = &plan->victims[i];
+
+		if (!tried[i] || victim->stopped)
+			continue;
+		victim->stopped = true;
+		mt_amount_add(&plan->servers[victim->server].coming,
+			      &victim->amount);
+	}
+}
+
+const mt_rack_t *mt_plan_reclaim(mt_plan_t *plan, const mt_plan_index_t *index,
+				 const mt_plan_unit_t *unit, bool one_rack)
+{
+	const mt_rack_t *racks = one_rack ? index->racks : &index->all;
+	uint32_t n_racks = one_rack ? index->n_racks : 1;
+	const mt_rack_t *where = NULL;
+	bool *best = NULL;
+	double best_cost = -1;
+
+	for (uint32_t i = 0; i < n_racks; i++) {
+		mt_scope_t scope = {plan,      index,		unit,
+				    &racks[i], MT_ROOM_RECLAIM, NULL};
+		bool *tried;
+		double cost;
+
+		if (one_rack && unit->data_rack &&
+		    racks[i].name != unit->data_rack)
+			continue;
+		tried = g_new0(bool, plan->n_victims + 1);
+		cost = choose_victims(&scope, tried);
+		if (cost < 0 || (best && cost >= best_cost)) {
+			g_free(tried);
+			continue;
+		}
+		g_free(best);
+		best = tried;
+		best_cost = cost;
+		where = &racks[i];
+	}
+	if (best)
+		stop_tried(plan, best);
+	g_free(best);
+	return where;
+}
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -253,26 +253,27 @@
 	g_array_sort(planner->candidates, compare_candidates);
 }
 
-/** Tasks of the unit that empty servers of one rack would hold. */
+/** Tasks of the step that the server would hold if it were empty. */
+static uint32_t server_holds(const mt_backend_t *backend,
+			     const mt_dag_step_t *step)
+{
+	mt_amount_t need = mt_work_need(step);
+
+	return MIN(mt_amount_times(&need, &backend->info.capacity),
+		   step->spec->count);
+}
+
+/** Tasks of the step that empty servers of one rack would hold. */
 static uint32_t rack_holds(const mt_planner_t *planner,
 			   const mt_dag_step_t *step, GQuark rack)
 {
-	mt_amount_t need = mt_work_need(step);
 	uint32_t holds = 0;
 
 	for (guint i = 0; i < planner->backends->len; i++) {
 		const mt_backend_t *backend = planner->backends->pdata[i];
-		mt_amount_t room = backend->info.capacity;
 
-		if (backend->info.rack != rack)
-			continue;
-		while (mt_amount_fits(&need, &room) &&
-		       holds < step->spec->count) {
-			mt_amount_sub(&room, &need);
-			holds++;
-			if (!need.cpu_milli && !need.mem_mb && !need.gpu)
-				return step->spec->count;
-		}
+		if (backend->info.rack == rack)
+			holds += server_holds(backend, step);
 	}
 	return holds;
 }
@@ -280,14 +281,20 @@
 static bool some_rack_holds(const mt_planner_t *planner,
 			    const mt_dag_step_t *step)
 {
-	for (guint i = 0; i < planner->backends->len; i++) {
+	GHashTable *holds = g_hash_table_new(NULL, NULL);
+	bool found = false;
+
+	for (guint i = 0; i < planner->backends->len && !found; i++) {
 		const mt_backend_t *backend = planner->backends->pdata[i];
+		gpointer rack = GUINT_TO_POINTER(backend->info.rack);
+		guint sum = GPOINTER_TO_UINT(g_hash_table_lookup(holds, rack)) +
+			    server_holds(backend, step);
 
-		if (rack_holds(planner, step, backend->info.rack) >=
-		    step->spec->count)
-			return true;
+		g_hash_table_insert(holds, rack, GUINT_TO_POINTER(sum));
+		found = sum >= step->spec->count;
 	}
-	return false;
+	g_hash_table_destroy(holds);
+	return found;
 }
 
 /** True when waiting longer for one rack costs more than spreading. */
