Split the planner: what waits stands in candidates.c; tests of what is held back

The shares of room in use have names. Tests of the held back step in test_engine.c. No change of behaviour.

--- /dev/null
+++ b/lib/dag/candidates.c
@@ -0,0 +1,145 @@
+/** @file candidates.c Steps that wait to start, in the order of their turns. */
+#include "dag/planner_internal.h"
+
+/** From this share of its room in use a service is crowded. */
+#define CROWDED_SHARE 0.7
+
+/** In a crowd a task is started only with this chance to end unstopped. */
+#define SURVIVAL_MIN 0.85
+
+bool mt_planner_may_use(const mt_planner_t *planner,
+			const mt_backend_t *backend)
+{
+	return backend->listed && !backend->info.draining &&
+	       backend->taken_over && !backend->misses &&
+	       backend->clock_known && planner->now >= backend->avoid_until &&
+	       mt_name_equal(&backend->info.service, planner->service);
+}
+
+/** True when more than CROWDED_SHARE of the cores or accelerators is used. */
+static bool is_crowded(const mt_planner_t *planner)
+{
+	GHashTableIter iter;
+	gpointer value;
+	double cpu_used = 0;
+	double cpu_all = 0;
+	double gpu_used = 0;
+	double gpu_all = 0;
+
+	g_hash_table_iter_init(&iter, planner->engine->backends);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const mt_backend_t *backend = value;
+
+		if (!mt_planner_may_use(planner, backend))
+			continue;
+		cpu_used += backend->used.cpu_milli;
+		cpu_all += backend->info.capacity.cpu_milli;
+		gpu_used += backend->used.gpu;
+		gpu_all += backend->info.capacity.gpu;
+	}
+	return cpu_used > CROWDED_SHARE * cpu_all ||
+	       gpu_used > CROWDED_SHARE * gpu_all;
+}
+
+/** Waiting tasks that may start now; a gang counts only as a whole. */
+static uint32_t count_waiting(const mt_dag_step_t *step)
+{
+	uint32_t waiting = 0;
+
+	for (uint32_t i = 0; i < step->spec->count; i++)
+		waiting += step->tasks[i].phase == MT_TASK_WAITING;
+	if (step->spec->gang && waiting < step->spec->count)
+		return 0;
+	return waiting;
+}
+
+static bool is_due(const mt_planner_t *planner, const mt_dag_step_t *step)
+{
+	return mt_work_due_at(step) <= planner->wall_ms;
+}
+
+static int64_t latest_start(const mt_dag_job_t *job)
+{
+	uint32_t chain = mt_work_chain_left_ms(job);
+
+	return (int64_t)job->seen_at +
+	       (int64_t)(chain * job->queue.slack_factor) +
+	       job->queue.target_ms - chain;
+}
+
+/**
+ * False for a step whose tasks would probably be stopped for others before
+ * they end, with all that they have done. Where there is room enough nothing
+ * is held back.
+ */
+static bool is_worth_starting(const mt_planner_t *planner,
+			      const mt_dag_step_t *step)
+{
+	const mt_dag_job_t *job = step->job;
+
+	if (!planner->crowded || step->spec->checkpointing ||
+	    step->spec->lasting || !job->queue.priority)
+		return true;
+	return mt_survival_chance(
+		       &planner->engine->survival, job->queue.priority,
+		       step->spec->estimate_ms / 1000.0) >= SURVIVAL_MIN;
+}
+
+static void add_steps(mt_planner_t *planner, mt_dag_job_t *job)
+{
+	for (uint32_t i = 0; i < job->n_steps; i++) {
+		mt_dag_step_t *step = &job->steps[i];
+		mt_candidate_step_t candidate = {step, 0, false, 0, 0};
+
+		if (step->n_done == step->spec->count ||
+		    !is_due(planner, step) || !mt_work_step_is_ready(step) ||
+		    !is_worth_starting(planner, step))
+			continue;
+		candidate.count = count_waiting(step);
+		if (!candidate.count)
+			continue;
+		candidate.guaranteed =
+			g_hash_table_contains(planner->guaranteed, job);
+		candidate.latest_ms = latest_start(job);
+		if (!step->ready_at)
+			step->ready_at = planner->now;
+		candidate.waited_ms = planner->now - step->ready_at;
+		g_array_append_val(planner->candidates, candidate);
+	}
+}
+
+/** Guaranteed work first, then by priority, then by latest start. */
+static gint compare_candidates(gconstpointer a, gconstpointer b)
+{
+	const mt_candidate_step_t *x = a;
+	const mt_candidate_step_t *y = b;
+	uint32_t px = x->step->job->queue.priority;
+	uint32_t py = y->step->job->queue.priority;
+
+	if (x->guaranteed != y->guaranteed)
+		return x->guaranteed ? -1 : 1;
+	if (px != py)
+		return px < py ? -1 : 1;
+	if (x->latest_ms != y->latest_ms)
+		return x->latest_ms < y->latest_ms ? -1 : 1;
+	if (x->step->job->id != y->step->job->id)
+		return x->step->job->id < y->step->job->id ? -1 : 1;
+	return x->step < y->step ? -1 : x->step > y->step;
+}
+
+void mt_candidates_collect(mt_planner_t *planner)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	planner->crowded = is_crowded(planner);
+	g_hash_table_iter_init(&iter, planner->engine->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		mt_dag_job_t *job = value;
+
+		if (!mt_state_is_final(job->state) && !job->cancelled &&
+		    mt_name_equal(&job->queue.service, planner->service))
+			add_steps(planner, job);
+	}
+	g_array_sort(planner->candidates, compare_candidates);
+}
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -1,5 +1,5 @@
 /** @file planner.c The scheduler's view for the plan, and what follows. */
-#include "dag/engine_internal.h"
+#include "dag/planner_internal.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -20,48 +20,11 @@
 /** This long before its latest start a gang may stop work behind it. */
 #define PRESSED_MS 3000
 
-/** From this share of its room in use a service is crowded. */
-#define CROWDED_SHARE 0.7
-
-/** In a crowd a task is started only with this chance to end unstopped. */
-#define SURVIVAL_MIN 0.85
-
 /** Fixed part of the cost of a stop, in core-seconds a core. */
 #define STOP_COST_S 0.3
 
-/** One unit of the plan and the step that it comes from. */
-typedef struct mt_candidate_step_t {
-	mt_dag_step_t *step;
-	uint32_t count;
-	bool guaranteed;
-	int64_t latest_ms; /**< own time by which it should have started */
-	mt_ms_t waited_ms;
-} mt_candidate_step_t;
-
-typedef struct mt_planner_t {
-	mt_engine_t *engine;
-	mt_ms_t now;
-	int64_t wall_ms;
-	const mt_name_t *service;
-	bool crowded;		/**< most of the service's room is in use */
-	GPtrArray *backends;	/**< mt_backend_t, in the order of the plan */
-	GHashTable *index;	/**< backend to index plus one */
-	GArray *candidates;	/**< mt_candidate_step_t */
-	GPtrArray *victims;	/**< mt_dag_task_t, in the order of the plan */
-	GHashTable *guaranteed; /**< jobs within their guarantee */
-	mt_plan_t plan;
-} mt_planner_t;
-
 /* Servers. */
 
-static bool is_usable(const mt_planner_t *planner, const mt_backend_t *backend)
-{
-	return backend->listed && !backend->info.draining &&
-	       backend->taken_over && !backend->misses &&
-	       backend->clock_known && planner->now >= backend->avoid_until &&
-	       mt_name_equal(&backend->info.service, planner->service);
-}
-
 /** Room of tasks that are being stopped, or whose gang has ended. */
 static mt_amount_t room_coming(const mt_backend_t *backend)
 {
@@ -102,7 +65,7 @@
 
 	g_hash_table_iter_init(&iter, planner->engine->backends);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (is_usable(planner, value))
+		if (mt_planner_may_use(planner, value))
 			g_ptr_array_add(planner->backends, value);
 	}
 	g_ptr_array_sort(planner->backends, compare_backends);
@@ -126,133 +89,8 @@
 	}
 }
 
-/** True when more than CROWDED_SHARE of the cores or accelerators is used. */
-static bool is_crowded(const mt_planner_t *planner)
-{
-	GHashTableIter iter;
-	gpointer value;
-	double cpu[2] = {0};
-	double gpu[2] = {0};
-
-	g_hash_table_iter_init(&iter, planner->engine->backends);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const mt_backend_t *backend = value;
-
-		if (!is_usable(planner, backend))
-			continue;
-		cpu[0] += backend->used.cpu_milli;
-		cpu[1] += backend->info.capacity.cpu_milli;
-		gpu[0] += backend->used.gpu;
-		gpu[1] += backend->info.capacity.gpu;
-	}
-	return cpu[0] > CROWDED_SHARE * cpu[1] ||
-	       gpu[0] > CROWDED_SHARE * gpu[1];
-}
-
 /* Units. */
 
-/** Waiting tasks that may start now; a gang counts only as a whole. */
-static uint32_t count_waiting(const mt_dag_step_t *step)
-{
-	uint32_t waiting = 0;
-
-	for (uint32_t i = 0; i < step->spec->count; i++)
-		waiting += step->tasks[i].phase == MT_TASK_WAITING;
-	if (step->spec->gang && waiting < step->spec->count)
-		return 0;
-	return waiting;
-}
-
-static bool is_due(const mt_planner_t *planner, const mt_dag_step_t *step)
-{
-	return mt_work_due_at(step) <= planner->wall_ms;
-}
-
-static int64_t latest_start(const mt_dag_job_t *job)
-{
-	uint32_t chain = mt_work_chain_left_ms(job);
-
-	return (int64_t)job->seen_at +
-	       (int64_t)(chain * job->queue.slack_factor) +
-	       job->queue.target_ms - chain;
-}
-
-/**
- * False for a step whose tasks would probably be stopped for others before
- * they end, with all that they have done. Where there is room enough nothing
- * is held back.
- */
-static bool is_worth_starting(const mt_planner_t *planner,
-			      const mt_dag_step_t *step)
-{
-	const mt_dag_job_t *job = step->job;
-
-	if (!planner->crowded || step->spec->checkpointing ||
-	    step->spec->lasting || !job->queue.priority)
-		return true;
-	return mt_survival_chance(
-		       &planner->engine->survival, job->queue.priority,
-		       step->spec->estimate_ms / 1000.0) >= SURVIVAL_MIN;
-}
-
-static void add_steps(mt_planner_t *planner, mt_dag_job_t *job)
-{
-	for (uint32_t i = 0; i < job->n_steps; i++) {
-		mt_dag_step_t *step = &job->steps[i];
-		mt_candidate_step_t candidate = {step, 0, false, 0, 0};
-
-		if (step->n_done == step->spec->count ||
-		    !is_due(planner, step) || !mt_work_step_is_ready(step) ||
-		    !is_worth_starting(planner, step))
-			continue;
-		candidate.count = count_waiting(step);
-		if (!candidate.count)
-			continue;
-		candidate.guaranteed =
-			g_hash_table_contains(planner->guaranteed, job);
-		candidate.latest_ms = latest_start(job);
-		if (!step->ready_at)
-			step->ready_at = planner->now;
-		candidate.waited_ms = planner->now - step->ready_at;
-		g_array_append_val(planner->candidates, candidate);
-	}
-}
-
-/** Guaranteed work first, then by priority, then by latest start. */
-static gint compare_candidates(gconstpointer a, gconstpointer b)
-{
-	const mt_candidate_step_t *x = a;
-	const mt_candidate_step_t *y = b;
-	uint32_t px = x->step->job->queue.priority;
-	uint32_t py = y->step->job->queue.priority;
-
-	if (x->guaranteed != y->guaranteed)
-		return x->guaranteed ? -1 : 1;
-	if (px != py)
-		return px < py ? -1 : 1;
-	if (x->latest_ms != y->latest_ms)
-		return x->latest_ms < y->latest_ms ? -1 : 1;
-	if (x->step->job->id != y->step->job->id)
-		return x->step->job->id < y->step->job->id ? -1 : 1;
-	return x->step < y->step ? -1 : x->step > y->step;
-}
-
-static void collect_candidates(mt_planner_t *planner)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, planner->engine->jobs);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		mt_dag_job_t *job = value;
-
-		if (!mt_state_is_final(job->state) && !job->cancelled &&
-		    mt_name_equal(&job->queue.service, planner->service))
-			add_steps(planner, job);
-	}
-	g_array_sort(planner->candidates, compare_candidates);
-}
-
 /** Tasks of the step that the server would hold if it were empty. */
 static uint32_t server_holds(const mt_backend_t *backend,
 			     const mt_dag_step_t *step)
@@ -589,8 +427,7 @@
 	planner.index = g_hash_table_new(NULL, NULL);
 	planner.candidates =
 		g_array_new(FALSE, FALSE, sizeof(mt_candidate_step_t));
-	planner.crowded = is_crowded(&planner);
-	collect_candidates(&planner);
+	mt_candidates_collect(&planner);
 	if (planner.candidates->len) {
 		collect_servers(&planner);
 		build_units(&planner);
--- a/tests/unit/test_engine.c
+++ b/tests/unit/test_engine.c
@@ -218,6 +218,59 @@
 	tear_down(&test);
 }
 
+/** Batch tasks have been stopped again and again in the last seconds. */
+static void learn_stops(mt_planned_t *test)
+{
+	mt_survival_note_run(&test->engine->survival, 2, 100);
+	for (unsigned i = 0; i < 100; i++)
+		mt_survival_note_stop(&test->engine->survival, 2);
+}
+
+/**
+ * Half of the service is in use: there is room enough, so nothing waits for
+ * fear of being stopped.
+ */
+static void room_is_used_though_stops_are_likely(void)
+{
+	mt_planned_t test;
+	mt_dag_job_t *batch;
+
+	set_up(&test);
+	learn_stops(&test);
+	mt_work_place(&add_job(&test, 1, 2, 1)->steps[0].tasks[0],
+		      test.servers[0], 1, 9000);
+	batch = add_job(&test, 2, 2, 1);
+	mt_planner_run(test.engine);
+	CU_ASSERT_EQUAL(batch->steps[0].tasks[0].phase, MT_TASK_PLACED);
+	tear_down(&test);
+}
+
+/** In a crowd a batch task waits for a calmer time; an urgent one does not. */
+static void what_would_be_stopped_is_not_started(void)
+{
+	mt_planned_t test;
+	mt_dag_job_t *batch;
+	mt_dag_job_t *urgent;
+
+	set_up(&test);
+	learn_stops(&test);
+	mt_work_place(&add_job(&test, 1, 0, 1)->steps[0].tasks[0],
+		      test.servers[0], 1, 9000);
+	test.servers[1]->used.cpu_milli = 30000;
+	batch = add_job(&test, 2, 2, 1);
+	mt_planner_run(test.engine);
+	CU_ASSERT_EQUAL(batch->steps[0].tasks[0].phase, MT_TASK_PLACED);
+	mt_work_unplace(&batch->steps[0].tasks[0]);
+	test.servers[1]->info.capacity.cpu_milli = 32000;
+	test.servers[0]->info.capacity.cpu_milli = 10000;
+	mt_planner_run(test.engine);
+	CU_ASSERT_EQUAL(batch->steps[0].tasks[0].phase, MT_TASK_WAITING);
+	urgent = add_job(&test, 3, 0, 1);
+	mt_planner_run(test.engine);
+	CU_ASSERT_EQUAL(urgent->steps[0].tasks[0].phase, MT_TASK_PLACED);
+	tear_down(&test);
+}
+
 /** Records of the last append, as "key:length of the value " each. */
 static void keep_append(void *self, const mt_store_append_t *append,
 			mt_store_append_cb cb, void *ctx)
@@ -269,6 +322,10 @@
 	 a_gang_with_a_refused_member_is_stopped},
 	{"nothing is stopped where there is room",
 	 nothing_is_stopped_where_there_is_room},
+	{"room is used though stops are likely",
+	 room_is_used_though_stops_are_likely},
+	{"what would be stopped is not started",
+	 what_would_be_stopped_is_not_started},
 	{"an ended job keeps no payload", an_ended_job_keeps_no_payload},
 	{NULL, NULL},
 };
