--- a/lib/dag/plan_index.c
+++ b/lib/dag/plan_index.c
@@ -6,14 +6,13 @@
 {
 	mt_buckets_t buckets = {g_new(uint32_t, n + 1),
 				g_new0(uint32_t, n_keys + 2), n_keys};
-	uint32_t *next = g_new(uint32_t, n_keys + 1);
+	uint32_t *next;
 
 	for (uint32_t i = 0; i < n; i++)
 		buckets.start[keys[i] + 1]++;
 	for (uint32_t key = 0; key < n_keys; key++)
 		buckets.start[key + 1] += buckets.start[key];
-	for (uint32_t key = 0; key < n_keys; key++)
-		next[key] = buckets.start[key];
+	next = g_memdup2(buckets.start, sizeof(*next) * (n_keys + 1));
 	for (uint32_t i = 0; i < n; i++)
 		buckets.items[next[keys[i]]++] = i;
 	g_free(next);
