--- a/lib/dag/directory.c
+++ b/lib/dag/directory.c
@@ -118,6 +118,12 @@
 	directory->snapshot = NULL;
 }
 
+void mt_directory_free(mt_directory_t *directory)
+{
+	mt_directory_close(directory);
+	g_free(directory);
+}
+
 bool mt_directory_is_synced(const mt_directory_t *directory)
 {
 	return directory->follower &&
--- a/lib/dag/directory.h
+++ b/lib/dag/directory.h
@@ -37,6 +37,9 @@
 		       const mt_directory_watcher_t *watcher);
 void mt_directory_close(mt_directory_t *directory);
 
+/** Closes and frees it. */
+void mt_directory_free(mt_directory_t *directory);
+
 /** True once the whole list has been read. */
 bool mt_directory_is_synced(const mt_directory_t *directory);
 
--- a/lib/dag/plan_index.c
+++ b/lib/dag/plan_index.c
@@ -53,11 +53,11 @@
 	index->by_rack = group_by(keys, plan->n_servers, names->len + 1);
 	index->racks = g_new0(mt_rack_t, names->len + 1);
 	for (uint32_t i = 0; i < names->len; i++) {
-		const uint32_t *start = &index->by_rack.start[i];
+		uint32_t first = index->by_rack.start[i];
 
 		index->racks[i].name = g_array_index(names, GQuark, i);
-		index->racks[i].servers = &index->by_rack.items[start[0]];
-		index->racks[i].n_servers = start[1] - start[0];
+		index->racks[i].servers = &index->by_rack.items[first];
+		index->racks[i].n_servers = index->by_rack.start[i + 1] - first;
 	}
 	g_hash_table_destroy(numbers);
 	g_array_unref(names);
--- a/tests/unit/test_engine.c
+++ b/tests/unit/test_engine.c
@@ -103,6 +103,7 @@
 	step.estimate_ms = 5000;
 	step.gang = count > 1;
 	job.id = id;
+	job.queue = (char *)"batch";
 	job.service = (char *)"service";
 	job.priority = priority;
 	job.attempts_max = 3;
@@ -271,32 +272,72 @@
 	tear_down(&test);
 }
 
-/** Records of the last append, as "key:length of the value " each. */
+/** A store that keeps its calls until the test ends. */
+typedef struct mt_kept_store_t {
+	mt_store_port_t port;
+	GString *written; /**< last append, "kind:length " each record */
+	mt_store_append_cb append_cb;
+	void *append_ctx;
+	mt_store_page_cb page_cb;
+	void *page_ctx;
+} mt_kept_store_t;
+
 static void keep_append(void *self, const mt_store_append_t *append,
 			mt_store_append_cb cb, void *ctx)
 {
-	GString *text = self;
+	mt_kept_store_t *store = self;
 
-	g_string_truncate(text, 0);
+	store->append_cb = cb;
+	store->append_ctx = ctx;
+	g_string_truncate(store->written, 0);
 	for (size_t i = 0; i < append->count; i++)
 		g_string_append_printf(
-			text, "%c:%s ", append->records[i].key.data[0],
+			store->written, "%c:%s ",
+			append->records[i].key.data[0],
 			append->records[i].value.len > 100 ? "long" : "short");
 }
 
+static void keep_newest(void *self, const char *topic, mt_str_t after_key,
+			mt_store_page_cb cb, void *ctx)
+{
+	mt_kept_store_t *store = self;
+
+	store->page_cb = cb;
+	store->page_ctx = ctx;
+}
+
+static void open_store(mt_kept_store_t *store)
+{
+	*store = (mt_kept_store_t){0};
+	store->port = (mt_store_port_t){store, keep_append, NULL, keep_newest};
+	store->written = g_string_new(NULL);
+}
+
+/** Answers what is under way, so that its owners can go. */
+static void close_store(mt_kept_store_t *store)
+{
+	mt_store_page_t refused = {.result = MT_STORE_REFUSED};
+
+	if (store->append_cb)
+		store->append_cb(store->append_ctx, MT_STORE_DONE, 0);
+	if (store->page_cb)
+		store->page_cb(store->page_ctx, &refused);
+	g_string_free(store->written, TRUE);
+}
+
 /** A host that starts reads every record: ended jobs must be small. */
 static void an_ended_job_keeps_no_payload(void)
 {
 	mt_planned_t test;
-	GString *written = g_string_new(NULL);
-	mt_store_port_t store = {written, keep_append, NULL, NULL};
+	mt_kept_store_t store;
 	mt_writer_deps_t deps = {0};
 	mt_dag_job_t *job;
 	char *payload;
 
 	set_up(&test);
+	open_store(&store);
 	deps.kernel = test.kernel;
-	deps.store = &store;
+	deps.store = &store.port;
 	deps.topic = MT_RECORDS_TOPIC;
 	deps.producer = "test";
 	test.engine->writer = mt_writer_new(&deps);
@@ -309,8 +350,52 @@
 	job->state = MT_DAG__STATE__COMPLETED;
 	job->dirty = true;
 	mt_flush_changes(test.engine);
-	CU_ASSERT_STRING_EQUAL(written->str, "p:short a:short ");
-	g_string_free(written, TRUE);
+	CU_ASSERT_STRING_EQUAL(store.written->str, "p:short a:short ");
+	close_store(&store);
+	mt_writer_close(test.engine->writer);
+	tear_down(&test);
+}
+
+static void apply_record(mt_table_t *table, mt_record_kind_t kind, uint64_t id,
+			 mt_str_t value, uint64_t offset)
+{
+	mt_record_key_t key = mt_record_key(kind, id);
+	mt_store_record_t record = {mt_str_from(key.text), value, offset};
+
+	mt_table_apply(table, &record);
+}
+
+/** The caller's cancellation is carried out before the server reports again. */
+static void a_cancelled_job_is_stopped_at_once(void)
+{
+	mt_planned_t test;
+	mt_kept_store_t store;
+	mt_directory_format_t format = {"servers", NULL};
+	mt_dag_job_t *job;
+	GBytes *bytes;
+
+	set_up(&test);
+	open_store(&store);
+	test.engine->deps.store = &store.port;
+	test.engine->deps.table = mt_table_new(test.kernel);
+	test.engine->deps.directory =
+		mt_directory_new(test.kernel, &store.port, &format);
+	mt_engine_lead(test.engine, 7);
+	job = add_job(&test, 1, 2, 1);
+	bytes = mt_dag_pack(&job->spec->base);
+	mt_work_place(&job->steps[0].tasks[0], test.servers[0], 1, 9000);
+	job->steps[0].tasks[0].start_durable = true;
+	apply_record(test.engine->deps.table, MT_RECORD_JOB, 1,
+		     mt_bytes_view(bytes), 1);
+	apply_record(test.engine->deps.table, MT_RECORD_CANCEL, 1, MT_STR("1"),
+		     2);
+	CU_ASSERT_TRUE(job->cancelled);
+	CU_ASSERT_EQUAL(test.stops, 1);
+	mt_engine_stop(test.engine);
+	close_store(&store);
+	g_bytes_unref(bytes);
+	mt_table_free(test.engine->deps.table);
+	mt_directory_free(test.engine->deps.directory);
 	tear_down(&test);
 }
 
@@ -326,6 +411,8 @@
 	 room_is_used_though_stops_are_likely},
 	{"what would be stopped is not started",
 	 what_would_be_stopped_is_not_started},
+	{"a cancelled job is stopped at once",
+	 a_cancelled_job_is_stopped_at_once},
 	{"an ended job keeps no payload", an_ended_job_keeps_no_payload},
 	{NULL, NULL},
 };
