--- a/lib/dag/front.c
+++ b/lib/dag/front.c
@@ -106,12 +106,39 @@
 	reply_now(cb, op->ctx, outcome);
 }
 
+static void show_job(const mt_table_job_t *job, mt_front_cb cb, void *ctx)
+{
+	mt_front_reply_t reply = {MT_OUTCOME_STATE, mt_table_state(job), 0, 0};
+
+	cb(ctx, &reply);
+}
+
+/** Ends the op's call with the state of its job. */
+static void reply_state(mt_front_op_t *op, const mt_table_job_t *job)
+{
+	mt_front_cb cb = op->cb;
+
+	if (!cb)
+		return;
+	op->cb = NULL;
+	op->front->open--;
+	mt_timers_cancel(mt_kernel_timers(op->front->deps.kernel), op->timer);
+	op->timer = 0;
+	show_job(job, cb, op->ctx);
+}
+
+/** What is known is shown, even if the store was too slow for the newest. */
 static void on_op_timeout(void *ctx)
 {
 	mt_front_op_t *op = ctx;
+	const mt_table_job_t *job =
+		mt_table_find(op->front->deps.table, op->job);
 
 	op->timer = 0;
-	reply_op(op, MT_OUTCOME_UNKNOWN);
+	if (op->verb == MT_VERB_SHOW && job)
+		reply_state(op, job);
+	else
+		reply_op(op, MT_OUTCOME_UNKNOWN);
 }
 
 static mt_front_op_t *new_op(mt_dag_front_t *front, const mt_front_call_t *call,
@@ -222,13 +249,6 @@
 
 /* Looks and cancellations. */
 
-static void show_job(const mt_table_job_t *job, mt_front_cb cb, void *ctx)
-{
-	mt_front_reply_t reply = {MT_OUTCOME_STATE, mt_table_state(job), 0, 0};
-
-	cb(ctx, &reply);
-}
-
 /** Ends the op with what the table says of its job. */
 static void finish_known(mt_front_op_t *op, const mt_table_job_t *job)
 {
@@ -241,12 +261,8 @@
 	}
 	if (op->verb == MT_VERB_CANCEL) {
 		reply_op(op, MT_OUTCOME_CANCELLED);
-	} else if (cb) {
-		op->cb = NULL;
-		op->front->open--;
-		mt_timers_cancel(mt_kernel_timers(op->front->deps.kernel),
-				 op->timer);
-		show_job(job, cb, op->ctx);
+	} else {
+		reply_state(op, job);
 	}
 	g_free(op);
 }
