Stop a task with its gang in one function

The choice between one task and its whole gang stood in orders.c, planner.c and rescue.c; mt_orders_stop_unit() makes it for all three.

--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -94,6 +94,9 @@
 /** Has every member of a gang stopped, wherever it stands. */
 void mt_orders_stop_gang(mt_engine_t *engine, mt_dag_step_t *step);
 
+/** Has a task stopped, and with it the gang that it belongs to. */
+void mt_orders_stop_unit(mt_engine_t *engine, mt_dag_task_t *task);
+
 /** Sends the next hold if the server needs one and none is under way. */
 void mt_orders_hold(mt_engine_t *engine, mt_backend_t *backend);
 
--- a/lib/dag/orders.c
+++ b/lib/dag/orders.c
@@ -103,10 +103,8 @@
 	avoid(engine, task->server, ms);
 	if (!task->unsure)
 		mt_ends_lost(engine, task, "start refused");
-	else if (task->step->spec->gang)
-		mt_orders_stop_gang(engine, task->step);
 	else
-		mt_orders_stop(engine, task);
+		mt_orders_stop_unit(engine, task);
 }
 
 static void on_started(mt_engine_t *engine, mt_dag_task_t *task)
@@ -277,6 +275,14 @@
 	}
 }
 
+void mt_orders_stop_unit(mt_engine_t *engine, mt_dag_task_t *task)
+{
+	if (task->step->spec->gang)
+		mt_orders_stop_gang(engine, task->step);
+	else
+		mt_orders_stop(engine, task);
+}
+
 void mt_orders_stop_stray(mt_engine_t *engine, mt_backend_t *backend,
 			  const mt_task_key_t *key, uint32_t run)
 {
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -379,10 +379,7 @@
 		log_preempted(planner, task, planner->plan.victims[i].cost);
 		mt_survival_note_stop(&engine->survival,
 				      task->step->job->queue.priority);
-		if (task->step->spec->gang)
-			mt_orders_stop_gang(engine, task->step);
-		else
-			mt_orders_stop(engine, task);
+		mt_orders_stop_unit(engine, task);
 	}
 }
 
--- a/lib/dag/rescue.c
+++ b/lib/dag/rescue.c
@@ -71,11 +71,7 @@
 			step->job->id, step->number, task->index, task->run,
 			task->server->info.target.id.text, task->percent,
 			reason);
-	if (!step->spec->gang) {
-		mt_orders_stop(engine, task);
-		return;
-	}
-	mt_orders_stop_gang(engine, step);
+	mt_orders_stop_unit(engine, task);
 }
 
 void mt_rescue_tick(mt_engine_t *engine, mt_backend_t *backend)
