Count late answers to holds; keep runs of listed servers longer

The link between the regions is full of the hosts' own reads. A hold that is not answered within 1 s was cancelled, and with its connection the answer that listed the end of a run; the run was given up when its lease was over, and started elsewhere, though the server had listed its end.

Ruled out: a second leader (one term in the log), a wrong lease (each run is given up after the lease by the server's clock), a lost record.

Change: an overdue hold stays open, another is sent beside it, and both answers count; an overtaken report only gives its ended runs. Runs of a silent server that the platform still lists are kept for 3 s after their leases. A hold after a failed one permits no deletion, as the server may have restarted. The time-out of a response counts anew with each part of its body.

Conclusion: an answer under way is not cancelled.

--- a/lib/dag/backend.h
+++ b/lib/dag/backend.h
@@ -68,10 +68,16 @@
 	bool hold_answered;
 	mt_ms_t answered_at; /**< local time of its last hold answer */
 
-	bool hold_in_flight;  /**< a hold has no answer yet */
+	/** A hold has no answer yet and is not overdue. */
+	bool hold_in_flight;
+	/** Number of holds without an answer that are overdue. */
+	unsigned n_overdue_holds;
+	uint64_t last_hold; /**< number of the last hold; 0: none was sent */
+	/** Number of the latest hold whose report was applied. */
+	uint64_t last_report;
 	bool hold_delayed;    /**< the next hold waits for a retry timer */
 	mt_ms_t hold_sent_at; /**< local time of the last hold command */
-	/** Number of consecutive holds without an answer or with an error. */
+	/** Number of consecutive holds that are overdue or had an error. */
 	unsigned n_failed_holds;
 	/* The server numbers its ended runs (mt_ended_run_t.number). It keeps
 	 * and reports each of them until a hold permits its deletion. */
--- a/lib/dag/commands.c
+++ b/lib/dag/commands.c
@@ -36,6 +36,24 @@
 #define HOLD_RETRY_MS 150u
 #define HOLD_RETRY_MAX_MS 700u
 
+/**
+ * A hold is overdue when its answer has not come this long after the time at
+ * which the server should have answered. Another hold is then sent. The overdue
+ * one is not cancelled, as its answer may contain ends of runs that the server
+ * does not know to be unseen here.
+ */
+#define HOLD_OVERDUE_MS 1000u
+
+/** No further hold is sent to a server while this many holds are overdue. */
+#define OVERDUE_HOLDS_MAX 2u
+
+/**
+ * How long after the expiry of its leases a silent server's runs are kept if
+ * the platform still lists the server: it is alive then, and only its answers
+ * are late. Its runs may have ended successfully.
+ */
+#define LISTED_GRACE_MS 3000u
+
 /**
  * Minimum time between two holds while the effects of reported ended runs are
  * not stored yet. Such holds set no `wait_ms`, so that the server answers at
@@ -359,16 +377,26 @@
 
 /* Holds. */
 
-/** A hold that was sent, or that waits for its retry timer. */
+/** A hold that has no answer yet. */
 typedef struct mt_sent_hold_t {
 	mt_engine_t *engine;
 	unsigned generation;
 	mt_backend_t *backend;
+	uint64_t number; /**< see mt_backend_t.last_hold */
+	mt_ms_t sent_at;
+	uint64_t overdue_timer; /**< 0: the hold is overdue */
 } mt_sent_hold_t;
 
+/** A hold that waits to be sent after a failed or overdue one. */
+typedef struct mt_delayed_hold_t {
+	mt_engine_t *engine;
+	unsigned generation;
+	mt_backend_t *backend;
+} mt_delayed_hold_t;
+
 static void on_hold_timer(void *ctx)
 {
-	mt_sent_hold_t *hold = ctx;
+	mt_delayed_hold_t *hold = ctx;
 
 	if (hold->generation == hold->engine->generation) {
 		hold->backend->hold_delayed = false;
@@ -377,28 +405,90 @@
 	g_free(hold);
 }
 
-static void schedule_hold(mt_sent_hold_t *hold, mt_ms_t delay)
+static void schedule_hold(mt_engine_t *engine, mt_backend_t *backend,
+			  mt_ms_t delay)
 {
-	hold->backend->hold_delayed = true;
-	mt_timers_after(mt_kernel_timers(hold->engine->deps.kernel), delay,
+	mt_delayed_hold_t *hold = g_new0(mt_delayed_hold_t, 1);
+
+	hold->engine = engine;
+	hold->generation = engine->generation;
+	hold->backend = backend;
+	backend->hold_delayed = true;
+	mt_timers_after(mt_kernel_timers(engine->deps.kernel), delay,
 			on_hold_timer, hold);
 }
 
-static void on_hold_failed(mt_sent_hold_t *hold,
-			   const mt_backend_answer_t *answer)
+/** Handles a hold that failed or is overdue: sends another one later. */
+static void on_hold_failed(mt_engine_t *engine, mt_backend_t *backend,
+			   mt_command_result_t result)
 {
-	mt_backend_t *backend = hold->backend;
-
+	backend->hold_in_flight = false;
 	backend->n_failed_holds++;
 	/* The event is also logged if the server answered with an error. */
 	if (backend->n_failed_holds == 1)
-		mt_kernel_event(hold->engine->deps.kernel, "server_silent",
+		mt_kernel_event(engine->deps.kernel, "server_silent",
 				"\"server\":\"%s\",\"result\":%d,"
 				"\"tasks\":%u",
-				backend->info.target.id.text, answer->result,
+				backend->info.target.id.text, result,
 				backend->tasks->len);
-	schedule_hold(hold, MIN(HOLD_RETRY_MS * backend->n_failed_holds,
-				HOLD_RETRY_MAX_MS));
+	schedule_hold(engine, backend,
+		      MIN(HOLD_RETRY_MS * backend->n_failed_holds,
+			  HOLD_RETRY_MAX_MS));
+}
+
+static void on_hold_overdue(void *ctx)
+{
+	mt_sent_hold_t *hold = ctx;
+
+	hold->overdue_timer = 0;
+	if (hold->generation != hold->engine->generation)
+		return;
+	hold->backend->n_overdue_holds++;
+	on_hold_failed(hold->engine, hold->backend, MT_COMMAND_UNKNOWN);
+}
+
+/**
+ * Notes the start time in the answer to a hold.
+ * @param timely the hold was not overdue
+ * @return false when the answer comes from an earlier server process
+ */
+static bool note_born(mt_engine_t *engine, mt_backend_t *backend,
+		      int64_t born_ms, bool timely)
+{
+	if (!born_ms || !backend->born_ms || born_ms == backend->born_ms)
+		return true;
+	if (!timely && born_ms < backend->born_ms)
+		return false;
+	mt_reports_server_restarted(engine, backend, born_ms);
+	return true;
+}
+
+/**
+ * Handles the report in the answer to a hold, which may be overdue.
+ * @param timely the hold was not overdue
+ */
+static void on_report(const mt_sent_hold_t *hold, bool timely,
+		      const mt_backend_answer_t *answer)
+{
+	mt_engine_t *engine = hold->engine;
+	mt_backend_t *backend = hold->backend;
+
+	if (!note_born(engine, backend, answer->born_ms, timely))
+		return;
+	if (hold->number < backend->last_report) {
+		mt_reports_apply_ends(engine, backend, answer);
+		return;
+	}
+	if (backend->n_failed_holds || !backend->hold_answered)
+		mt_engine_request_pass(engine);
+	/* A server that answers only late gets no new tasks. */
+	if (timely)
+		backend->n_failed_holds = 0;
+	backend->hold_answered = true;
+	backend->answered_at = mt_engine_now(engine);
+	backend->last_report = hold->number;
+	mt_backend_note_clock(backend, answer->clock_ms, backend->answered_at);
+	mt_reports_apply(engine, backend, answer, hold->sent_at);
 }
 
 static void on_hold_answer(void *ctx, const mt_backend_answer_t *answer)
@@ -406,31 +496,23 @@
 	mt_sent_hold_t *hold = ctx;
 	mt_engine_t *engine = hold->engine;
 	mt_backend_t *backend = hold->backend;
-	mt_ms_t now;
+	bool timely = hold->overdue_timer != 0;
 
+	mt_timers_cancel(mt_kernel_timers(engine->deps.kernel),
+			 hold->overdue_timer);
 	if (hold->generation != engine->generation) {
 		g_free(hold);
 		return;
 	}
-	backend->hold_in_flight = false;
-	now = mt_engine_now(engine);
-	if (answer->result != MT_COMMAND_DONE) {
-		on_hold_failed(hold, answer);
-		return;
-	}
+	if (timely)
+		backend->hold_in_flight = false;
+	else
+		backend->n_overdue_holds--;
+	if (answer->result == MT_COMMAND_DONE)
+		on_report(hold, timely, answer);
+	else if (timely)
+		on_hold_failed(engine, backend, answer->result);
 	g_free(hold);
-	if (answer->born_ms && backend->born_ms &&
-	    answer->born_ms != backend->born_ms)
-		mt_reports_server_restarted(engine, backend, answer->born_ms);
-	if (backend->n_failed_holds)
-		mt_engine_request_pass(engine);
-	if (!backend->hold_answered)
-		mt_engine_request_pass(engine);
-	backend->n_failed_holds = 0;
-	backend->hold_answered = true;
-	backend->answered_at = now;
-	mt_backend_note_clock(backend, answer->clock_ms, now);
-	mt_reports_apply(engine, backend, answer);
 	mt_commands_hold(engine, backend);
 }
 
@@ -461,15 +543,26 @@
 	       backend->last_end_deletable_sent < backend->last_end_stored;
 }
 
+/**
+ * Number up to which the next hold permits the deletion of ended runs. None
+ * after a failed hold: the server may have restarted meanwhile, and then
+ * numbers its ended runs anew.
+ */
+static uint64_t deletable_end(const mt_backend_t *backend)
+{
+	return backend->n_failed_holds ? 0 : backend->last_end_stored;
+}
+
 void mt_commands_hold(mt_engine_t *engine, mt_backend_t *backend)
 {
 	mt_ms_t now = mt_engine_now(engine);
-	mt_hold_command_t command = {engine->term, backend->last_end_stored, 0,
+	mt_hold_command_t command = {engine->term, deletable_end(backend), 0,
 				     0};
 	mt_sent_hold_t *hold;
 
 	/* Port 0: the address is not known, see mt_commands_stop(). */
 	if (backend->hold_in_flight || backend->hold_delayed ||
+	    backend->n_overdue_holds >= OVERDUE_HOLDS_MAX ||
 	    !backend->info.target.port || !needs_hold(backend))
 		return;
 	if (!backend->listed && !backend->tasks->len)
@@ -489,9 +582,14 @@
 	hold->engine = engine;
 	hold->generation = engine->generation;
 	hold->backend = backend;
+	hold->number = ++backend->last_hold;
+	hold->sent_at = now;
+	hold->overdue_timer = mt_timers_after(
+		mt_kernel_timers(engine->deps.kernel),
+		command.wait_ms + HOLD_OVERDUE_MS, on_hold_overdue, hold);
 	backend->hold_in_flight = true;
 	backend->hold_sent_at = now;
-	backend->last_end_deletable_sent = backend->last_end_stored;
+	backend->last_end_deletable_sent = command.last_seen;
 	engine->deps.backends->hold(engine->deps.backends->self,
 				    &backend->info.target, &command,
 				    on_hold_answer, hold);
@@ -554,6 +652,17 @@
 	check_gang_start(engine, task, now);
 }
 
+/**
+ * True when runs on the server can be given up: their leases have expired, and
+ * the server is either not listed or has been silent for LISTED_GRACE_MS more.
+ */
+static bool are_runs_over(const mt_backend_t *backend, mt_ms_t now)
+{
+	mt_ms_t grace = backend->listed ? LISTED_GRACE_MS : 0;
+
+	return now >= backend->leases_expire_at + grace;
+}
+
 void mt_commands_tick(mt_engine_t *engine, mt_backend_t *backend)
 {
 	mt_ms_t now = mt_engine_now(engine);
@@ -565,7 +674,7 @@
 		if (i >= backend->tasks->len)
 			continue;
 		task = backend->tasks->pdata[i];
-		if (task->placement_stored && now >= backend->leases_expire_at)
+		if (task->placement_stored && are_runs_over(backend, now))
 			mt_reports_run_lost(engine, task, "lease over");
 		else
 			tick_task(engine, task, now);
--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -142,6 +142,7 @@
  * Sends the next hold to the server, if it is of use (see needs_hold() in
  * commands.c). Sends none in these cases:
  * - A hold is in progress or waits for its retry timer.
+ * - OVERDUE_HOLDS_MAX holds (commands.c) are overdue.
  * - The server's address is not known.
  * - The platform's list has no entry for the server, and no task is on it.
  * - Effects of reported ended runs are not stored yet, and the last hold was
@@ -157,9 +158,10 @@
 
 /**
  * Called at each tick for each server. Once all leases on the server have
- * expired, gives up as lost the runs of all tasks there whose placement is
- * stored, also those whose start was never sent. Otherwise repeats starts and
- * stops. In both cases, sends the next hold, see mt_commands_hold().
+ * expired, and LISTED_GRACE_MS (commands.c) later if the server is listed,
+ * gives up as lost the runs of all tasks there whose placement is stored, also
+ * those whose start was never sent. Otherwise repeats starts and stops. In both
+ * cases, sends the next hold, see mt_commands_hold().
  */
 void mt_commands_tick(mt_engine_t *engine, mt_backend_t *backend);
 
@@ -180,9 +182,19 @@
 
 /* reports.c */
 
-/** Applies the report in the answer to a hold. */
+/**
+ * Applies the report in the answer to a hold.
+ * @param sent_at local time at which the hold was sent
+ */
 void mt_reports_apply(mt_engine_t *engine, mt_backend_t *backend,
-		      const mt_backend_answer_t *answer);
+		      const mt_backend_answer_t *answer, mt_ms_t sent_at);
+
+/**
+ * Applies only the ended runs in the answer to a hold. Used if the report in
+ * the answer to a later hold has been applied before.
+ */
+void mt_reports_apply_ends(mt_engine_t *engine, mt_backend_t *backend,
+			   const mt_backend_answer_t *answer);
 
 /**
  * Gives up the present run of a task as lost. Also used for a run that never
--- a/lib/dag/reports.c
+++ b/lib/dag/reports.c
@@ -218,10 +218,10 @@
 }
 
 /**
- * True if the report in the answer to the last hold must list the task's run,
- * as active or as ended. If the report does not list it, the run is lost: it
- * never began and will not begin any more, or the server has lost it, for
- * example in a restart. The first case that applies decides:
+ * True if the report in the answer to a hold sent at `sent_at` must list the
+ * task's run, as active or as ended. If the report does not list it, the run is
+ * lost: it never began and will not begin any more, or the server has lost it,
+ * for example in a restart. The first case that applies decides:
  * - The server has confirmed the stop of the run: true if it did so before the
  *   hold was sent, as the report may otherwise be older than the stop.
  * - The start is settled, see mt_dag_task_t.start_settled_at: true if it was
@@ -233,13 +233,12 @@
  * - Otherwise false.
  */
 static bool report_must_list(const mt_engine_t *engine,
-			     const mt_backend_t *backend,
-			     const mt_dag_task_t *task)
+			     const mt_dag_task_t *task, mt_ms_t sent_at)
 {
 	if (task->stop_confirmed_at)
-		return backend->hold_sent_at > task->stop_confirmed_at;
+		return sent_at > task->stop_confirmed_at;
 	if (task->start_settled_at)
-		return backend->hold_sent_at > task->start_settled_at;
+		return sent_at > task->start_settled_at;
 	return task->placement_stored && !task->start_in_flight &&
 	       task->placed_at <= engine->leading_since;
 }
@@ -250,7 +249,8 @@
  * applied before, so that only active runs are looked up.
  */
 static void mark_missing_lost(mt_engine_t *engine, mt_backend_t *backend,
-			      const mt_backend_answer_t *answer)
+			      const mt_backend_answer_t *answer,
+			      mt_ms_t sent_at)
 {
 	for (guint i = backend->tasks->len; i-- > 0;) {
 		mt_dag_task_t *task;
@@ -259,15 +259,15 @@
 		if (i >= backend->tasks->len)
 			continue;
 		task = backend->tasks->pdata[i];
-		if (report_must_list(engine, backend, task) &&
+		if (report_must_list(engine, task, sent_at) &&
 		    !is_reported_active(answer, task))
 			mt_reports_run_lost(engine, task,
 					    "unknown to its server");
 	}
 }
 
-void mt_reports_apply(mt_engine_t *engine, mt_backend_t *backend,
-		      const mt_backend_answer_t *answer)
+void mt_reports_apply_ends(mt_engine_t *engine, mt_backend_t *backend,
+			   const mt_backend_answer_t *answer)
 {
 	for (size_t i = 0; i < answer->n_ended; i++) {
 		if (answer->ended[i].number <= backend->last_end_handled)
@@ -275,10 +275,16 @@
 		on_ended_run(engine, backend, &answer->ended[i]);
 		backend->last_end_handled = answer->ended[i].number;
 	}
+	if (answer->n_ended)
+		mt_engine_request_pass(engine);
+}
+
+void mt_reports_apply(mt_engine_t *engine, mt_backend_t *backend,
+		      const mt_backend_answer_t *answer, mt_ms_t sent_at)
+{
+	mt_reports_apply_ends(engine, backend, answer);
 	backend->n_stray_runs = 0;
 	for (size_t i = 0; i < answer->n_active_runs; i++)
 		on_active_run(engine, backend, &answer->active_runs[i]);
-	mark_missing_lost(engine, backend, answer);
-	if (answer->n_ended)
-		mt_engine_request_pass(engine);
+	mark_missing_lost(engine, backend, answer, sent_at);
 }
--- a/lib/net/http_client.c
+++ b/lib/net/http_client.c
@@ -33,6 +33,7 @@
 	int status;
 	bool connected;
 	mt_http_result_t result;
+	mt_ms_t timeout_ms;
 	uint64_t timer;
 	mt_http_cb cb;
 	void *ctx;
@@ -143,6 +144,15 @@
 	finish(exchange);
 }
 
+static void restart_timeout(mt_client_exchange_t *exchange)
+{
+	mt_timers_t *timers = mt_loop_timers(exchange->client->loop);
+
+	mt_timers_cancel(timers, exchange->timer);
+	exchange->timer = mt_timers_after(timers, exchange->timeout_ms,
+					  on_timeout, exchange);
+}
+
 static int on_body(h2o_http1client_t *http, const char *errstr)
 {
 	mt_client_exchange_t *exchange = http->data;
@@ -153,6 +163,7 @@
 				    (const guint8 *)http->sock->input->bytes,
 				    (guint)http->sock->input->size);
 		h2o_buffer_consume(&http->sock->input, http->sock->input->size);
+		restart_timeout(exchange);
 	}
 	if (errstr)
 		schedule_finish(exchange, failed ? MT_HTTP_NO_RESPONSE
@@ -235,9 +246,8 @@
 		schedule_finish(exchange, MT_HTTP_NOT_SENT);
 		return;
 	}
-	exchange->timer =
-		mt_timers_after(mt_loop_timers(client->loop),
-				request->timeout_ms, on_timeout, exchange);
+	exchange->timeout_ms = request->timeout_ms;
+	restart_timeout(exchange);
 	h2o_http1client_connect_with_pool(&exchange->http, exchange,
 					  &client->ctx, pool, on_connect);
 }
--- a/lib/net/http_client.h
+++ b/lib/net/http_client.h
@@ -36,6 +36,8 @@
 	const char *path;
 	const char *headers; /**< further lines, each ended by CRLF; or NULL */
 	mt_str_t body;
+	/** Time until the response begins, and longest time between two parts
+	 * of its body: a long response on a slow link does not time out. */
 	mt_ms_t timeout_ms;
 } mt_http_request_t;
 
--- a/tests/unit/test_engine.c
+++ b/tests/unit/test_engine.c
@@ -13,11 +13,20 @@
 #define SERVERS 2u
 #define CAPACITY_GPU 8u
 
+/** A hold that the fake server has received. */
+typedef struct mt_pending_hold_t {
+	mt_hold_command_t command;
+	mt_backend_cb cb;
+	void *ctx;
+} mt_pending_hold_t;
+
 typedef struct mt_engine_fixture_t {
 	mt_timers_t *timers;
 	mt_kernel_t *kernel;
 	mt_backend_port_t port;
 	unsigned stops;
+	/** Holds that were sent and not answered, oldest first. */
+	GArray *holds; /**< mt_pending_hold_t */
 	mt_engine_t *engine;
 	mt_backend_t *servers[SERVERS];
 } mt_engine_fixture_t;
@@ -36,6 +45,16 @@
 	g_free(ctx);
 }
 
+static void keep_hold(void *self, const mt_backend_target_t *target,
+		      const mt_hold_command_t *command, mt_backend_cb cb,
+		      void *ctx)
+{
+	mt_engine_fixture_t *fixture = self;
+	mt_pending_hold_t hold = {*command, cb, ctx};
+
+	g_array_append_val(fixture->holds, hold);
+}
+
 static int64_t wall_ms(void)
 {
 	return 0;
@@ -75,7 +94,9 @@
 	*fixture = (mt_engine_fixture_t){0};
 	fixture->timers = mt_timers_new(10000);
 	fixture->kernel = mt_kernel_new("test", fixture->timers, 1);
-	fixture->port = (mt_backend_port_t){fixture, NULL, count_stop, NULL};
+	fixture->port =
+		(mt_backend_port_t){fixture, NULL, count_stop, keep_hold};
+	fixture->holds = g_array_new(FALSE, FALSE, sizeof(mt_pending_hold_t));
 	deps.kernel = fixture->kernel;
 	deps.backends = &fixture->port;
 	deps.wall_ms = wall_ms;
@@ -85,8 +106,26 @@
 	fixture->servers[1] = add_server(fixture, "server-1");
 }
 
+/** Answers the oldest hold. */
+static void answer_hold(mt_engine_fixture_t *fixture,
+			const mt_backend_answer_t *answer)
+{
+	mt_pending_hold_t hold =
+		g_array_index(fixture->holds, mt_pending_hold_t, 0);
+
+	g_array_remove_index(fixture->holds, 0);
+	hold.cb(hold.ctx, answer);
+}
+
+/** Answers the pending holds to a later leadership, which ignores them. */
 static void tear_down(mt_engine_fixture_t *fixture)
 {
+	mt_backend_answer_t none = {.result = MT_COMMAND_UNKNOWN};
+
+	fixture->engine->generation++;
+	while (fixture->holds->len)
+		answer_hold(fixture, &none);
+	g_array_unref(fixture->holds);
 	g_hash_table_destroy(fixture->engine->jobs);
 	g_hash_table_destroy(fixture->engine->backends);
 	g_ptr_array_unref(fixture->engine->flushes);
@@ -436,7 +475,151 @@
 	tear_down(&fixture);
 }
 
+/** Runs the timers of the fixture for `ms`, which is a multiple of 100. */
+static void advance(mt_engine_fixture_t *fixture, mt_ms_t ms)
+{
+	for (mt_ms_t i = 0; i < ms; i += 100)
+		mt_timers_advance(fixture->timers,
+				  mt_timers_now(fixture->timers) + 100);
+}
+
+/** Places a running task on the first server. */
+static mt_dag_task_t *add_running_task(mt_engine_fixture_t *fixture)
+{
+	mt_dag_task_t *task = &add_job(fixture, 1, 2, 1)->steps[0].tasks[0];
+
+	mt_dag_task_place(task, fixture->servers[0], 1, 9000);
+	task->placement_stored = true;
+	task->phase = MT_TASK_PHASE_RUNNING;
+	task->start_settled_at = 9000;
+	return task;
+}
+
+/** An answer to a hold that reports the successful end of the task's run. */
+static mt_backend_answer_t success_of(const mt_dag_task_t *task,
+				      mt_ended_run_t *ended)
+{
+	mt_backend_answer_t answer = {.result = MT_COMMAND_DONE};
+
+	*ended = (mt_ended_run_t){
+		1, mt_dag_task_key(task), task->run, MT_END_DONE, {0}};
+	answer.ended = ended;
+	answer.n_ended = 1;
+	return answer;
+}
+
+/**
+ * Pattern: the network between the leader and a server is slow. The answer to a
+ * hold comes after the next hold was sent. It still counts, as the server may
+ * consider the ended run as known.
+ */
+static void a_late_answer_to_a_hold_counts(void)
+{
+	mt_engine_fixture_t fixture;
+	mt_dag_task_t *task;
+	mt_ended_run_t ended;
+	mt_backend_answer_t answer;
+
+	set_up(&fixture);
+	task = add_running_task(&fixture);
+	mt_commands_hold(fixture.engine, fixture.servers[0]);
+	CU_ASSERT_EQUAL(fixture.holds->len, 1);
+	advance(&fixture, 1500);
+	CU_ASSERT_EQUAL(fixture.holds->len, 2);
+	CU_ASSERT_EQUAL(fixture.servers[0]->n_overdue_holds, 1);
+	answer = success_of(task, &ended);
+	answer_hold(&fixture, &answer);
+	CU_ASSERT_EQUAL(task->phase, MT_TASK_PHASE_DONE);
+	CU_ASSERT_EQUAL(fixture.servers[0]->n_overdue_holds, 0);
+	CU_ASSERT_TRUE(fixture.servers[0]->n_failed_holds > 0);
+	tear_down(&fixture);
+}
+
+/**
+ * The answer to an earlier hold is overtaken by that to a later one. It lists
+ * no run, as it was made before the start; the run must not count as lost.
+ */
+static void an_overtaken_report_gives_no_run_up(void)
+{
+	mt_engine_fixture_t fixture;
+	mt_dag_task_t *task;
+	mt_backend_answer_t answer = {.result = MT_COMMAND_DONE};
+	mt_active_run_t active = {0};
+	mt_pending_hold_t first;
+
+	set_up(&fixture);
+	task = add_running_task(&fixture);
+	mt_commands_hold(fixture.engine, fixture.servers[0]);
+	advance(&fixture, 1500);
+	CU_ASSERT_EQUAL_FATAL(fixture.holds->len, 2);
+	first = g_array_index(fixture.holds, mt_pending_hold_t, 0);
+	g_array_remove_index(fixture.holds, 0);
+	active.task = mt_dag_task_key(task);
+	active.run = 1;
+	answer.active_runs = &active;
+	answer.n_active_runs = 1;
+	answer_hold(&fixture, &answer);
+	answer.n_active_runs = 0;
+	first.cb(first.ctx, &answer);
+	CU_ASSERT_EQUAL(task->phase, MT_TASK_PHASE_RUNNING);
+	CU_ASSERT_PTR_EQUAL(task->server, fixture.servers[0]);
+	tear_down(&fixture);
+}
+
+/**
+ * A server is silent, but the platform lists it as alive. Its run may have
+ * ended successfully, so that it is kept for a while after its lease.
+ */
+static void a_listed_server_keeps_its_runs_longer(void)
+{
+	mt_engine_fixture_t fixture;
+	mt_dag_task_t *task;
+
+	set_up(&fixture);
+	task = add_running_task(&fixture);
+	fixture.servers[0]->leases_expire_at = 10000;
+	mt_commands_tick(fixture.engine, fixture.servers[0]);
+	CU_ASSERT_EQUAL(task->phase, MT_TASK_PHASE_RUNNING);
+	fixture.servers[0]->listed = false;
+	mt_commands_tick(fixture.engine, fixture.servers[0]);
+	CU_ASSERT_EQUAL(task->phase, MT_TASK_PHASE_WAITING);
+	tear_down(&fixture);
+}
+
+/**
+ * After a failed hold the server may have restarted under the same id. It then
+ * numbers its ended runs anew, so that none may be deleted yet.
+ */
+static void a_hold_after_a_failed_one_deletes_no_ends(void)
+{
+	mt_engine_fixture_t fixture;
+	mt_backend_answer_t reset = {.result = MT_COMMAND_UNKNOWN};
+
+	set_up(&fixture);
+	add_running_task(&fixture);
+	fixture.servers[0]->last_end_handled = 57;
+	fixture.servers[0]->last_end_stored = 57;
+	mt_commands_hold(fixture.engine, fixture.servers[0]);
+	CU_ASSERT_EQUAL(g_array_index(fixture.holds, mt_pending_hold_t, 0)
+				.command.last_seen,
+			57);
+	answer_hold(&fixture, &reset);
+	advance(&fixture, 1000);
+	CU_ASSERT_EQUAL_FATAL(fixture.holds->len, 1);
+	CU_ASSERT_EQUAL(g_array_index(fixture.holds, mt_pending_hold_t, 0)
+				.command.last_seen,
+			0);
+	tear_down(&fixture);
+}
+
 const mt_test_t mt_engine_tests[] = {
+	{"a late answer to a hold counts", a_late_answer_to_a_hold_counts},
+	{"an overtaken report gives no run up",
+	 an_overtaken_report_gives_no_run_up},
+	{"a listed server keeps its runs longer",
+	 a_listed_server_keeps_its_runs_longer},
+	{"a hold after a failed one deletes no ends",
+	 a_hold_after_a_failed_one_deletes_no_ends},
 	{"a gang is stopped as a whole", a_gang_is_stopped_as_a_whole},
 	{"an unsent gang waits again as a whole",
 	 an_unsent_gang_waits_again_as_a_whole},
