--- a/lib/dag/dag.pb-c.c
+++ b/lib/dag/dag.pb-c.c
@@ -322,6 +322,141 @@
   assert(message->base.descriptor == &mt_dag__host__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mt_dag__standby__init
+                     (MtDag__Standby         *message)
+{
+  static const MtDag__Standby init_value = MT_DAG__STANDBY__INIT;
+  *message = init_value;
+}
+size_t mt_dag__standby__get_packed_size
+                     (const MtDag__Standby *message)
+{
+  assert(message->base.descriptor == &mt_dag__standby__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mt_dag__standby__pack
+                     (const MtDag__Standby *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mt_dag__standby__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mt_dag__standby__pack_to_buffer
+                     (const MtDag__Standby *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mt_dag__standby__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+MtDag__Standby *
+       mt_dag__standby__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (MtDag__Standby *)
+     protobuf_c_message_unpack (&mt_dag__standby__descriptor,
+                                allocator, len, data);
+}
+void   mt_dag__standby__free_unpacked
+                     (MtDag__Standby *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mt_dag__standby__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mt_dag__peer_call__init
+                     (MtDag__PeerCall         *message)
+{
+  static const MtDag__PeerCall init_value = MT_DAG__PEER_CALL__INIT;
+  *message = init_value;
+}
+size_t mt_dag__peer_call__get_packed_size
+                     (const MtDag__PeerCall *message)
+{
+  assert(message->base.descriptor == &mt_dag__peer_call__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mt_dag__peer_call__pack
+                     (const MtDag__PeerCall *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mt_dag__peer_call__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mt_dag__peer_call__pack_to_buffer
+                     (const MtDag__PeerCall *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mt_dag__peer_call__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+MtDag__PeerCall *
+       mt_dag__peer_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (MtDag__PeerCall *)
+     protobuf_c_message_unpack (&mt_dag__peer_call__descriptor,
+                                allocator, len, data);
+}
+void   mt_dag__peer_call__free_unpacked
+                     (MtDag__PeerCall *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mt_dag__peer_call__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mt_dag__peer_reply__init
+                     (MtDag__PeerReply         *message)
+{
+  static const MtDag__PeerReply init_value = MT_DAG__PEER_REPLY__INIT;
+  *message = init_value;
+}
+size_t mt_dag__peer_reply__get_packed_size
+                     (const MtDag__PeerReply *message)
+{
+  assert(message->base.descriptor == &mt_dag__peer_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mt_dag__peer_reply__pack
+                     (const MtDag__PeerReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mt_dag__peer_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mt_dag__peer_reply__pack_to_buffer
+                     (const MtDag__PeerReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mt_dag__peer_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+MtDag__PeerReply *
+       mt_dag__peer_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (MtDag__PeerReply *)
+     protobuf_c_message_unpack (&mt_dag__peer_reply__descriptor,
+                                allocator, len, data);
+}
+void   mt_dag__peer_reply__free_unpacked
+                     (MtDag__PeerReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mt_dag__peer_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor mt_dag__step__field_descriptors[18] =
 {
   {
@@ -1019,7 +1154,7 @@
   (ProtobufCMessageInit) mt_dag__progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mt_dag__leader__field_descriptors[4] =
+static const ProtobufCFieldDescriptor mt_dag__leader__field_descriptors[6] =
 {
   {
     "host",
@@ -1069,17 +1204,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "address",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__Leader, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "port",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__Leader, port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mt_dag__leader__field_indices_by_name[] = {
+  4,   /* field[4] = address */
   0,   /* field[0] = host */
   1,   /* field[1] = incarnation */
+  5,   /* field[5] = port */
   3,   /* field[3] = released */
   2,   /* field[2] = term */
 };
 static const ProtobufCIntRange mt_dag__leader__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor mt_dag__leader__descriptor =
 {
@@ -1089,7 +1250,7 @@
   "MtDag__Leader",
   "mt_dag",
   sizeof(MtDag__Leader),
-  4,
+  6,
   mt_dag__leader__field_descriptors,
   mt_dag__leader__field_indices_by_name,
   1,  mt_dag__leader__number_ranges,
@@ -1147,6 +1308,211 @@
   (ProtobufCMessageInit) mt_dag__host__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor mt_dag__standby__field_descriptors[4] =
+{
+  {
+    "incarnation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__Standby, incarnation),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "released",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__Standby, released),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__Standby, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "port",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__Standby, port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mt_dag__standby__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  0,   /* field[0] = incarnation */
+  3,   /* field[3] = port */
+  1,   /* field[1] = released */
+};
+static const ProtobufCIntRange mt_dag__standby__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor mt_dag__standby__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mt_dag.Standby",
+  "Standby",
+  "MtDag__Standby",
+  "mt_dag",
+  sizeof(MtDag__Standby),
+  4,
+  mt_dag__standby__field_descriptors,
+  mt_dag__standby__field_indices_by_name,
+  1,  mt_dag__standby__number_ranges,
+  (ProtobufCMessageInit) mt_dag__standby__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mt_dag__peer_call__field_descriptors[3] =
+{
+  {
+    "verb",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__PeerCall, verb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__PeerCall, job),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queue",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__PeerCall, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mt_dag__peer_call__field_indices_by_name[] = {
+  1,   /* field[1] = job */
+  2,   /* field[2] = queue */
+  0,   /* field[0] = verb */
+};
+static const ProtobufCIntRange mt_dag__peer_call__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor mt_dag__peer_call__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mt_dag.PeerCall",
+  "PeerCall",
+  "MtDag__PeerCall",
+  "mt_dag",
+  sizeof(MtDag__PeerCall),
+  3,
+  mt_dag__peer_call__field_descriptors,
+  mt_dag__peer_call__field_indices_by_name,
+  1,  mt_dag__peer_call__number_ranges,
+  (ProtobufCMessageInit) mt_dag__peer_call__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mt_dag__peer_reply__field_descriptors[3] =
+{
+  {
+    "outcome",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__PeerReply, outcome),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__PeerReply, state),
+    &mt_dag__state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pending",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__PeerReply, pending),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mt_dag__peer_reply__field_indices_by_name[] = {
+  0,   /* field[0] = outcome */
+  2,   /* field[2] = pending */
+  1,   /* field[1] = state */
+};
+static const ProtobufCIntRange mt_dag__peer_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor mt_dag__peer_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mt_dag.PeerReply",
+  "PeerReply",
+  "MtDag__PeerReply",
+  "mt_dag",
+  sizeof(MtDag__PeerReply),
+  3,
+  mt_dag__peer_reply__field_descriptors,
+  mt_dag__peer_reply__field_indices_by_name,
+  1,  mt_dag__peer_reply__number_ranges,
+  (ProtobufCMessageInit) mt_dag__peer_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue mt_dag__state__enum_values_by_number[5] =
 {
   { "QUEUED", "MT_DAG__STATE__QUEUED", 0 },
--- a/lib/dag/dag.pb-c.h
+++ b/lib/dag/dag.pb-c.h
@@ -22,6 +22,9 @@
 typedef struct MtDag__Progress MtDag__Progress;
 typedef struct MtDag__Leader MtDag__Leader;
 typedef struct MtDag__Host MtDag__Host;
+typedef struct MtDag__Standby MtDag__Standby;
+typedef struct MtDag__PeerCall MtDag__PeerCall;
+typedef struct MtDag__PeerReply MtDag__PeerReply;
 
 
 /* --- enums --- */
@@ -38,41 +41,82 @@
 /* --- messages --- */
 
 /*
- * One step of a job: `count` equal tasks.
+ * One step of a job: `count` identical tasks. The resources are those that one
+ * task requires.
  */
 struct  MtDag__Step
 {
   ProtobufCMessage base;
   uint32_t count;
+  /*
+   * thousandths of a core
+   */
   uint32_t cpu_milli;
   uint32_t mem_mb;
+  /*
+   * number of accelerators
+   */
   uint32_t gpu;
+  /*
+   * estimated time from start to end of a task
+   */
   uint32_t estimate_ms;
   /*
-   * indices of steps that must be done first
+   * indices of the steps that this one depends on
    */
   size_t n_after;
   uint32_t *after;
+  /*
+   * tasks start and stop together
+   */
   protobuf_c_boolean gang;
+  /*
+   * all tasks should be in one rack (a preference)
+   */
   protobuf_c_boolean same_rack;
+  /*
+   * tasks can resume from a checkpoint
+   */
   protobuf_c_boolean checkpointing;
   /*
-   * the server must carry it; empty: any
+   * required label of the server; empty: any
    */
   char *label;
   /*
-   * rack that holds the data; empty: any
+   * Preferred rack, which holds the input data; empty: none.
    */
   char *data_rack;
   /*
-   * 0: no limit
+   * maximum tasks on one server; 0: no limit
    */
   uint32_t per_server_max;
+  /*
+   * Field "speculative" of the submission; stored, but not read by the
+   * scheduler.
+   */
   protobuf_c_boolean speculative;
+  /*
+   * Long-running tasks: they may fail any number of times, and are not
+   * preempted.
+   */
   protobuf_c_boolean lasting;
+  /*
+   * Field "image" of the submission; stored, but not read by the scheduler.
+   */
   char *image;
+  /*
+   * Latency target of the requests that the tasks serve; 0: none. Tasks with a
+   * target do not share a server with fillers. Not related to Job.target_ms.
+   */
   uint32_t target_ms;
+  /*
+   * filler: uses only cores that other tasks leave idle
+   */
   protobuf_c_boolean fills;
+  /*
+   * Allowed misses of `target_ms`, as submitted in miss_allowed; stored, but
+   * not read by the scheduler.
+   */
   uint32_t misses_allowed;
 };
 #define MT_DAG__STEP__INIT \
@@ -81,7 +125,7 @@
 
 
 /*
- * An accepted job, as its caller posted it.
+ * An accepted job: the submission, and the settings of its queue at that time.
  */
 struct  MtDag__Job
 {
@@ -93,20 +137,29 @@
   size_t n_steps;
   MtDag__Step **steps;
   /*
-   * Unix time of the first occurrence; 0: at once
+   * Unix time of the first occurrence; 0: immediately
    */
   int64_t start_at_ms;
+  /*
+   * time from one occurrence to the next
+   */
   int64_t interval_ms;
   /*
-   * number of occurrences; 0: one without a time
+   * number of occurrences; 0 counts as 1
    */
   uint32_t repeat;
   /*
-   * of the queue, should the queue be dropped
+   * service of the queue, in case the queue is removed
    */
   char *service;
   uint32_t priority;
   uint32_t attempts_max;
+  /*
+   * Objective: a job should be completed within its critical path *
+   * slack_permille / 1000 + target_ms. These two are copied from
+   * mt_queue_t.slack_factor and mt_queue_t.objective_extra_ms. The latter is
+   * not related to Step.target_ms.
+   */
   uint32_t slack_permille;
   uint32_t target_ms;
 };
@@ -116,7 +169,8 @@
 
 
 /*
- * Progress of one step of one occurrence. The lists hold one value a task.
+ * Progress of one step of one occurrence. Each repeated field has one value per
+ * task.
  */
 struct  MtDag__StepProgress
 {
@@ -124,20 +178,23 @@
   uint32_t occurrence;
   uint32_t step;
   /*
-   * mt_dag_phase_t
+   * mt_task_phase_t
    */
   size_t n_phase;
   uint32_t *phase;
   /*
-   * number of the last start
+   * number of the last run; 0: never placed
    */
   size_t n_run;
   uint32_t *run;
   /*
-   * index into Progress.servers, plus one
+   * 1 + index into Progress.servers; 0: none
    */
   size_t n_server;
   uint32_t *server;
+  /*
+   * failed runs that count towards attempts_max
+   */
   size_t n_fails;
   uint32_t *fails;
 };
@@ -147,12 +204,18 @@
 
 
 /*
- * A server on which tasks of a job were placed, in one lifetime.
+ * Element of Progress.servers: a server process on which tasks of the job are
+ * placed. StepProgress.server refers to it by its index. C variables of this
+ * type are called "server_entry", as "placement" has another meaning in the C
+ * code: the assignment of one task to a server.
  */
 struct  MtDag__Placement
 {
   ProtobufCMessage base;
   char *server;
+  /*
+   * Unix time of the start of the server process; 0: unknown
+   */
   int64_t born_ms;
 };
 #define MT_DAG__PLACEMENT__INIT \
@@ -161,7 +224,7 @@
 
 
 /*
- * Everything the scheduler must know of a job after a takeover.
+ * State from which a new leader resumes a job.
  */
 struct  MtDag__Progress
 {
@@ -173,7 +236,7 @@
   size_t n_steps;
   MtDag__StepProgress **steps;
   /*
-   * a task has started
+   * a task of the job has started
    */
   protobuf_c_boolean begun;
 };
@@ -183,33 +246,44 @@
 
 
 /*
- * Who schedules. The term is the offset of the first record of a leader.
+ * The leader, that is the host that runs the scheduler. In the first record of
+ * a leader, `term` is the offset of that record in the topic plus one. The
+ * record is appended only on the condition that it gets this offset, see
+ * claim() in leadership.c. The leader's later records repeat this term.
  */
 struct  MtDag__Leader
 {
   ProtobufCMessage base;
   char *host;
+  /*
+   * id of the host process; a restart changes it
+   */
   char *incarnation;
   uint64_t term;
   /*
-   * the leader stops; any host may take over at once
+   * the leadership is given up; any host may claim it
    */
   protobuf_c_boolean released;
+  /*
+   * IP address and port for calls of other hosts
+   */
+  char *address;
+  uint32_t port;
 };
 #define MT_DAG__LEADER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mt_dag__leader__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
- * An entry host, written when its process starts.
+ * A host; written when its process starts.
  */
 struct  MtDag__Host
 {
   ProtobufCMessage base;
   char *name;
   /*
-   * thousandths of a core that it may use
+   * thousandths of a core available to the process
    */
   uint32_t cores_milli;
 };
@@ -218,6 +292,72 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * A standby: a host that reads all records of jobs, so that it can answer calls
+ * about them and become the leader without a delay. Written repeatedly while the
+ * host is a standby.
+ */
+struct  MtDag__Standby
+{
+  ProtobufCMessage base;
+  /*
+   * id of the host process
+   */
+  char *incarnation;
+  /*
+   * the host is no longer a standby
+   */
+  protobuf_c_boolean released;
+  /*
+   * IP address and port for calls of other hosts
+   */
+  char *address;
+  uint32_t port;
+};
+#define MT_DAG__STANDBY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mt_dag__standby__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * A call about a job or a queue that one host passes on to another.
+ */
+struct  MtDag__PeerCall
+{
+  ProtobufCMessage base;
+  /*
+   * mt_verb_t
+   */
+  uint32_t verb;
+  uint64_t job;
+  /*
+   * empty: the call is about the job
+   */
+  char *queue;
+};
+#define MT_DAG__PEER_CALL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mt_dag__peer_call__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string }
+
+
+/*
+ * The answer to a PeerCall.
+ */
+struct  MtDag__PeerReply
+{
+  ProtobufCMessage base;
+  /*
+   * mt_front_outcome_t
+   */
+  uint32_t outcome;
+  MtDag__State state;
+  uint32_t pending;
+};
+#define MT_DAG__PEER_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mt_dag__peer_reply__descriptor) \
+    , 0, MT_DAG__STATE__QUEUED, 0 }
+
+
 /* MtDag__Step methods */
 void   mt_dag__step__init
                      (MtDag__Step         *message);
@@ -351,6 +491,63 @@
 void   mt_dag__host__free_unpacked
                      (MtDag__Host *message,
                       ProtobufCAllocator *allocator);
+/* MtDag__Standby methods */
+void   mt_dag__standby__init
+                     (MtDag__Standby         *message);
+size_t mt_dag__standby__get_packed_size
+                     (const MtDag__Standby   *message);
+size_t mt_dag__standby__pack
+                     (const MtDag__Standby   *message,
+                      uint8_t             *out);
+size_t mt_dag__standby__pack_to_buffer
+                     (const MtDag__Standby   *message,
+                      ProtobufCBuffer     *buffer);
+MtDag__Standby *
+       mt_dag__standby__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mt_dag__standby__free_unpacked
+                     (MtDag__Standby *message,
+                      ProtobufCAllocator *allocator);
+/* MtDag__PeerCall methods */
+void   mt_dag__peer_call__init
+                     (MtDag__PeerCall         *message);
+size_t mt_dag__peer_call__get_packed_size
+                     (const MtDag__PeerCall   *message);
+size_t mt_dag__peer_call__pack
+                     (const MtDag__PeerCall   *message,
+                      uint8_t             *out);
+size_t mt_dag__peer_call__pack_to_buffer
+                     (const MtDag__PeerCall   *message,
+                      ProtobufCBuffer     *buffer);
+MtDag__PeerCall *
+       mt_dag__peer_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mt_dag__peer_call__free_unpacked
+                     (MtDag__PeerCall *message,
+                      ProtobufCAllocator *allocator);
+/* MtDag__PeerReply methods */
+void   mt_dag__peer_reply__init
+                     (MtDag__PeerReply         *message);
+size_t mt_dag__peer_reply__get_packed_size
+                     (const MtDag__PeerReply   *message);
+size_t mt_dag__peer_reply__pack
+                     (const MtDag__PeerReply   *message,
+                      uint8_t             *out);
+size_t mt_dag__peer_reply__pack_to_buffer
+                     (const MtDag__PeerReply   *message,
+                      ProtobufCBuffer     *buffer);
+MtDag__PeerReply *
+       mt_dag__peer_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mt_dag__peer_reply__free_unpacked
+                     (MtDag__PeerReply *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*MtDag__Step_Closure)
@@ -374,6 +571,15 @@
 typedef void (*MtDag__Host_Closure)
                  (const MtDag__Host *message,
                   void *closure_data);
+typedef void (*MtDag__Standby_Closure)
+                 (const MtDag__Standby *message,
+                  void *closure_data);
+typedef void (*MtDag__PeerCall_Closure)
+                 (const MtDag__PeerCall *message,
+                  void *closure_data);
+typedef void (*MtDag__PeerReply_Closure)
+                 (const MtDag__PeerReply *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -388,6 +594,9 @@
 extern const ProtobufCMessageDescriptor mt_dag__progress__descriptor;
 extern const ProtobufCMessageDescriptor mt_dag__leader__descriptor;
 extern const ProtobufCMessageDescriptor mt_dag__host__descriptor;
+extern const ProtobufCMessageDescriptor mt_dag__standby__descriptor;
+extern const ProtobufCMessageDescriptor mt_dag__peer_call__descriptor;
+extern const ProtobufCMessageDescriptor mt_dag__peer_reply__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/lib/dag/election.c
+++ b/lib/dag/election.c
@@ -15,8 +15,8 @@
 /**
  * After the store has not answered for longer than this, the absence of records
  * of the leader does not show that the leader is lost. Longer than the timeout
- * of the long polls for records (RECORDS_WAIT_MS in host.c), which is how long
- * an answer may take when there are no new records.
+ * of the long polls for records (RECORDS_WAIT_MS in leadership.c), which is how
+ * long an answer may take when there are no new records.
  */
 #define STORE_GAP_MS 1600u
 
@@ -36,6 +36,12 @@
  */
 #define SMALLER_HOST_WAIT_MS 600u
 
+/**
+ * Extra delay of the claims of a host without a copy of the records of jobs, so
+ * that a standby claims first, which can lead at once.
+ */
+#define LACKS_RECORDS_WAIT_MS 300u
+
 void mt_election_init(mt_election_t *election, const mt_name_t *host,
 		      const mt_name_t *incarnation, uint32_t cores_milli,
 		      mt_ms_t now)
@@ -57,6 +63,8 @@
 	election->leader = mt_name(leader->incarnation);
 	election->leader_host = mt_name(leader->host);
 	election->released = leader->released;
+	election->endpoint = (mt_endpoint_t){mt_name(leader->address),
+					     (uint16_t)leader->port};
 	election->claim_wait_start = now;
 }
 
@@ -74,11 +82,6 @@
 	       host->cores_milli > election->cores_milli;
 }
 
-void mt_election_on_leader_activity(mt_election_t *election, mt_ms_t now)
-{
-	election->claim_wait_start = now;
-}
-
 void mt_election_on_read(mt_election_t *election, mt_ms_t now)
 {
 	if (now - election->store_answered_at > STORE_GAP_MS)
@@ -122,6 +125,8 @@
 		wait = NO_LEADER_WAIT_MS;
 	if (election->cores_milli < election->largest_cores_milli)
 		wait += SMALLER_HOST_WAIT_MS;
+	if (election->lacks_records)
+		wait += LACKS_RECORDS_WAIT_MS;
 	return now - election->claim_wait_start >=
 	       wait + election->claim_delay_ms;
 }
--- a/lib/dag/election.h
+++ b/lib/dag/election.h
@@ -22,11 +22,12 @@
 	mt_name_t leader;      /**< incarnation of the leader; empty: none */
 	mt_name_t leader_host; /**< host name of the leader */
 	uint64_t term;
-	bool released; /**< the leader has given up the leadership */
+	bool released;		/**< the leader has given up the leadership */
+	mt_endpoint_t endpoint; /**< where the leader takes calls of hosts */
 	/** Local time at which the wait before a claim starts. Set by
-	 * mt_election_init(), whenever a leader record or progress record is
-	 * read, and when the store answers again after a gap. Used whether or
-	 * not there is a leader. */
+	 * mt_election_init(), whenever a leader record is read, and when the
+	 * store answers again after a gap. Used whether or not there is a
+	 * leader. */
 	mt_ms_t claim_wait_start;
 	/** Local time at which the store last answered a read; at first, that
 	 * of mt_election_init(). */
@@ -35,6 +36,9 @@
 	 * by host.c. */
 	mt_ms_t claim_delay_ms;
 	mt_ms_t claim_after; /**< no claim before this local time */
+	/** This host has no copy of the records of jobs, and would have to read
+	 * them before it could lead. */
+	bool lacks_records;
 } mt_election_t;
 
 void mt_election_init(mt_election_t *election, const mt_name_t *host,
@@ -59,12 +63,6 @@
 void mt_election_on_leader(mt_election_t *election, const MtDag__Leader *leader,
 			   mt_ms_t now);
 
-/**
- * To be called for each progress record read. Only the leader writes progress
- * records, so that a new one shows that the leader is alive.
- */
-void mt_election_on_leader_activity(mt_election_t *election, mt_ms_t now);
-
 /**
  * To be called when the store has answered a read. After a gap of more than
  * STORE_GAP_MS (election.c) between answers, the wait before a claim starts
--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -2,15 +2,8 @@
 #include "dag/engine_internal.h"
 
 /**
- * At the first tick after this time without a write, the leader writes a
- * heartbeat, unless a write is in progress. Each write shows other hosts that
- * the leader is alive.
- */
-#define HEARTBEAT_MS 300u
-
-/**
- * Interval of the ticks. At a tick, the leader repeats commands, moves runs,
- * writes a heartbeat and deletes records of ended jobs, each where necessary.
+ * Interval of the ticks. At a tick, the leader repeats commands, moves runs and
+ * deletes records of ended jobs, each where necessary.
  */
 #define TICK_MS 100u
 
@@ -251,50 +244,6 @@
 		cancel_job(engine, job);
 }
 
-/* Leader record. */
-
-/**
- * Writes the leader record, which shows other hosts that the leader is alive
- * or, if `released` is set, that the leadership is given up.
- */
-static void write_leader(mt_engine_t *engine, bool released, mt_writer_cb cb,
-			 void *ctx)
-{
-	MtDag__Leader leader = MT_DAG__LEADER__INIT;
-	mt_record_key_t key = mt_record_key(MT_RECORD_LEADER, 0);
-	GBytes *bytes;
-
-	leader.host = engine->deps.host.text;
-	leader.incarnation = engine->deps.incarnation.text;
-	leader.term = engine->term;
-	leader.released = released;
-	bytes = mt_dag_pack(&leader.base);
-	mt_writer_add(engine->writer, mt_str_from(key.text),
-		      mt_bytes_view(bytes));
-	g_bytes_unref(bytes);
-	engine->last_write_at = mt_engine_now(engine);
-	mt_writer_commit(engine->writer, true, cb, ctx);
-}
-
-static void on_heartbeat_stored(void *ctx, mt_store_result_t result)
-{
-	mt_engine_t *engine = ctx;
-
-	if (result != MT_STORE_DONE)
-		mt_engine_step_down(engine);
-}
-
-/**
- * Writes the leader record, as a heartbeat, if no write was begun for
- * HEARTBEAT_MS and no write is in progress.
- */
-static void store_heartbeat(mt_engine_t *engine)
-{
-	if (mt_engine_now(engine) - engine->last_write_at >= HEARTBEAT_MS &&
-	    !mt_writer_n_pending(engine->writer))
-		write_leader(engine, false, on_heartbeat_stored, engine);
-}
-
 /* Scheduling passes and ticks. */
 
 static void run_pass(void *ctx)
@@ -339,7 +288,6 @@
 		mt_commands_tick(engine, value);
 		mt_relocation_tick(engine, value);
 	}
-	store_heartbeat(engine);
 	mt_sweep_ended(engine);
 	mt_engine_request_pass(engine);
 }
@@ -352,7 +300,7 @@
 	mt_directory_watcher_t server_watcher = {engine, on_server,
 						 on_server_unlisted};
 	/* The first sequence number is 1: this producer and epoch have used 0
-	 * for the claim of the leadership. */
+	 * for the record that begins the term, see write_fence() in host.c. */
 	mt_writer_deps_t writer_deps = {engine->deps.kernel,
 					engine->deps.store,
 					MT_RECORDS_TOPIC,
@@ -367,7 +315,6 @@
 	engine->generation++;
 	engine->term = term;
 	engine->leading_since = mt_engine_now(engine);
-	engine->last_write_at = engine->leading_since;
 	engine->writer = mt_writer_new(&writer_deps);
 	mt_table_each(engine->deps.table, add_job, engine);
 	mt_table_watch(engine->deps.table, &job_watcher);
@@ -400,35 +347,3 @@
 	g_hash_table_remove_all(engine->jobs);
 	g_hash_table_remove_all(engine->backends);
 }
-
-/** A release of the leadership that is being stored. */
-typedef struct mt_release_t {
-	mt_engine_t *engine;
-	mt_timer_cb cb;
-	void *ctx;
-} mt_release_t;
-
-static void on_released(void *ctx, mt_store_result_t result)
-{
-	mt_release_t *release = ctx;
-
-	mt_kernel_event(release->engine->deps.kernel, "office_released",
-			"\"result\":%d", result);
-	mt_engine_step_down(release->engine);
-	release->cb(release->ctx);
-	g_free(release);
-}
-
-void mt_engine_release_leadership(mt_engine_t *engine, mt_timer_cb cb,
-				  void *ctx)
-{
-	mt_release_t *release;
-
-	if (!engine->leading)
-		return;
-	release = g_new0(mt_release_t, 1);
-	release->engine = engine;
-	release->cb = cb;
-	release->ctx = ctx;
-	write_leader(engine, true, on_released, release);
-}
--- a/lib/dag/engine.h
+++ b/lib/dag/engine.h
@@ -34,12 +34,11 @@
 	const mt_advice_port_t *advice; /**< NULL: no policy service */
 	mt_table_t *table;
 	mt_directory_t *directory;
-	mt_name_t host;	       /**< name of this host */
-	mt_name_t incarnation; /**< id of this process; a restart changes it */
 	mt_engine_timing_t timings;
 	/** Returns the Unix time in milliseconds. */
 	int64_t (*wall_ms)(void);
-	/** Age of this host's copy of the records, see mt_follower_age(). */
+	/** Age of this host's copy of the records of jobs and leaders: the
+	 * higher of both, see mt_follower_age(). */
 	mt_ms_t (*records_age_ms)(void *ctx);
 	void *records_age_ctx;
 } mt_engine_deps_t;
@@ -63,15 +62,6 @@
 /** Stops scheduling and sending commands after the leadership is lost. */
 void mt_engine_step_down(mt_engine_t *engine);
 
-/**
- * Stores a record that gives up the leadership, then stops scheduling and calls
- * `cb`. Does nothing, and does not call `cb`, if this host is not leading. `cb`
- * is not called either if the engine steps down before the record is stored. No
- * timer is involved, although `cb` has the type of a timer callback.
- */
-void mt_engine_release_leadership(mt_engine_t *engine, mt_timer_cb cb,
-				  void *ctx);
-
 bool mt_engine_is_leading(const mt_engine_t *engine);
 
 #endif
--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -42,9 +42,6 @@
 	mt_survival_t survival;
 	mt_ms_t pass_started_at; /**< start of the last scheduling pass */
 	mt_ms_t last_sweep_at;	 /**< time of the last sweep, see sweep.c */
-	/** Time at which the last write of job progress or of a leader record
-	 * (heartbeat or release of the leadership) was begun. */
-	mt_ms_t last_write_at;
 };
 
 /**
--- a/lib/dag/flush.c
+++ b/lib/dag/flush.c
@@ -227,6 +227,5 @@
 		return;
 	}
 	collect_ends(engine, flush);
-	engine->last_write_at = mt_engine_now(engine);
 	mt_writer_commit(engine->writer, true, on_flushed, flush);
 }
--- a/lib/dag/front.c
+++ b/lib/dag/front.c
@@ -15,9 +15,9 @@
 #define REPLY_MARGIN_MS 200u
 
 /**
- * The host is not ready when its copy of the records or of the configuration is
- * older than this. The age may reach twice the timeout of the long polls
- * (RECORDS_WAIT_MS and CONFIG_WAIT_MS in host.c) while the store answers.
+ * The host is not ready when its copy of the configuration is older than this.
+ * The age may reach twice the timeout of the long polls (CONFIG_WAIT_MS in
+ * host.c) while the store answers.
  */
 #define READY_AGE_MAX_MS 2500u
 
@@ -42,13 +42,21 @@
 /** Delay after which a client is told to repeat a call that was not done. */
 #define RETRY_AFTER_S 1u
 
+/**
+ * Delay before a call is passed on again after all hosts with the records have
+ * failed to reply, for example while there is no leader.
+ */
+#define FORWARD_RETRY_MS 100u
+
 struct mt_dag_front_t {
 	mt_dag_front_deps_t deps;
+	/** Reads the records of jobs; NULL: this host does not read them. */
+	mt_follower_t *records_follower;
 	const mt_catalog_t *catalog;
 	unsigned open_calls; /**< number of calls not replied to yet */
 };
 
-/** An operation: a call that waits for a read or write of the store. */
+/** An operation: a call that waits for the store or for another host. */
 typedef struct mt_front_op_t {
 	mt_dag_front_t *front;
 	mt_front_cb cb; /**< NULL after the call has been replied to */
@@ -57,6 +65,15 @@
 	uint64_t job;
 	mt_verb_t verb;
 	mt_ms_t started_at; /**< local time of the call */
+	/** A job that is shown must be read up to the time of the call: the
+	 * call comes from another host, whose clients may have been shown a
+	 * later state. */
+	bool exact;
+	/* Of a call that is passed on to another host. */
+	mt_name_t queue;    /**< of a call about a queue; empty otherwise */
+	bool forwarded;	    /**< the call is passed on */
+	unsigned next_peer; /**< index of the next host in the list of hosts */
+	bool maybe_done;    /**< an attempt to cancel got no reply */
 } mt_front_op_t;
 
 mt_dag_front_t *mt_dag_front_new(const mt_dag_front_deps_t *deps)
@@ -90,10 +107,19 @@
 
 bool mt_dag_front_is_ready(const mt_dag_front_t *front)
 {
-	return config_is_recent(front, READY_AGE_MAX_MS) &&
-	       mt_follower_has_snapshot(front->deps.records_follower) &&
-	       mt_follower_age(front->deps.records_follower) <=
-		       READY_AGE_MAX_MS;
+	return config_is_recent(front, READY_AGE_MAX_MS);
+}
+
+void mt_dag_front_set_records(mt_dag_front_t *front, mt_follower_t *follower)
+{
+	front->records_follower = follower;
+}
+
+/** True when this host has the records of all jobs. */
+static bool has_records(const mt_dag_front_t *front)
+{
+	return front->records_follower &&
+	       mt_follower_has_snapshot(front->records_follower);
 }
 
 static void reply_now(mt_front_cb cb, void *ctx, mt_front_outcome_t outcome)
@@ -107,20 +133,36 @@
 /* Calls that wait for the store. */
 
 /**
- * Replies with `outcome` and logs the event call_answered, unless the call was
- * replied to before.
+ * Gives the reply to the client, unless the call was replied to before.
+ * @return false when the call was replied to before
  */
-static void reply_op(mt_front_op_t *op, mt_front_outcome_t outcome)
+static bool finish_op(mt_front_op_t *op, const mt_front_reply_t *reply)
 {
 	mt_front_cb cb = op->cb;
 	mt_kernel_t *kernel = op->front->deps.kernel;
 
 	if (!cb)
-		return;
+		return false;
 	op->cb = NULL;
 	op->front->open_calls--;
 	mt_timers_cancel(mt_kernel_timers(kernel), op->timer);
 	op->timer = 0;
+	cb(op->ctx, reply);
+	return true;
+}
+
+/**
+ * Replies with `outcome` and logs the event call_answered, unless the call was
+ * replied to before.
+ */
+static void reply_op(mt_front_op_t *op, mt_front_outcome_t outcome)
+{
+	mt_front_reply_t reply = {outcome, MT_DAG__STATE__QUEUED, 0,
+				  RETRY_AFTER_S};
+	mt_kernel_t *kernel = op->front->deps.kernel;
+
+	if (!finish_op(op, &reply))
+		return;
 	mt_kernel_event(
 		kernel, "call_answered",
 		"\"job\":\"%016" G_GINT64_MODIFIER
@@ -132,7 +174,6 @@
 		(unsigned)mt_follower_age(op->front->deps.config_follower));
 	mt_kernel_observe(kernel, "call_ms",
 			  mt_kernel_now(kernel) - op->started_at);
-	reply_now(cb, op->ctx, outcome);
 }
 
 static void show_job(const mt_table_job_t *job, mt_front_cb cb, void *ctx)
@@ -149,21 +190,17 @@
  */
 static void reply_state(mt_front_op_t *op, const mt_table_job_t *job)
 {
-	mt_front_cb cb = op->cb;
+	mt_front_reply_t reply = {MT_FRONT_OUTCOME_STATE, mt_table_state(job),
+				  0, 0};
 
-	if (!cb)
-		return;
-	op->cb = NULL;
-	op->front->open_calls--;
-	mt_timers_cancel(mt_kernel_timers(op->front->deps.kernel), op->timer);
-	op->timer = 0;
-	show_job(job, cb, op->ctx);
+	finish_op(op, &reply);
 }
 
 /**
- * Replies when the store has not answered in time: with the last known state of
- * a job to be shown, otherwise with an unknown outcome. The read or write goes
- * on.
+ * Replies when neither the store nor another host has answered in time: with
+ * the last known state of a job to be shown; with an unknown outcome if the
+ * call may have been carried out; otherwise, the client may retry. The read or
+ * write goes on.
  */
 static void on_op_timeout(void *ctx)
 {
@@ -172,24 +209,28 @@
 		mt_table_find(op->front->deps.table, op->job);
 
 	op->timer = 0;
-	if (op->verb == MT_VERB_SHOW && job)
+	if (op->verb == MT_VERB_SHOW && job && !op->exact)
 		reply_state(op, job);
+	else if (op->forwarded && !op->maybe_done)
+		reply_op(op, MT_FRONT_OUTCOME_NOT_DONE);
 	else
 		reply_op(op, MT_FRONT_OUTCOME_UNKNOWN);
 }
 
-static mt_front_op_t *new_op(mt_dag_front_t *front, const mt_front_call_t *call,
-			     uint64_t job, mt_front_cb cb, void *ctx)
+/** @param timeout how long the client waits; 0: not specified */
+static mt_front_op_t *new_op(mt_dag_front_t *front, mt_verb_t verb,
+			     mt_ms_t timeout, uint64_t job, mt_front_cb cb,
+			     void *ctx)
 {
 	mt_front_op_t *op = g_new0(mt_front_op_t, 1);
-	mt_ms_t timeout =
-		call->timeout_ms ? call->timeout_ms : TIMEOUT_DEFAULT_MS;
 
+	if (!timeout)
+		timeout = TIMEOUT_DEFAULT_MS;
 	op->front = front;
 	op->cb = cb;
 	op->ctx = ctx;
 	op->job = job;
-	op->verb = call->verb;
+	op->verb = verb;
 	op->started_at = mt_kernel_now(front->deps.kernel);
 	timeout = timeout > 2 * REPLY_MARGIN_MS ? timeout - REPLY_MARGIN_MS
 						: timeout / 2;
@@ -277,7 +318,7 @@
 {
 	MtDag__Job *job;
 
-	if (mt_table_find(front->deps.table, id)) {
+	if (has_records(front) && mt_table_find(front->deps.table, id)) {
 		reply_now(cb, ctx, MT_FRONT_OUTCOME_ACCEPTED);
 		return;
 	}
@@ -291,7 +332,8 @@
 		return;
 	}
 	copy_queue_settings(job, id, queue, account);
-	write_job(front, job, new_op(front, call, id, cb, ctx));
+	write_job(front, job,
+		  new_op(front, call->verb, call->timeout_ms, id, cb, ctx));
 	mt_dag__job__free_unpacked(job, NULL);
 }
 
@@ -324,7 +366,7 @@
 	const mt_table_job_t *job =
 		mt_table_find(op->front->deps.table, op->job);
 
-	if (job) {
+	if (job && (current || !op->exact)) {
 		finish_known_job(op, job);
 		return;
 	}
@@ -335,52 +377,134 @@
 
 /**
  * True when this host's copy of the records should be updated before the job is
- * shown, as the job may have ended since the last update. False also when an
- * update is not expected to succeed, see SHOW_UPDATE_AGE_MAX_MS.
+ * shown, as the job may have ended since the last update. Unless the state must
+ * be exact, false also when an update is not expected to succeed, see
+ * SHOW_UPDATE_AGE_MAX_MS.
  */
 static bool should_update_first(const mt_dag_front_t *front,
-				const mt_table_job_t *job)
+				const mt_table_job_t *job, bool exact)
 {
-	mt_ms_t age = mt_follower_age(front->deps.records_follower);
+	mt_ms_t age = mt_follower_age(front->records_follower);
 
-	return !mt_state_is_final(mt_table_state(job)) &&
-	       age > SHOW_AGE_MAX_MS && age <= SHOW_UPDATE_AGE_MAX_MS;
+	if (mt_state_is_final(mt_table_state(job)))
+		return false;
+	return exact ||
+	       (age > SHOW_AGE_MAX_MS && age <= SHOW_UPDATE_AGE_MAX_MS);
 }
 
 /**
- * Handles a call to show or cancel a job. If the job is not in the table, this
- * host's copy of the records is updated first, as another host may have
- * accepted the job.
+ * Handles a call to show or cancel a job on a host with the records of all
+ * jobs. If the job is not in the table, this host's copy of the records is
+ * updated first, as another host may have accepted the job.
+ * @param exact see mt_front_op_t
  */
-static void look_up(mt_dag_front_t *front, const mt_front_call_t *call,
-		    uint64_t id, mt_front_cb cb, void *ctx)
+static void look_up(mt_dag_front_t *front, mt_verb_t verb, mt_ms_t timeout,
+		    uint64_t id, bool exact, mt_front_cb cb, void *ctx)
 {
 	const mt_table_job_t *job = mt_table_find(front->deps.table, id);
 	mt_front_op_t *op;
 
-	if (job && call->verb == MT_VERB_SHOW &&
-	    !should_update_first(front, job)) {
+	if (job && verb == MT_VERB_SHOW &&
+	    !should_update_first(front, job, exact)) {
 		show_job(job, cb, ctx);
 		return;
 	}
-	op = new_op(front, call, id, cb, ctx);
-	if (job && call->verb == MT_VERB_CANCEL)
+	op = new_op(front, verb, timeout, id, cb, ctx);
+	op->exact = exact;
+	if (job && verb == MT_VERB_CANCEL)
 		finish_known_job(op, job);
 	else
-		mt_follower_catch_up(front->deps.records_follower, on_caught_up,
-				     op);
+		mt_follower_catch_up(front->records_follower, on_caught_up, op);
 }
 
-static void show_queue(const mt_dag_front_t *front, const mt_queue_t *queue,
+static void show_queue(const mt_dag_front_t *front, const mt_name_t *queue,
 		       mt_front_cb cb, void *ctx)
 {
 	mt_front_reply_t reply = {MT_FRONT_OUTCOME_PENDING_COUNT,
 				  MT_DAG__STATE__QUEUED, 0, 0};
 
-	reply.pending = mt_table_n_pending(front->deps.table, &queue->name);
+	reply.pending = mt_table_n_pending(front->deps.table, queue);
 	cb(ctx, &reply);
 }
 
+/* Calls that are passed on to a host with the records of all jobs. */
+
+static void forward(void *ctx);
+
+/** True if the call may have been carried out although it got no such reply. */
+static bool is_maybe_done(const mt_front_op_t *op,
+			  const MtDag__PeerReply *reply)
+{
+	return op->verb == MT_VERB_CANCEL &&
+	       (!reply || reply->outcome == MT_FRONT_OUTCOME_UNKNOWN);
+}
+
+static void on_peer_reply(void *ctx, const MtDag__PeerReply *peer_reply)
+{
+	mt_front_op_t *op = ctx;
+	mt_front_reply_t reply = {MT_FRONT_OUTCOME_NOT_DONE,
+				  MT_DAG__STATE__QUEUED, 0, RETRY_AFTER_S};
+
+	if (!peer_reply || peer_reply->outcome == MT_FRONT_OUTCOME_NOT_DONE ||
+	    peer_reply->outcome == MT_FRONT_OUTCOME_UNKNOWN) {
+		op->maybe_done =
+			op->maybe_done || is_maybe_done(op, peer_reply);
+		forward(op);
+		return;
+	}
+	reply.outcome = (mt_front_outcome_t)peer_reply->outcome;
+	reply.state = peer_reply->state;
+	reply.pending = peer_reply->pending;
+	finish_op(op, &reply);
+	g_free(op);
+}
+
+/**
+ * Passes on the call to the next host that has the records: the leader first,
+ * then the standbys. After the last one, begins anew after a delay. Ends when
+ * the call has been replied to because of its timeout.
+ */
+static void forward(void *ctx)
+{
+	mt_front_op_t *op = ctx;
+	const mt_dag_front_deps_t *deps = &op->front->deps;
+	MtDag__PeerCall call = MT_DAG__PEER_CALL__INIT;
+	mt_endpoint_t endpoints[MT_INFORMED_HOSTS_MAX];
+	unsigned n_endpoints;
+
+	if (!op->cb) {
+		g_free(op);
+		return;
+	}
+	n_endpoints = deps->list_informed(deps->list_informed_ctx, endpoints);
+	if (op->next_peer >= n_endpoints) {
+		op->next_peer = 0;
+		mt_timers_after(mt_kernel_timers(deps->kernel),
+				FORWARD_RETRY_MS, forward, op);
+		return;
+	}
+	call.verb = op->verb;
+	call.job = op->job;
+	call.queue = op->queue.text;
+	deps->peers->call(deps->peers->self, &endpoints[op->next_peer++], &call,
+			  on_peer_reply, op);
+}
+
+void mt_dag_front_peer_call(mt_dag_front_t *front, const MtDag__PeerCall *call,
+			    mt_front_cb cb, void *ctx)
+{
+	mt_name_t queue = mt_name(call->queue);
+
+	if (!has_records(front) ||
+	    (call->verb != MT_VERB_SHOW && call->verb != MT_VERB_CANCEL))
+		reply_now(cb, ctx, MT_FRONT_OUTCOME_NOT_DONE);
+	else if (queue.len)
+		show_queue(front, &queue, cb, ctx);
+	else
+		look_up(front, (mt_verb_t)call->verb, MT_PEER_TIMEOUT_MS,
+			call->job, true, cb, ctx);
+}
+
 /* Dispatch of calls. */
 
 static void refuse(mt_dag_front_t *front, const char *reason,
@@ -395,6 +519,33 @@
 	reply_now(cb, ctx, outcome);
 }
 
+/**
+ * Handles a call about a job, or about a queue, here or on a host that has the
+ * records.
+ * @param queue NULL: the call is about the job `id`
+ */
+static void ask_about(mt_dag_front_t *front, const mt_front_call_t *call,
+		      uint64_t id, const mt_queue_t *queue, mt_front_cb cb,
+		      void *ctx)
+{
+	mt_front_op_t *op;
+
+	if (has_records(front) && queue) {
+		show_queue(front, &queue->name, cb, ctx);
+		return;
+	}
+	if (has_records(front)) {
+		look_up(front, call->verb, call->timeout_ms, id, false, cb,
+			ctx);
+		return;
+	}
+	op = new_op(front, call->verb, call->timeout_ms, id, cb, ctx);
+	op->forwarded = true;
+	if (queue)
+		op->queue = queue->name;
+	forward(op);
+}
+
 void mt_dag_front_call(mt_dag_front_t *front, const mt_front_call_t *call,
 		       mt_front_cb cb, void *ctx)
 {
@@ -418,16 +569,10 @@
 		refuse(front, "unknown key", MT_FRONT_OUTCOME_BAD_KEY, cb, ctx);
 		return;
 	}
-	if (call->verb != MT_VERB_SUBMIT &&
-	    !mt_follower_has_snapshot(front->deps.records_follower)) {
-		refuse(front, "records are still being read",
-		       MT_FRONT_OUTCOME_NOT_DONE, cb, ctx);
-		return;
-	}
 	id_text = (mt_str_t){call->path.data + strlen(queue->path_prefix),
 			     call->path.len - strlen(queue->path_prefix)};
 	if (!id_text.len && call->verb == MT_VERB_SHOW)
-		show_queue(front, queue, cb, ctx);
+		ask_about(front, call, 0, queue, cb, ctx);
 	else if (call->verb == MT_VERB_OTHER || !id_text.len)
 		reply_now(cb, ctx, MT_FRONT_OUTCOME_BAD_METHOD);
 	else if (!mt_record_parse_job_id(id_text, &id))
@@ -438,5 +583,5 @@
 	else if (call->verb == MT_VERB_SUBMIT)
 		submit(front, call, id, queue, account, cb, ctx);
 	else
-		look_up(front, call, id, cb, ctx);
+		ask_about(front, call, id, NULL, cb, ctx);
 }
--- a/lib/dag/front.h
+++ b/lib/dag/front.h
@@ -1,14 +1,17 @@
 /**
  * @file front.h
  * The front end of a host: handles the calls by which clients submit, show and
- * cancel jobs. It does not depend on HTTP: the platform adapter decodes calls
- * and encodes replies.
+ * cancel jobs. A host without the records of all jobs stores submissions
+ * itself, and passes on the other calls to a host that has the records. It does
+ * not depend on HTTP: the platform adapter decodes calls and encodes replies.
  */
 #ifndef MT_DAG_FRONT_H
 #define MT_DAG_FRONT_H
 
 #include "dag/catalog.h"
 #include "dag/follower.h"
+#include "dag/leadership.h"
+#include "dag/peer_port.h"
 #include "dag/table.h"
 #include "dag/writer.h"
 
@@ -69,8 +72,12 @@
 	mt_kernel_t *kernel;
 	mt_table_t *table;
 	mt_writer_t *writer; /**< for accepted jobs and cancellations */
-	/** Reads the records that are applied to `table`. */
-	mt_follower_t *records_follower;
+	/** Passes on calls to other hosts. */
+	const mt_peer_port_t *peers;
+	/** Lists the hosts that have the records of all jobs, see
+	 * mt_leadership_list_informed(). */
+	unsigned (*list_informed)(void *ctx, mt_endpoint_t *endpoints);
+	void *list_informed_ctx;
 	/** Reads the operators' configuration. */
 	mt_follower_t *config_follower;
 	/** Decodes the body of a submission; returns NULL if malformed. */
@@ -91,11 +98,21 @@
 void mt_dag_front_set_catalog(mt_dag_front_t *front,
 			      const mt_catalog_t *catalog);
 
+/**
+ * Sets the follower that reads the records of jobs, which are applied to the
+ * table; NULL: this host does not read them.
+ */
+void mt_dag_front_set_records(mt_dag_front_t *front, mt_follower_t *follower);
+
+/** Handles a call that another host has passed on. */
+void mt_dag_front_peer_call(mt_dag_front_t *front, const MtDag__PeerCall *call,
+			    mt_front_cb cb, void *ctx);
+
 /** Handles one call; `cb` receives the reply. */
 void mt_dag_front_call(mt_dag_front_t *front, const mt_front_call_t *call,
 		       mt_front_cb cb, void *ctx);
 
-/** True when the configuration and the records are recent enough for calls. */
+/** True when the configuration is recent enough for calls. */
 bool mt_dag_front_is_ready(const mt_dag_front_t *front);
 
 /** Number of calls that have not been replied to. */
--- a/lib/dag/host.c
+++ b/lib/dag/host.c
@@ -1,11 +1,11 @@
-/** @file host.c A host: records, configuration and leadership. */
+/** @file host.c A host: configuration, records of jobs, and scheduler. */
 #include "dag/host.h"
 
 #include <string.h>
 
-#include "dag/election.h"
+#include "dag/leadership.h"
 
-/** Timeout of the long polls for records. */
+/** Timeout of the long polls for the records of jobs. */
 #define RECORDS_WAIT_MS 1000u
 
 /**
@@ -16,59 +16,42 @@
  */
 #define CONFIG_WAIT_MS 500u
 
-/** Interval of on_election_tick(), which checks whether to claim. */
-#define ELECTION_TICK_MS 50u
+/** Interval of on_tick(). */
+#define TICK_MS 50u
 
 /**
- * Delay from an answer that reached the end of the records to the next read,
- * while this host neither leads nor may soon claim the leadership.
+ * Delay from an answer that reached the end of the records of jobs to the next
+ * read, on a standby.
  */
-#define RECORDS_READ_DELAY_MS 100u
-
-/**
- * Timeout of the append of a claim. If no answer arrives, the records read
- * later show whether the claim was stored.
- */
-#define CLAIM_TIMEOUT_MS 1000u
-
-/**
- * Delay of a host's claims: this many round trips to the store, so that hosts
- * near the store claim first, plus a random time below CLAIM_DELAY_RANDOM_MS.
- */
-#define CLAIM_DELAY_ROUND_TRIPS 8u
-#define CLAIM_DELAY_RANDOM_MS 60
+#define STANDBY_READ_DELAY_MS 100u
 
 struct mt_dag_host_t {
 	mt_dag_host_deps_t deps;
-	mt_follower_t *records_follower; /**< of the topic MT_RECORDS_TOPIC */
-	mt_follower_t *config_follower;	 /**< of the configuration's topic */
+	mt_leadership_t *leadership;
+	/** Of the topic MT_RECORDS_TOPIC; NULL: this host is neither leader nor
+	 * standby. */
+	mt_follower_t *records_follower;
+	mt_follower_t *config_follower; /**< of the configuration's topic */
 	mt_table_t *table;
 	mt_writer_t *writer;
 	mt_directory_t *directory;
 	mt_engine_t *engine;
 	mt_dag_front_t *front;
 	mt_catalog_t *catalog;
-	mt_election_t election;
-	bool claiming; /**< the append of a claim has no answer yet */
-	/** The host record is written, or queued in `writer`. */
-	bool host_record_written;
+	uint64_t term; /**< of this host's leadership; 0: not elected */
+	/** Last term in which the scheduler of this host was started. */
+	uint64_t last_started_term;
+	/** Writes the record that excludes the former leader; NULL: stored. */
+	mt_writer_t *fence_writer;
+	/** The last reads before this host may schedule are under way. */
+	bool catching_up;
 	bool draining; /**< mt_dag_host_drain() was called */
-	bool yielding; /**< releasing the leadership to a larger host */
-	/** Valid while draining. True if this host did not lead when draining
-	 * began, or once the write that releases the leadership has an outcome.
-	 * Stays false if the scheduler stops before that: the leadership is
-	 * gone then, but the release gets no outcome. */
-	bool release_finished;
+	bool released; /**< leadership and slot are given up */
 	/** At the last check, the age of the configuration exceeded
 	 * config_age_max_ms, or its first snapshot was not complete yet. */
 	bool store_lost;
 };
 
-static mt_ms_t now_of(const mt_dag_host_t *host)
-{
-	return mt_kernel_now(host->deps.kernel);
-}
-
 /* Configuration. */
 
 static void on_config(void *ctx, const mt_store_record_t *record)
@@ -98,167 +81,160 @@
 	mt_engine_set_catalog(host->engine, catalog);
 	mt_catalog_free(host->catalog);
 	host->catalog = catalog;
+	mt_leadership_allow_claims(host->leadership);
 }
 
-/* Records and leadership. */
+/* Records of jobs. */
 
-static void on_leader_record(mt_dag_host_t *host, mt_str_t value)
+static void on_record(void *ctx, const mt_store_record_t *record)
 {
-	MtDag__Leader *leader = mt_dag__leader__unpack(
-		NULL, value.len, (const uint8_t *)value.data);
+	mt_dag_host_t *host = ctx;
 
-	if (!leader) {
-		mt_log(host->deps.kernel, MT_LOG_ERR, "host",
-		       "ignoring a malformed leader record");
+	mt_table_apply(host->table, record);
+}
+
+static bool has_records(const mt_dag_host_t *host)
+{
+	return host->records_follower &&
+	       mt_follower_has_snapshot(host->records_follower);
+}
+
+static void follow_records(mt_dag_host_t *host)
+{
+	mt_follower_handler_t handler = {host, on_record, NULL, NULL};
+
+	if (host->records_follower)
 		return;
-	}
-	mt_election_on_leader(&host->election, leader, now_of(host));
-	mt_dag__leader__free_unpacked(leader, NULL);
+	host->records_follower =
+		mt_follower_new(host->deps.kernel, host->deps.store,
+				MT_RECORDS_TOPIC, RECORDS_WAIT_MS, &handler);
+	mt_dag_front_set_records(host->front, host->records_follower);
 }
 
-/** Callback of mt_engine_release_leadership() that does nothing. */
-static void ignore_release(void *ctx)
+/** Stops following, unless this host is elected or a standby. */
+static void unfollow_records(mt_dag_host_t *host)
 {
+	if (!host->records_follower || host->term ||
+	    mt_leadership_is_standby(host->leadership))
+		return;
+	mt_dag_front_set_records(host->front, NULL);
+	mt_follower_stop(host->records_follower);
+	host->records_follower = NULL;
+	mt_table_clear(host->table);
 }
 
-/**
- * Applies the record that a host writes when it starts. If this host leads and
- * the other one is larger, this host releases the leadership. Event names call
- * the leadership "office".
- */
-static void on_host_record(mt_dag_host_t *host, const mt_store_record_t *record)
+/* Leadership. */
+
+static void on_fence_stored(void *ctx, mt_store_result_t result)
 {
-	MtDag__Host *other = mt_dag__host__unpack(
-		NULL, record->value.len, (const uint8_t *)record->value.data);
+	mt_dag_host_t *host = ctx;
 
-	if (!other) {
-		mt_log(host->deps.kernel, MT_LOG_ERR, "host",
-		       "ignoring a malformed host record");
+	/* If a later leader has excluded this one, the records of leaders show
+	 * it soon. The writer is kept until then, as its record is missing. */
+	if (result != MT_STORE_DONE)
 		return;
-	}
-	mt_election_on_host(&host->election, other);
-	if (mt_election_should_yield(&host->election, other, record->offset) &&
-	    !host->yielding) {
-		host->yielding = true;
-		mt_kernel_event(host->deps.kernel, "office_yielded",
-				"\"to_larger_host\":\"%s\"", other->name);
-		mt_engine_release_leadership(host->engine, ignore_release,
-					     NULL);
-	}
-	mt_dag__host__free_unpacked(other, NULL);
+	mt_writer_close(host->fence_writer);
+	host->fence_writer = NULL;
 }
 
-/** Writes the host record, which tells other hosts the size of this host. */
-static void write_host_record(mt_dag_host_t *host)
+/**
+ * Writes the record that begins the term in the topic of jobs. Its epoch makes
+ * the store reject later writes of former leaders. What is read up to the end
+ * of the topic afterwards is therefore complete.
+ */
+static void write_fence(mt_dag_host_t *host)
 {
-	MtDag__Host record = MT_DAG__HOST__INIT;
-	mt_record_key_t key = mt_record_host_key(&host->deps.host);
+	mt_writer_deps_t deps = {host->deps.kernel, host->deps.store,
+				 MT_RECORDS_TOPIC,  MT_SCHEDULER_PRODUCER,
+				 host->term,	    0};
+	MtDag__Leader leader = MT_DAG__LEADER__INIT;
+	mt_record_key_t key = mt_record_key(MT_RECORD_LEADER, 0);
 	GBytes *bytes;
 
-	host->host_record_written = true;
-	record.name = host->deps.host.text;
-	record.cores_milli = host->deps.cores_milli;
-	bytes = mt_dag_pack(&record.base);
-	mt_writer_add(host->writer, mt_str_from(key.text),
+	leader.host = host->deps.host.text;
+	leader.incarnation = host->deps.incarnation.text;
+	leader.term = host->term;
+	bytes = mt_dag_pack(&leader.base);
+	host->fence_writer = mt_writer_new(&deps);
+	mt_writer_add(host->fence_writer, mt_str_from(key.text),
 		      mt_bytes_view(bytes));
-	mt_writer_commit(host->writer, true, NULL, NULL);
+	mt_writer_commit(host->fence_writer, true, on_fence_stored, host);
 	g_bytes_unref(bytes);
 }
 
-static void on_record(void *ctx, const mt_store_record_t *record)
+static void on_elected(void *ctx, uint64_t term)
 {
 	mt_dag_host_t *host = ctx;
-	mt_record_kind_t kind;
-	uint64_t job;
 
-	if (!mt_record_parse_key(record->key, &kind, &job))
-		return;
-	if (kind == MT_RECORD_LEADER)
-		on_leader_record(host, record->value);
-	else if (kind == MT_RECORD_HOST)
-		on_host_record(host, record);
-	else
-		mt_table_apply(host->table, record);
-	if (kind == MT_RECORD_PROGRESS)
-		mt_election_on_leader_activity(&host->election, now_of(host));
+	host->term = term;
+	follow_records(host);
+	write_fence(host);
 }
 
-/** Reads records without delay if this host leads or may soon claim. */
-static void set_records_read_delay(mt_dag_host_t *host)
+static void on_deposed(void *ctx)
 {
-	bool no_delay =
-		mt_election_is_leader(&host->election) ||
-		mt_election_may_be_vacant(&host->election, now_of(host));
+	mt_dag_host_t *host = ctx;
 
-	mt_follower_set_read_delay(host->records_follower,
-				   no_delay ? 0 : RECORDS_READ_DELAY_MS);
+	host->term = 0;
+	if (host->fence_writer)
+		mt_writer_close(host->fence_writer);
+	host->fence_writer = NULL;
+	mt_engine_step_down(host->engine);
+	unfollow_records(host);
 }
 
-/**
- * Starts or stops the scheduler, depending on the leader records read. Called
- * when all records of an answer of the store have been applied.
- */
-static void on_page(void *ctx)
+static void on_standby(void *ctx, bool standby)
 {
 	mt_dag_host_t *host = ctx;
-	bool leads = mt_election_is_leader(&host->election);
-
-	mt_election_on_read(&host->election, now_of(host));
-	if (!leads)
-		host->yielding = false;
-	if (host->engine && mt_engine_is_leading(host->engine) && !leads)
-		mt_engine_step_down(host->engine);
-	else if (host->engine && leads && !host->draining && !host->yielding &&
-		 !mt_engine_is_leading(host->engine))
-		mt_engine_become_leader(host->engine, host->election.term);
+
+	mt_kernel_event(host->deps.kernel, "standby", "\"standby\":%s",
+			standby ? "true" : "false");
+	if (standby)
+		follow_records(host);
+	else
+		unfollow_records(host);
 }
 
-static void on_claimed(void *ctx, mt_store_result_t result, uint64_t offset)
+/** A host that catches up with the records before it schedules. */
+typedef struct mt_take_over_t {
+	mt_dag_host_t *host;
+	uint64_t term;
+} mt_take_over_t;
+
+static void on_caught_up(void *ctx, bool current)
 {
-	mt_dag_host_t *host = ctx;
+	mt_take_over_t *take_over = ctx;
+	mt_dag_host_t *host = take_over->host;
 
-	host->claiming = false;
-	mt_kernel_event(host->deps.kernel, "office_claimed",
-			"\"result\":%d,\"offset\":%" G_GUINT64_FORMAT, result,
-			offset);
-	if (result != MT_STORE_DONE)
-		mt_election_back_off(&host->election, now_of(host));
+	host->catching_up = false;
+	if (current && host->term == take_over->term) {
+		host->last_started_term = host->term;
+		mt_engine_become_leader(host->engine, host->term);
+	}
+	g_free(take_over);
 }
 
 /**
- * Claims the leadership by appending a leader record, on the condition that no
- * record has been appended to the topic since this host last read it. The term
- * is the offset of the leader record plus one.
+ * Begins to schedule once the records up to the fence have been read. A
+ * scheduler that has stopped in this term, because the store has rejected a
+ * write of it, is not started again.
  */
-static void claim(mt_dag_host_t *host)
+static void take_over(mt_dag_host_t *host)
 {
-	MtDag__Leader leader = MT_DAG__LEADER__INIT;
-	mt_record_key_t key = mt_record_key(MT_RECORD_LEADER, 0);
-	mt_store_record_t record = {mt_str_from(key.text), {0}, 0};
-	mt_store_append_t append = {0};
-	GBytes *bytes;
+	mt_take_over_t *state;
 
-	leader.host = host->deps.host.text;
-	leader.incarnation = host->deps.incarnation.text;
-	/* Plus one, as term 0 means no leader, and an epoch must exceed 0. */
-	leader.term = mt_follower_next(host->records_follower) + 1;
-	bytes = mt_dag_pack(&leader.base);
-	record.value = mt_bytes_view(bytes);
-	append.topic = MT_RECORDS_TOPIC;
-	append.records = &record;
-	append.count = 1;
-	append.expected_end = mt_follower_next(host->records_follower);
-	append.producer = MT_SCHEDULER_PRODUCER;
-	append.epoch = leader.term;
-	/* The scheduler's writer, of the same epoch, starts at sequence 1. */
-	append.sequence = 0;
-	append.timeout_ms = CLAIM_TIMEOUT_MS;
-	host->claiming = true;
-	host->deps.store->append(host->deps.store->self, &append, on_claimed,
-				 host);
-	g_bytes_unref(bytes);
+	if (!host->term || host->fence_writer || host->catching_up ||
+	    !has_records(host) || host->last_started_term == host->term)
+		return;
+	state = g_new0(mt_take_over_t, 1);
+	state->host = host;
+	state->term = host->term;
+	host->catching_up = true;
+	mt_follower_catch_up(host->records_follower, on_caught_up, state);
 }
 
+/* Ticks. */
+
 /**
  * Logs when the store has not answered the polls for the configuration for
  * longer than config_age_max_ms, and when it answers them again. Until the
@@ -279,42 +255,34 @@
 			"\"age_ms\":%" G_GINT64_FORMAT, (gint64)age);
 }
 
-static void on_election_tick(void *ctx)
+static void on_tick(void *ctx)
 {
 	mt_dag_host_t *host = ctx;
-	mt_ms_t round_trip = mt_follower_round_trip(host->records_follower);
 
 	check_store(host);
-	set_records_read_delay(host);
-	if (!host->host_record_written &&
-	    mt_follower_has_snapshot(host->records_follower))
-		write_host_record(host);
-	if (host->claiming || host->draining || !host->catalog ||
-	    !mt_follower_has_snapshot(host->records_follower))
-		return;
-	if (!host->election.claim_delay_ms)
-		host->election.claim_delay_ms =
-			CLAIM_DELAY_ROUND_TRIPS * round_trip +
-			(mt_ms_t)g_rand_int_range(
-				mt_kernel_rand(host->deps.kernel), 0,
-				CLAIM_DELAY_RANDOM_MS);
-	if (mt_election_should_claim(&host->election, now_of(host)))
-		claim(host);
+	mt_leadership_set_has_records(host->leadership, has_records(host));
+	if (host->records_follower)
+		mt_follower_set_read_delay(host->records_follower,
+					   host->term ? 0
+						      : STANDBY_READ_DELAY_MS);
+	take_over(host);
 }
 
+/** Age of the older of the two copies that scheduling depends on. */
 static mt_ms_t records_age(void *ctx)
 {
 	mt_dag_host_t *host = ctx;
 
-	return mt_follower_age(host->records_follower);
+	return MAX(mt_follower_age(host->records_follower),
+		   mt_leadership_age(host->leadership));
 }
 
 /* Construction. */
 
 /**
- * Makes the writer of host records, jobs and cancellations. The writer's
- * producer name is unique to this process. Its epoch can therefore always be 1,
- * and its first sequence number 0.
+ * Makes the writer of jobs and cancellations. The writer's producer name is
+ * unique to this process. Its epoch can therefore always be 1, and its first
+ * sequence number 0.
  */
 static void make_writer(mt_dag_host_t *host)
 {
@@ -328,6 +296,18 @@
 	host->writer = mt_writer_new(&deps);
 }
 
+static void make_leadership(mt_dag_host_t *host)
+{
+	mt_leadership_deps_t deps = {
+		host->deps.kernel,	host->deps.store,
+		host->deps.host,	host->deps.incarnation,
+		host->deps.cores_milli, host->deps.endpoint};
+	mt_leadership_handler_t handler = {host, on_elected, on_deposed,
+					   on_standby};
+
+	host->leadership = mt_leadership_new(&deps, &handler);
+}
+
 static void make_engine(mt_dag_host_t *host)
 {
 	mt_engine_deps_t deps = {0};
@@ -338,8 +318,6 @@
 	deps.advice = host->deps.advice;
 	deps.table = host->table;
 	deps.directory = host->directory;
-	deps.host = host->deps.host;
-	deps.incarnation = host->deps.incarnation;
 	deps.timings = host->deps.timings;
 	deps.wall_ms = host->deps.wall_ms;
 	deps.records_age_ms = records_age;
@@ -347,6 +325,13 @@
 	host->engine = mt_engine_new(&deps);
 }
 
+static unsigned list_informed(void *ctx, mt_endpoint_t *endpoints)
+{
+	mt_dag_host_t *host = ctx;
+
+	return mt_leadership_list_informed(host->leadership, endpoints);
+}
+
 static void make_front(mt_dag_host_t *host)
 {
 	mt_dag_front_deps_t deps = {0};
@@ -354,8 +339,10 @@
 	deps.kernel = host->deps.kernel;
 	deps.table = host->table;
 	deps.writer = host->writer;
-	deps.records_follower = host->records_follower;
 	deps.config_follower = host->config_follower;
+	deps.peers = host->deps.peers;
+	deps.list_informed = list_informed;
+	deps.list_informed_ctx = host;
 	deps.decode_job = host->deps.decode_job;
 	deps.config_age_max_ms = host->deps.config_age_max_ms;
 	host->front = mt_dag_front_new(&deps);
@@ -364,26 +351,20 @@
 mt_dag_host_t *mt_dag_host_new(const mt_dag_host_deps_t *deps)
 {
 	mt_dag_host_t *host = g_new0(mt_dag_host_t, 1);
-	mt_follower_handler_t on_records = {host, on_record, NULL, on_page};
 	mt_follower_handler_t on_configs = {host, on_config, NULL, NULL};
 
 	host->deps = *deps;
 	host->table = mt_table_new(deps->kernel);
 	host->directory = mt_directory_new(deps->kernel, deps->store,
 					   deps->server_list_format);
-	mt_election_init(&host->election, &deps->host, &deps->incarnation,
-			 deps->cores_milli, now_of(host));
 	make_writer(host);
-	host->records_follower =
-		mt_follower_new(deps->kernel, deps->store, MT_RECORDS_TOPIC,
-				RECORDS_WAIT_MS, &on_records);
+	make_leadership(host);
 	host->config_follower = mt_follower_new(deps->kernel, deps->store,
 						deps->config_format.topic,
 						CONFIG_WAIT_MS, &on_configs);
 	make_engine(host);
 	make_front(host);
-	mt_timers_every(mt_kernel_timers(deps->kernel), ELECTION_TICK_MS,
-			on_election_tick, host);
+	mt_timers_every(mt_kernel_timers(deps->kernel), TICK_MS, on_tick, host);
 	return host;
 }
 
@@ -407,11 +388,11 @@
 	return mt_engine_is_leading(host->engine);
 }
 
-static void on_leadership_released(void *ctx)
+static void on_released(void *ctx)
 {
 	mt_dag_host_t *host = ctx;
 
-	host->release_finished = true;
+	host->released = true;
 }
 
 void mt_dag_host_drain(mt_dag_host_t *host)
@@ -419,13 +400,10 @@
 	if (host->draining)
 		return;
 	host->draining = true;
-	host->release_finished = !mt_engine_is_leading(host->engine);
-	mt_engine_release_leadership(host->engine, on_leadership_released,
-				     host);
+	mt_leadership_drain(host->leadership, on_released, host);
 }
 
 bool mt_dag_host_is_drained(const mt_dag_host_t *host)
 {
-	return host->release_finished &&
-	       !mt_dag_front_n_open_calls(host->front);
+	return host->released && !mt_dag_front_n_open_calls(host->front);
 }
--- a/lib/dag/host.h
+++ b/lib/dag/host.h
@@ -1,7 +1,8 @@
 /**
  * @file host.h
- * A host: follows the records in the store, handles the calls of clients, and
- * runs the scheduler (engine.h) while it is the leader. All I/O goes through
+ * A host: handles the calls of clients, follows the records of jobs while it is
+ * the leader or a standby, and runs the scheduler (engine.h) while it is the
+ * leader. All I/O goes through
  * the interfaces in mt_dag_host_deps_t. For the prefix mt_dag_ see job_model.h.
  */
 #ifndef MT_DAG_HOST_H
@@ -10,6 +11,7 @@
 #include "dag/directory.h"
 #include "dag/engine.h"
 #include "dag/front.h"
+#include "dag/peer_port.h"
 
 /** Format of the operators' configuration; set by the platform adapter. */
 typedef struct mt_config_format_t {
@@ -24,13 +26,15 @@
 	const mt_store_port_t *store;
 	const mt_backend_port_t *backends;
 	const mt_advice_port_t *advice; /**< NULL: no policy service */
+	const mt_peer_port_t *peers;	/**< calls to other hosts */
 	/** Format of the platform's list of backend servers. */
 	const mt_directory_format_t *server_list_format;
 	mt_config_format_t config_format;
 	/** See mt_dag_front_deps_t. */
 	MtDag__Job *(*decode_job)(mt_str_t body);
-	mt_name_t host;	       /**< name of this host */
-	mt_name_t incarnation; /**< id of this process; a restart changes it */
+	mt_name_t host;		/**< name of this host */
+	mt_name_t incarnation;	/**< id of this process; a restart changes it */
+	mt_endpoint_t endpoint; /**< where this host takes calls of others */
 	uint32_t cores_milli; /**< size of this host in thousandths of a core */
 	mt_ms_t config_age_max_ms; /**< see mt_dag_front_deps_t */
 	mt_engine_timing_t timings;
@@ -46,7 +50,10 @@
 /** True when this host can serve calls of clients. */
 bool mt_dag_host_is_ready(const mt_dag_host_t *host);
 
-/** Number of jobs in this host's table of jobs, see mt_table_size(). */
+/**
+ * Number of jobs in this host's table of jobs, see mt_table_size(). 0 on a host
+ * that does not follow the records of jobs.
+ */
 unsigned mt_dag_host_n_jobs(const mt_dag_host_t *host);
 
 /** True while this host is the leader and its scheduler runs. */
@@ -60,9 +67,8 @@
 
 /**
  * True when the shutdown is complete: all calls have been replied to, and the
- * leadership is given up. The latter is the case if this host did not lead when
- * the shutdown started, or once the write that releases the leadership has an
- * outcome. If the scheduler stops before that, this function stays false.
+ * records that give up the leadership or the standby's slot are stored, if this
+ * host had one of these.
  */
 bool mt_dag_host_is_drained(const mt_dag_host_t *host);
 
--- /dev/null
+++ b/lib/dag/leadership.h
@@ -0,0 +1,73 @@
+/**
+ * @file leadership.h
+ * Which host leads, and which hosts are standbys. Every host follows the topic
+ * of leaders, which is small. This module claims the leadership and a standby's
+ * slot for this host when election.h and standby.h say so, and repeats the
+ * records that show that this host is alive.
+ */
+#ifndef MT_DAG_LEADERSHIP_H
+#define MT_DAG_LEADERSHIP_H
+
+#include "dag/standby.h"
+#include "dag/store_port.h"
+#include "kernel/kernel.h"
+
+/** Maximum number of endpoints that mt_leadership_list_informed() returns. */
+#define MT_INFORMED_HOSTS_MAX (1 + MT_STANDBY_SLOTS)
+
+typedef struct mt_leadership_handler_t {
+	void *ctx;
+	/** This host was elected. It may schedule once it has excluded the
+	 * former leader from the topic of jobs and read that topic. */
+	void (*on_elected)(void *ctx, uint64_t term);
+	/** This host is no longer the leader, or gives up the leadership. */
+	void (*on_deposed)(void *ctx);
+	/** This host has become a standby, or is none any more. */
+	void (*on_standby)(void *ctx, bool standby);
+} mt_leadership_handler_t;
+
+typedef struct mt_leadership_deps_t {
+	mt_kernel_t *kernel;
+	const mt_store_port_t *store;
+	mt_name_t host;		/**< name of this host */
+	mt_name_t incarnation;	/**< id of this process */
+	uint32_t cores_milli;	/**< size of this host */
+	mt_endpoint_t endpoint; /**< where this host takes calls of others */
+} mt_leadership_deps_t;
+
+typedef struct mt_leadership_t mt_leadership_t;
+
+mt_leadership_t *mt_leadership_new(const mt_leadership_deps_t *deps,
+				   const mt_leadership_handler_t *handler);
+
+/** Allows claims; until then this host claims neither leadership nor slot. */
+void mt_leadership_allow_claims(mt_leadership_t *leadership);
+
+/** Tells whether this host has a copy of the records of jobs. */
+void mt_leadership_set_has_records(mt_leadership_t *leadership,
+				   bool has_records);
+
+/**
+ * Gives up the leadership and the standby's slot, and claims neither again.
+ * Calls `cb` when the records that say so are stored, or at once if there is
+ * nothing to give up. `cb` is not called if the store never answers.
+ */
+void mt_leadership_drain(mt_leadership_t *leadership, mt_timer_cb cb,
+			 void *ctx);
+
+/** True if this host is a standby. */
+bool mt_leadership_is_standby(const mt_leadership_t *leadership);
+
+/** Age of this host's copy of the topic, see mt_follower_age(). */
+mt_ms_t mt_leadership_age(const mt_leadership_t *leadership);
+
+/**
+ * Lists the endpoints of the hosts that have the records of all jobs, except
+ * this host: the leader first, then the standbys.
+ * @param endpoints room for MT_INFORMED_HOSTS_MAX endpoints
+ * @return their number
+ */
+unsigned mt_leadership_list_informed(const mt_leadership_t *leadership,
+				     mt_endpoint_t *endpoints);
+
+#endif
--- a/lib/dag/records.c
+++ b/lib/dag/records.c
@@ -46,6 +46,7 @@
 	case MT_RECORD_PROGRESS:
 	case MT_RECORD_LEADER:
 	case MT_RECORD_HOST:
+	case MT_RECORD_STANDBY:
 		*kind = (mt_record_kind_t)key.data[0];
 		break;
 	default:
@@ -55,6 +56,12 @@
 				      job);
 }
 
+bool mt_record_is_of_job(mt_record_kind_t kind)
+{
+	return kind == MT_RECORD_JOB || kind == MT_RECORD_CANCEL ||
+	       kind == MT_RECORD_PROGRESS;
+}
+
 GBytes *mt_dag_pack(const ProtobufCMessage *message)
 {
 	size_t len = protobuf_c_message_get_packed_size(message);
--- a/lib/dag/records.h
+++ b/lib/dag/records.h
@@ -1,7 +1,9 @@
 /**
  * @file records.h
- * Keys and values of the records that Mimosaturn keeps in the store. A single
- * topic holds all of them, which gives them a total order.
+ * Keys and values of the records that Mimosaturn keeps in the store. One topic
+ * holds the records of jobs, which gives them a total order. Only the leader
+ * and the standbys read it. Another topic, which all hosts read, tells who
+ * these are.
  */
 #ifndef MT_DAG_RECORDS_H
 #define MT_DAG_RECORDS_H
@@ -9,10 +11,16 @@
 #include "dag/dag.pb-c.h"
 #include "kernel/name.h"
 
-/** Topic of all records of Mimosaturn. */
+/** Topic of the records of jobs. */
 #define MT_RECORDS_TOPIC "keyed.mimosaturn"
 
-/** Producer name of the leader's appends. Their epoch is the leader's term. */
+/** Topic of the records of leaders, standbys and hosts. */
+#define MT_LEADERS_TOPIC "keyed.mimosaturn-leaders"
+
+/**
+ * Producer name of the leader's appends to both topics. Their epoch is the
+ * leader's term.
+ */
 #define MT_SCHEDULER_PRODUCER "scheduler"
 
 /** Kind of a record. The enumerators are the first characters of the keys. */
@@ -20,9 +28,11 @@
 	MT_RECORD_JOB = 'a',	  /**< an accepted job */
 	MT_RECORD_CANCEL = 'c',	  /**< the cancellation of a job */
 	MT_RECORD_PROGRESS = 'p', /**< job progress, written by the leader */
-	/** Claim, heartbeat or release of the leadership. */
+	/** Claim, heartbeat or release of the leadership. In the topic of jobs:
+	 * the begin of a term, see write_fence() in host.c. */
 	MT_RECORD_LEADER = 'l',
-	MT_RECORD_HOST = 'h', /**< a host and its size in cores */
+	MT_RECORD_HOST = 'h',	 /**< a host and its size in cores */
+	MT_RECORD_STANDBY = 's', /**< a standby, see standby.h */
 } mt_record_kind_t;
 
 /** Hexadecimal digits of a job id. */
@@ -31,7 +41,8 @@
 /**
  * Key of a record: its kind, MT_JOB_ID_DIGITS hexadecimal digits, and a
  * terminating zero. The digits are the job id; in the key of a host record they
- * are a hash of the host's name, and in that of the leader record 0.
+ * are a hash of the host's name, in that of a standby record the number of its
+ * slot, and in that of the leader record 0.
  */
 typedef struct mt_record_key_t {
 	char text[MT_JOB_ID_DIGITS + 2];
@@ -56,6 +67,9 @@
 /** Parses an id of exactly MT_JOB_ID_DIGITS lower-case hexadecimal digits. */
 bool mt_record_parse_job_id(mt_str_t text, uint64_t *id);
 
+/** True for a record of a job, its cancellation or its progress. */
+bool mt_record_is_of_job(mt_record_kind_t kind);
+
 /** Serializes a message; the result is freed with g_bytes_unref(). */
 GBytes *mt_dag_pack(const ProtobufCMessage *message);
 
--- a/lib/dag/table.c
+++ b/lib/dag/table.c
@@ -32,6 +32,11 @@
 	g_free(table);
 }
 
+void mt_table_clear(mt_table_t *table)
+{
+	g_hash_table_remove_all(table->jobs);
+}
+
 void mt_table_watch(mt_table_t *table, const mt_table_watcher_t *watcher)
 {
 	table->watcher = watcher ? *watcher : (mt_table_watcher_t){0};
@@ -154,7 +159,7 @@
 	uint64_t id;
 
 	if (!mt_record_parse_key(record->key, &kind, &id) ||
-	    kind == MT_RECORD_LEADER || kind == MT_RECORD_HOST)
+	    !mt_record_is_of_job(kind))
 		return;
 	if (!record->value.len) {
 		g_hash_table_remove(table->jobs, &id);
--- a/lib/dag/table.h
+++ b/lib/dag/table.h
@@ -1,8 +1,8 @@
 /**
  * @file table.h
- * Table of all accepted jobs, built from the records in the store. Every host
- * keeps such a table to answer the calls of clients. A new leader makes its job
- * models (job_model.h) from its table.
+ * Table of all accepted jobs, built from the records in the store. The leader
+ * and the standbys keep such a table to answer calls about jobs. A new leader
+ * makes its job models (job_model.h) from its table.
  */
 #ifndef MT_DAG_TABLE_H
 #define MT_DAG_TABLE_H
@@ -46,6 +46,9 @@
 mt_table_t *mt_table_new(mt_kernel_t *kernel);
 void mt_table_free(mt_table_t *table);
 
+/** Removes all jobs, without a callback. */
+void mt_table_clear(mt_table_t *table);
+
 /** Sets the only watcher; NULL removes it. */
 void mt_table_watch(mt_table_t *table, const mt_table_watcher_t *watcher);
 
--- a/lib/kernel/name.h
+++ b/lib/kernel/name.h
@@ -28,6 +28,12 @@
 	char text[MT_NAME_MAX_BYTES + 1];
 } mt_name_t;
 
+/** IP address and TCP port. */
+typedef struct mt_endpoint_t {
+	mt_name_t address;
+	uint16_t port; /**< 0: not known */
+} mt_endpoint_t;
+
 /** View of a NUL-terminated string; NULL gives the empty view. */
 mt_str_t mt_str_from(const char *text);
 
--- a/programs/ctl/ctl.h
+++ b/programs/ctl/ctl.h
@@ -27,12 +27,6 @@
 	MT_EXIT_UNKNOWN = 5,  /**< no response; the outcome is unknown */
 } mt_exit_t;
 
-/** An address given as IP:PORT. */
-typedef struct mt_endpoint_t {
-	mt_name_t address;
-	uint16_t port;
-} mt_endpoint_t;
-
 /** Event loop, kernel and HTTP client of one subcommand. */
 typedef struct mt_ctl_t {
 	mt_loop_t *loop;
--- a/programs/entryd/main.c
+++ b/programs/entryd/main.c
@@ -15,6 +15,7 @@
 
 #include "dag/host.h"
 #include "net/http_client.h"
+#include "peer/peer_http.h"
 #include "platform/advice_http.h"
 #include "platform/front_http.h"
 #include "platform/config_json.h"
@@ -155,6 +156,9 @@
 		entryd->kernel, entryd->loop, &settings->callers.address,
 		settings->callers.port, mt_dag_host_front(entryd->host));
 	return entryd->front_http &&
+	       mt_peer_server_new(entryd->kernel, entryd->loop,
+				  &settings->peers,
+				  mt_dag_host_front(entryd->host)) &&
 	       mt_readiness_server_new(
 		       entryd->loop, &settings->readiness.address,
 		       settings->readiness.port, is_ready, entryd) &&
@@ -193,11 +197,14 @@
 		deps.advice = mt_advice_http_port(mt_advice_http_new(
 			entryd->kernel, entryd->http_client,
 			&settings->advice.address, settings->advice.port));
+	deps.peers = mt_peer_http_port(
+		mt_peer_http_new(entryd->kernel, entryd->http_client));
 	deps.server_list_format = &mt_server_list_format;
 	deps.config_format = (mt_config_format_t){
 		WIRE_TOPIC_OPERATOR, WIRE_KEY_CONFIG, mt_config_decode};
 	deps.decode_job = mt_job_decode;
 	deps.host = settings->host;
+	deps.endpoint = settings->peers;
 	deps.incarnation = make_incarnation(&settings->host);
 	deps.cores_milli = settings->cores_milli;
 	deps.config_age_max_ms = settings->config_age_max_ms;
@@ -267,7 +274,7 @@
 	if (!start(&entryd)) {
 		fprintf(stderr,
 			"cannot listen on the address in the setting callers, "
-			"readiness or metrics\n");
+			"peers, readiness or metrics\n");
 		return EXIT_CANNOT_LISTEN;
 	}
 	mt_loop_run(entryd.loop);
--- a/programs/entryd/settings.c
+++ b/programs/entryd/settings.c
@@ -130,6 +130,7 @@
 	       get_endpoint(json, "callers", &settings->callers, error) &&
 	       get_endpoint(json, "readiness", &settings->readiness, error) &&
 	       get_endpoint(json, "metrics", &settings->metrics, error) &&
+	       get_endpoint(json, "peers", &settings->peers, error) &&
 	       get_endpoint(json, "store", &settings->store, error) &&
 	       get_optional_endpoint(json, "advice", &settings->advice,
 				     error) &&
--- a/programs/entryd/settings.h
+++ b/programs/entryd/settings.h
@@ -18,12 +18,6 @@
 #define MT_ENTRY_ERROR mt_entry_error_quark()
 GQuark mt_entry_error_quark(void);
 
-/** IP address and TCP port. */
-typedef struct mt_endpoint_t {
-	mt_name_t address;
-	uint16_t port;
-} mt_endpoint_t;
-
 typedef struct mt_entry_settings_t {
 	mt_name_t host;
 	mt_name_t dc;
@@ -31,6 +25,7 @@
 	mt_endpoint_t callers; /**< listens here for requests of clients */
 	mt_endpoint_t readiness;   /**< listens here for readiness checks */
 	mt_endpoint_t metrics;	   /**< listens here for requests of metrics */
+	mt_endpoint_t peers;	   /**< listens here for calls of other hosts */
 	mt_endpoint_t store;	   /**< see platform/store_http.h */
 	mt_endpoint_t advice;	   /**< the policy service; port 0: none */
 	mt_ms_t config_age_max_ms; /**< API keys are trusted this long
--- a/tests/chaos/cluster.c
+++ b/tests/chaos/cluster.c
@@ -16,6 +16,7 @@
 	PORT_CALLERS = 50,
 	PORT_READINESS = 60,
 	PORT_METRICS = 70,
+	PORT_PEERS = 80,
 };
 
 /**
@@ -209,12 +210,14 @@
 		"{\"host\":\"host-%u\",\"data_centre\":\"here\","
 		"\"cores\":%s,\"callers\":\"127.0.0.1:%u\","
 		"\"readiness\":\"127.0.0.1:%u\",\"metrics\":\"127.0.0.1:%u\","
-		"\"store\":\"127.0.0.1:%u\",\"lease_max_ms\":10000,"
+		"\"peers\":\"127.0.0.1:%u\",\"store\":\"127.0.0.1:%u\","
+		"\"lease_max_ms\":10000,"
 		"\"stop_task_ms\":400,\"restore_ms\":100,\"keep_ended_s\":120,"
 		"\"stop_grace_s\":%d,\"revoke_key_ms\":5000}",
 		index, index % 2 ? "0.5" : "0.25", port + PORT_CALLERS + index,
 		port + PORT_READINESS + index, port + PORT_METRICS + index,
-		port + PORT_STORE_PROXIES + index, STOP_GRACE_S);
+		port + PORT_PEERS + index, port + PORT_STORE_PROXIES + index,
+		STOP_GRACE_S);
 
 	g_file_set_contents(path, text, -1, NULL);
 	g_free(path);
--- a/tests/chaos/cluster.h
+++ b/tests/chaos/cluster.h
@@ -13,7 +13,7 @@
 #include "chaos/proxy.h"
 #include "net/http_client.h"
 
-#define CHAOS_HOSTS 4u
+#define CHAOS_HOSTS 6u
 #define CHAOS_SERVERS 12u
 
 typedef struct mt_cluster_t mt_cluster_t;
--- a/tests/fleet/fake_store.c
+++ b/tests/fleet/fake_store.c
@@ -39,7 +39,7 @@
 struct mt_fake_store_t {
 	mt_sim_t *sim;
 	GHashTable *topics;    /**< mt_fake_topic_t by name */
-	GHashTable *producers; /**< mt_fake_producer_t by name */
+	GHashTable *producers; /**< mt_fake_producer_t by topic and name */
 	GPtrArray *polls;      /**< mt_fake_call_t of waiting reads */
 	uint64_t last_poll_id;
 };
@@ -282,14 +282,17 @@
 }
 
 static mt_fake_producer_t *get_producer(mt_fake_store_t *store,
-					const char *name)
+					const char *topic, const char *name)
 {
-	mt_fake_producer_t *state = g_hash_table_lookup(store->producers, name);
+	char *key = g_strdup_printf("%s %s", topic, name);
+	mt_fake_producer_t *state = g_hash_table_lookup(store->producers, key);
 
-	if (!state) {
-		state = g_new0(mt_fake_producer_t, 1);
-		g_hash_table_insert(store->producers, g_strdup(name), state);
+	if (state) {
+		g_free(key);
+		return state;
 	}
+	state = g_new0(mt_fake_producer_t, 1);
+	g_hash_table_insert(store->producers, key, state);
 	return state;
 }
 
@@ -297,7 +300,8 @@
 {
 	mt_fake_store_t *store = call->store;
 	mt_fake_topic_t *topic = get_topic(store, call->topic);
-	mt_fake_producer_t *state = get_producer(store, call->producer);
+	mt_fake_producer_t *state =
+		get_producer(store, call->topic, call->producer);
 	bool is_duplicate;
 	mt_store_result_t result = check_producer(call, state, &is_duplicate);
 
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -497,7 +497,13 @@
 
 /* Checks at the end. */
 
+/** How long a host may take to show a job. */
+#define SHOW_MAX_MS 3500u
+
+/** What a host shows of a job. */
 typedef struct mt_job_view_t {
+	const mt_submitted_job_t *job;
+	unsigned host; /**< index of the host */
 	mt_front_outcome_t outcome;
 	MtDag__State state;
 } mt_job_view_t;
@@ -510,30 +516,58 @@
 	view->state = reply->state;
 }
 
-static void check_job(mt_sim_t *sim, const mt_submitted_job_t *job,
-		      unsigned index)
+/** Asks a host to show a job. */
+static void ask_for_job(mt_sim_t *sim, mt_job_view_t *view)
 {
-	mt_job_view_t view = {MT_FRONT_OUTCOME_UNKNOWN, MT_DAG__STATE__QUEUED};
 	char path[64];
 	mt_front_call_t call = {0};
 
 	snprintf(path, sizeof(path), "/%s/%016" G_GINT64_MODIFIER "x",
-		 job->queue, job->id);
+		 view->job->queue, view->job->id);
 	call.verb = MT_VERB_SHOW;
 	call.url_host = MT_STR("jobs.example");
 	call.path = mt_str_from(path);
 	call.key = MT_STR("key");
-	mt_dag_front_call(mt_dag_host_front(sim->hosts[index]->host), &call,
-			  on_job_shown, &view);
+	mt_dag_front_call(mt_dag_host_front(sim->hosts[view->host]->host),
+			  &call, on_job_shown, view);
+}
+
+static void check_view(mt_sim_t *sim, const mt_job_view_t *view)
+{
 	/* A cancelled job may have completed first, but must not have failed:
 	 * the queues allow 50 attempts per task, and few runs fail. */
-	if (view.outcome != MT_FRONT_OUTCOME_STATE ||
-	    !mt_state_is_final(view.state) ||
-	    (job->cancelled && view.state == MT_DAG__STATE__FAILED))
+	if (view->outcome != MT_FRONT_OUTCOME_STATE ||
+	    !mt_state_is_final(view->state) ||
+	    (view->job->cancelled && view->state == MT_DAG__STATE__FAILED))
 		mt_sim_breach(sim,
 			      "job %" G_GINT64_MODIFIER
 			      "x: host %u replies outcome %d, state %d",
-			      job->id, index, view.outcome, view.state);
+			      view->job->id, view->host, view->outcome,
+			      view->state);
+}
+
+/** Checks that each host shows each accepted job as ended. */
+static void check_jobs(mt_sim_t *sim, const GPtrArray *jobs)
+{
+	GPtrArray *views = g_ptr_array_new_with_free_func(g_free);
+
+	for (guint i = 0; i < jobs->len; i++) {
+		const mt_submitted_job_t *job = jobs->pdata[i];
+
+		for (unsigned k = 0; job->accepted && k < SIM_HOSTS; k++) {
+			mt_job_view_t *view = g_new0(mt_job_view_t, 1);
+
+			*view = (mt_job_view_t){job, k,
+						MT_FRONT_OUTCOME_UNKNOWN,
+						MT_DAG__STATE__QUEUED};
+			g_ptr_array_add(views, view);
+			ask_for_job(sim, view);
+		}
+	}
+	mt_sim_run(sim, mt_sim_now(sim) + SHOW_MAX_MS);
+	for (guint i = 0; i < views->len; i++)
+		check_view(sim, views->pdata[i]);
+	g_ptr_array_unref(views);
 }
 
 static void begin_settling(mt_workload_t *workload)
@@ -562,9 +596,8 @@
 		const mt_submitted_job_t *job = workload.jobs->pdata[i];
 
 		accepted += job->accepted;
-		for (unsigned k = 0; job->accepted && k < SIM_HOSTS; k++)
-			check_job(sim, job, k);
 	}
+	check_jobs(sim, workload.jobs);
 	mt_sim_run(sim, mt_sim_now(sim) + ENDED_JOBS_DELETED_MS);
 	for (unsigned k = 0; k < SIM_HOSTS; k++) {
 		if (mt_dag_host_n_jobs(sim->hosts[k]->host))
--- a/tests/fleet/sim.c
+++ b/tests/fleet/sim.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "fleet/fake_peers.h"
 #include "fleet/fake_servers.h"
 #include "fleet/fake_store.h"
 
@@ -117,11 +118,14 @@
 	host->deferred_events = g_queue_new();
 	mt_fake_store_bind(sim->store, host);
 	mt_fake_fleet_bind(sim->fleet, host);
+	mt_fake_peers_bind(host);
 	sim->hosts[index] = host;
 	deps.kernel = host->kernel;
 	deps.store = &host->store_port;
 	deps.backends = &host->backend_port;
 	deps.advice = &host->advice_port;
+	deps.peers = &host->peer_port;
+	deps.endpoint = mt_fake_peers_endpoint(index);
 	deps.server_list_format = mt_fake_store_server_list_format();
 	deps.config_format = mt_fake_store_config_format();
 	deps.decode_job = mt_fake_store_decode_job;
--- a/tests/fleet/sim.h
+++ b/tests/fleet/sim.h
@@ -13,7 +13,8 @@
 #include "dag/host.h"
 #include "kernel/kernel.h"
 
-#define SIM_HOSTS 4u
+/** More hosts than a leader and the standbys, so that calls are passed on. */
+#define SIM_HOSTS 6u
 #define SIM_SERVERS 12u
 
 typedef struct mt_sim_t mt_sim_t;
@@ -33,6 +34,7 @@
 	mt_store_port_t store_port;
 	mt_backend_port_t backend_port;
 	mt_advice_port_t advice_port;
+	mt_peer_port_t peer_port;
 } mt_sim_host_t;
 
 struct mt_sim_t {
--- a/tests/scripts/entry-hosts.sh
+++ b/tests/scripts/entry-hosts.sh
@@ -8,7 +8,7 @@
 
 WORK=$(mktemp -d)
 FIRST_PORT=$(pick_first_port)
-HOST_COUNT=3
+HOST_COUNT=6
 WAIT_S=15 # limit of wait_ready and wait_state
 passed=0
 failed=0
@@ -37,6 +37,7 @@
 		"callers": "127.0.0.1:$(entry_callers_port "$1")",
 		"readiness": "127.0.0.1:$((FIRST_PORT + 50 + $1))",
 		"metrics": "127.0.0.1:$((FIRST_PORT + 60 + $1))",
+		"peers": "127.0.0.1:$((FIRST_PORT + 70 + $1))",
 		"store": "127.0.0.1:$FIRST_PORT",
 		"lease_max_ms": 10000, "stop_task_ms": 400, "restore_ms": 100,
 		"keep_ended_s": 120, "stop_grace_s": 6, "revoke_key_ms": 5000
--- a/tests/unit/script_dag.c
+++ b/tests/unit/script_dag.c
@@ -10,6 +10,7 @@
 #include "dag/election.h"
 #include "dag/plan.h"
 #include "dag/backend.h"
+#include "dag/standby.h"
 #include "dag/table.h"
 #include "unit/script.h"
 
@@ -25,6 +26,7 @@
 	uint32_t chosen[UNITS_MAX][UNIT_TASKS_MAX];
 	mt_plan_t plan;
 	mt_election_t election;
+	mt_standbys_t standbys;
 	mt_ms_t now;
 	mt_timers_t *timers;
 	mt_kernel_t *kernel;
@@ -195,8 +197,7 @@
 /*
  * Leader election. In the commands, `process` is the incarnation of a host, and
  * `rank` is the delay of this host's claim in milliseconds (`claim_delay_ms`).
- * "election-sign" reports activity of the leader, such as a record that it
- * wrote; "election-read" reports an answer of the store to a read.
+ * "election-read" reports an answer of the store to a read.
  * "election-after" lets `ms` milliseconds pass and prints what this host does
  * then.
  */
@@ -238,13 +239,12 @@
 				 fixture->now);
 		fixture->election.claim_delay_ms =
 			mt_script_number(words, "rank", 0);
+		fixture->election.lacks_records =
+			mt_script_flag(words, "lacks_records");
 	} else if (!strcmp(words[0], "election-leader")) {
 		apply_leader(fixture, words);
 	} else if (!strcmp(words[0], "election-host")) {
 		apply_host(fixture, words, out);
-	} else if (!strcmp(words[0], "election-sign")) {
-		mt_election_on_leader_activity(&fixture->election,
-					       fixture->now);
 	} else if (!strcmp(words[0], "election-read")) {
 		mt_election_on_read(&fixture->election, fixture->now);
 	} else if (!strcmp(words[0], "election-back-off")) {
@@ -265,6 +265,63 @@
 	return true;
 }
 
+/* Standbys. In the commands, `process` is the incarnation of a host. */
+
+static void apply_standby(mt_dag_fixture_t *fixture, char **words)
+{
+	MtDag__Standby standby = MT_DAG__STANDBY__INIT;
+
+	standby.incarnation = (char *)mt_script_option(words, "process", "");
+	standby.released = mt_script_flag(words, "released");
+	mt_standbys_on_record(&fixture->standbys,
+			      mt_script_number(words, "slot", 0), &standby,
+			      fixture->now);
+}
+
+static void start_standby(mt_dag_fixture_t *fixture, char **words)
+{
+	mt_name_t process = mt_name(mt_script_option(words, "process", "a-1"));
+
+	mt_standbys_init(&fixture->standbys, &process, fixture->now);
+	fixture->standbys.take_delay_ms = mt_script_number(words, "delay", 0);
+}
+
+static void show_standby(mt_dag_fixture_t *fixture, char **words, GString *out)
+{
+	int own = mt_standbys_own_slot(&fixture->standbys);
+	int free_slot = mt_standbys_slot_to_take(
+		&fixture->standbys, mt_script_number(words, "extra", 0),
+		fixture->now);
+
+	if (own == MT_STANDBY_NO_SLOT)
+		g_string_append(out, "none");
+	else
+		g_string_append_printf(out, "slot %d", own);
+	if (free_slot != MT_STANDBY_NO_SLOT)
+		g_string_append_printf(out, ", takes %d", free_slot);
+	if (mt_standbys_should_renew(&fixture->standbys, fixture->now))
+		g_string_append(out, ", renews");
+	g_string_append_c(out, '\n');
+}
+
+static bool standby_command(mt_dag_fixture_t *fixture, char **words,
+			    GString *out)
+{
+	if (!strcmp(words[0], "standby-start")) {
+		start_standby(fixture, words);
+	} else if (!strcmp(words[0], "standby-record")) {
+		apply_standby(fixture, words);
+	} else if (!strcmp(words[0], "standby-back-off")) {
+		mt_standbys_back_off(&fixture->standbys, fixture->now);
+	} else if (!strcmp(words[0], "standby-after")) {
+		fixture->now += mt_script_number(words, "ms", 0);
+		show_standby(fixture, words, out);
+	} else {
+		return false;
+	}
+	return true;
+}
+
 /* Job table. */
 
 static GBytes *pack_job(char **words, uint64_t id)
@@ -386,6 +443,7 @@
 	(void)rest;
 	return plan_command(fixture, words, out) ||
 	       election_command(fixture, words, out) ||
+	       standby_command(fixture, words, out) ||
 	       table_command(fixture, words, out) ||
 	       lease_command(fixture, words, out);
 }
--- a/tests/unit/test_front.c
+++ b/tests/unit/test_front.c
@@ -1,6 +1,7 @@
 /**
  * @file test_front.c
- * Tests of the replies to clients while the store does not answer.
+ * Tests of the replies to clients while the store does not answer, and of calls
+ * that hosts without the records of jobs pass on.
  */
 #include <CUnit/Basic.h>
 
@@ -51,13 +52,27 @@
 	call.cb(call.ctx, &page);
 }
 
+/** A call that was passed on to another host. */
+typedef struct mt_pending_peer_call_t {
+	uint16_t port; /**< of the host */
+	uint32_t verb;
+	uint64_t job;
+	mt_peer_cb cb;
+	void *ctx;
+} mt_pending_peer_call_t;
+
 typedef struct mt_front_fixture_t {
 	mt_timers_t *timers;
 	mt_kernel_t *kernel;
 	mt_unresponsive_store_t store;
 	mt_catalog_t *catalog;
 	mt_dag_front_deps_t deps;
+	mt_follower_t *records_follower;
 	mt_dag_front_t *front;
+	/** Number of hosts to which calls can be passed on. */
+	unsigned n_informed;
+	mt_peer_port_t peers;
+	GArray *peer_calls; /**< mt_pending_peer_call_t, oldest first */
 	unsigned replies;
 	mt_front_reply_t reply;
 } mt_front_fixture_t;
@@ -74,6 +89,40 @@
 			       1000, &handler);
 }
 
+/** The leader has port 1, standbys have the next ones. */
+static unsigned list_informed(void *ctx, mt_endpoint_t *endpoints)
+{
+	const mt_front_fixture_t *fixture = ctx;
+
+	for (unsigned i = 0; i < fixture->n_informed; i++)
+		endpoints[i] =
+			(mt_endpoint_t){mt_name("host"), (uint16_t)(i + 1)};
+	return fixture->n_informed;
+}
+
+static void keep_peer_call(void *self, const mt_endpoint_t *host,
+			   const MtDag__PeerCall *call, mt_peer_cb cb,
+			   void *ctx)
+{
+	mt_front_fixture_t *fixture = self;
+	mt_pending_peer_call_t pending = {host->port, call->verb, call->job, cb,
+					  ctx};
+
+	g_array_append_val(fixture->peer_calls, pending);
+}
+
+/** Lets a host answer the oldest call that was passed on. */
+static mt_pending_peer_call_t answer_peer(mt_front_fixture_t *fixture,
+					  const MtDag__PeerReply *reply)
+{
+	mt_pending_peer_call_t call =
+		g_array_index(fixture->peer_calls, mt_pending_peer_call_t, 0);
+
+	g_array_remove_index(fixture->peer_calls, 0);
+	call.cb(call.ctx, reply);
+	return call;
+}
+
 static mt_catalog_t *make_catalog(void)
 {
 	mt_catalog_t *catalog = mt_catalog_new(1);
@@ -104,9 +153,15 @@
 						defer_read, defer_newest};
 	fixture->deps.kernel = fixture->kernel;
 	fixture->deps.table = mt_table_new(fixture->kernel);
-	fixture->deps.records_follower = new_follower(fixture);
+	fixture->records_follower = new_follower(fixture);
 	fixture->deps.config_follower = new_follower(fixture);
 	fixture->deps.config_age_max_ms = 2500;
+	fixture->peers = (mt_peer_port_t){fixture, keep_peer_call};
+	fixture->peer_calls =
+		g_array_new(FALSE, FALSE, sizeof(mt_pending_peer_call_t));
+	fixture->deps.peers = &fixture->peers;
+	fixture->deps.list_informed = list_informed;
+	fixture->deps.list_informed_ctx = fixture;
 	answer_oldest(&fixture->store, MT_STORE_DONE);
 	answer_oldest(&fixture->store, MT_STORE_DONE);
 	job.id = 0xa1;
@@ -118,16 +173,18 @@
 	fixture->catalog = make_catalog();
 	fixture->front = mt_dag_front_new(&fixture->deps);
 	mt_dag_front_set_catalog(fixture->front, fixture->catalog);
+	mt_dag_front_set_records(fixture->front, fixture->records_follower);
 	mt_timers_advance(fixture->timers, 1100);
 }
 
 static void tear_down(mt_front_fixture_t *fixture)
 {
-	mt_follower_stop(fixture->deps.records_follower);
+	mt_follower_stop(fixture->records_follower);
 	mt_follower_stop(fixture->deps.config_follower);
 	while (fixture->store.calls->len)
 		answer_oldest(&fixture->store, MT_STORE_REFUSED);
 	g_array_unref(fixture->store.calls);
+	g_array_unref(fixture->peer_calls);
 	mt_table_free(fixture->deps.table);
 	mt_catalog_free(fixture->catalog);
 	g_free(fixture->front);
@@ -143,17 +200,32 @@
 	fixture->reply = *reply;
 }
 
-static void show(mt_front_fixture_t *fixture)
+static void send_call(mt_front_fixture_t *fixture, mt_verb_t verb)
 {
 	mt_front_call_t call = {0};
 
-	call.verb = MT_VERB_SHOW;
+	call.verb = verb;
 	call.url_host = MT_STR("jobs.example");
 	call.path = MT_STR("/urgent/" JOB_ID);
 	call.timeout_ms = 1000;
 	mt_dag_front_call(fixture->front, &call, keep_reply, fixture);
 }
 
+static void show(mt_front_fixture_t *fixture)
+{
+	send_call(fixture, MT_VERB_SHOW);
+}
+
+/** Makes a front end of a host without the records of jobs. */
+static void set_up_without_records(mt_front_fixture_t *fixture,
+				   unsigned n_informed)
+{
+	set_up(fixture);
+	mt_dag_front_set_records(fixture->front, NULL);
+	mt_table_clear(fixture->deps.table);
+	fixture->n_informed = n_informed;
+}
+
 /**
  * The read that would update the state of the job is not answered within the
  * client's time-out of 1 s: the last known state is shown.
@@ -190,7 +262,130 @@
 	tear_down(&fixture);
 }
 
+/** The leader does not answer; the call goes on to a standby. */
+static void a_call_is_passed_on_to_the_next_host(void)
+{
+	mt_front_fixture_t fixture;
+	MtDag__PeerReply reply = MT_DAG__PEER_REPLY__INIT;
+	mt_pending_peer_call_t call;
+
+	set_up_without_records(&fixture, 2);
+	show(&fixture);
+	call = answer_peer(&fixture, NULL);
+	CU_ASSERT_EQUAL(call.port, 1);
+	CU_ASSERT_EQUAL(call.verb, MT_VERB_SHOW);
+	CU_ASSERT_EQUAL(call.job, 0xa1);
+	CU_ASSERT_EQUAL(fixture.replies, 0);
+	reply.outcome = MT_FRONT_OUTCOME_STATE;
+	reply.state = MT_DAG__STATE__COMPLETED;
+	call = answer_peer(&fixture, &reply);
+	CU_ASSERT_EQUAL(call.port, 2);
+	CU_ASSERT_EQUAL(fixture.replies, 1);
+	CU_ASSERT_EQUAL(fixture.reply.outcome, MT_FRONT_OUTCOME_STATE);
+	CU_ASSERT_EQUAL(fixture.reply.state, MT_DAG__STATE__COMPLETED);
+	tear_down(&fixture);
+}
+
+/**
+ * Pattern: a hand-over of the leadership. No host has the records for a while;
+ * the call is passed on again until one does.
+ */
+static void a_call_waits_for_a_new_leader(void)
+{
+	mt_front_fixture_t fixture;
+	MtDag__PeerReply reply = MT_DAG__PEER_REPLY__INIT;
+
+	set_up_without_records(&fixture, 0);
+	show(&fixture);
+	CU_ASSERT_EQUAL(fixture.peer_calls->len, 0);
+	fixture.n_informed = 1;
+	mt_timers_advance(fixture.timers, 1200);
+	reply.outcome = MT_FRONT_OUTCOME_NOT_DONE;
+	answer_peer(&fixture, &reply);
+	CU_ASSERT_EQUAL(fixture.replies, 0);
+	mt_timers_advance(fixture.timers, 1300);
+	reply.outcome = MT_FRONT_OUTCOME_NO_JOB;
+	answer_peer(&fixture, &reply);
+	CU_ASSERT_EQUAL(fixture.reply.outcome, MT_FRONT_OUTCOME_NO_JOB);
+	tear_down(&fixture);
+}
+
+/**
+ * The client's time-out is reached. A call that only asks for a state can be
+ * repeated; a cancellation without an answer may have been carried out.
+ */
+static void a_cancellation_without_an_answer_is_unknown(void)
+{
+	mt_front_fixture_t fixture;
+
+	set_up_without_records(&fixture, 1);
+	show(&fixture);
+	answer_peer(&fixture, NULL);
+	mt_timers_advance(fixture.timers, 2100);
+	CU_ASSERT_EQUAL(fixture.reply.outcome, MT_FRONT_OUTCOME_NOT_DONE);
+	while (fixture.peer_calls->len)
+		answer_peer(&fixture, NULL);
+	mt_timers_advance(fixture.timers, 2200);
+	send_call(&fixture, MT_VERB_CANCEL);
+	answer_peer(&fixture, NULL);
+	mt_timers_advance(fixture.timers, 3300);
+	CU_ASSERT_EQUAL(fixture.reply.outcome, MT_FRONT_OUTCOME_UNKNOWN);
+	while (fixture.peer_calls->len)
+		answer_peer(&fixture, NULL);
+	mt_timers_advance(fixture.timers, 3400);
+	CU_ASSERT_EQUAL(fixture.replies, 2);
+	tear_down(&fixture);
+}
+
+static void send_peer_call(mt_front_fixture_t *fixture)
+{
+	MtDag__PeerCall call = MT_DAG__PEER_CALL__INIT;
+
+	call.verb = MT_VERB_SHOW;
+	call.job = 0xa1;
+	mt_dag_front_peer_call(fixture->front, &call, keep_reply, fixture);
+}
+
+/** A host that is no standby any more must not say that a job is unknown. */
+static void a_host_without_records_answers_no_other_host(void)
+{
+	mt_front_fixture_t fixture;
+
+	set_up_without_records(&fixture, 1);
+	send_peer_call(&fixture);
+	CU_ASSERT_EQUAL(fixture.reply.outcome, MT_FRONT_OUTCOME_NOT_DONE);
+	CU_ASSERT_EQUAL(fixture.peer_calls->len, 0);
+	tear_down(&fixture);
+}
+
+/**
+ * A standby whose copy of the records cannot be updated does not show an
+ * unfinished job to another host: the leader may have shown its end already.
+ */
+static void an_outdated_standby_shows_no_unfinished_job(void)
+{
+	mt_front_fixture_t fixture;
+
+	set_up(&fixture);
+	mt_timers_advance(fixture.timers, 2500);
+	send_peer_call(&fixture);
+	CU_ASSERT_EQUAL(fixture.replies, 0);
+	mt_timers_advance(fixture.timers, 3500);
+	CU_ASSERT_EQUAL(fixture.replies, 1);
+	CU_ASSERT_EQUAL(fixture.reply.outcome, MT_FRONT_OUTCOME_UNKNOWN);
+	tear_down(&fixture);
+}
+
 const mt_test_t mt_front_tests[] = {
+	{"a call is passed on to the next host",
+	 a_call_is_passed_on_to_the_next_host},
+	{"a call waits for a new leader", a_call_waits_for_a_new_leader},
+	{"a cancellation without an answer is unknown",
+	 a_cancellation_without_an_answer_is_unknown},
+	{"a host without records answers no other host",
+	 a_host_without_records_answers_no_other_host},
+	{"an outdated standby shows no unfinished job",
+	 an_outdated_standby_shows_no_unfinished_job},
 	{"a known job is shown while the store does not answer",
 	 a_known_job_is_shown_while_the_store_does_not_answer},
 	{"a known job is shown at once after a long outage",
