Give reads more time after each one that got no answer

Change: the time-out of a follower's reads doubles with each read without an answer, from 1.5 s up to 12 s, and is reset by an answer.

--- a/lib/dag/follower.c
+++ b/lib/dag/follower.c
@@ -10,6 +10,14 @@
 #define RETRY_MIN_MS 50u
 #define RETRY_MAX_MS 400u
 
+/**
+ * Timeout of a read, in addition to that of the long poll. It is doubled when a
+ * read gets no answer, from the minimum up to the maximum: if the network is
+ * slow, another read would only slow it more.
+ */
+#define READ_TIMEOUT_MIN_MS 1500u
+#define READ_TIMEOUT_MAX_MS 12000u
+
 struct mt_follower_t {
 	mt_kernel_t *kernel;
 	const mt_store_port_t *store;
@@ -32,6 +40,7 @@
 	mt_ms_t current_as_of;
 	mt_ms_t round_trip;    /**< see mt_follower_round_trip() */
 	mt_ms_t retry_ms;      /**< delay before the next retry */
+	mt_ms_t timeout_ms;    /**< timeout of the next read */
 	mt_ms_t read_delay_ms; /**< see mt_follower_set_read_delay() */
 	uint64_t timer;	       /**< delays the next read; 0: not set */
 	/** `timer` delays the next read by `read_delay_ms`; otherwise it delays
@@ -57,6 +66,13 @@
 static void read_next(void *ctx);
 static void read_snapshot_page(void *ctx);
 
+/** Resets the delays and timeouts that failed reads have extended. */
+static void mark_answered(mt_follower_t *follower)
+{
+	follower->retry_ms = RETRY_MIN_MS;
+	follower->timeout_ms = READ_TIMEOUT_MIN_MS;
+}
+
 mt_follower_t *mt_follower_new(mt_kernel_t *kernel,
 			       const mt_store_port_t *store, const char *topic,
 			       mt_ms_t poll_wait_ms,
@@ -70,7 +86,7 @@
 	follower->poll_wait_ms = poll_wait_ms;
 	follower->handler = *handler;
 	follower->round_trip = MT_NEVER_MS;
-	follower->retry_ms = RETRY_MIN_MS;
+	mark_answered(follower);
 	read_snapshot_page(follower);
 	return follower;
 }
@@ -113,8 +129,13 @@
 					  delay, cb, follower);
 }
 
-static void retry(mt_follower_t *follower, mt_timer_cb cb)
+/** Repeats a read that failed with `result`. */
+static void retry(mt_follower_t *follower, mt_store_result_t result,
+		  mt_timer_cb cb)
 {
+	if (result == MT_STORE_UNKNOWN)
+		follower->timeout_ms =
+			MIN(follower->timeout_ms * 2, READ_TIMEOUT_MAX_MS);
 	call_later(follower,
 		   mt_kernel_jitter(follower->kernel, follower->retry_ms), cb);
 	follower->retry_ms = MIN(follower->retry_ms * 2, RETRY_MAX_MS);
@@ -155,7 +176,7 @@
 	if (!finish_call(follower))
 		return;
 	if (page->result == MT_STORE_DONE) {
-		follower->retry_ms = RETRY_MIN_MS;
+		mark_answered(follower);
 		deliver(follower, page);
 		if (follower->next >= page->end) {
 			mark_current(follower, follower->sent_at);
@@ -174,7 +195,7 @@
 		read_snapshot_page(follower);
 		return;
 	}
-	retry(follower, read_next);
+	retry(follower, page->result, read_next);
 }
 
 static void read_next(void *ctx)
@@ -186,8 +207,9 @@
 	follower->pending_calls++;
 	follower->sent_at = mt_kernel_now(follower->kernel);
 	follower->store->read(follower->store->self, follower->topic,
-			      follower->next, follower->poll_wait_ms, on_read,
-			      follower);
+			      follower->next, follower->poll_wait_ms,
+			      follower->poll_wait_ms + follower->timeout_ms,
+			      on_read, follower);
 }
 
 static void end_snapshot(mt_follower_t *follower)
@@ -223,10 +245,10 @@
 	if (!finish_call(follower))
 		return;
 	if (page->result != MT_STORE_DONE) {
-		retry(follower, read_snapshot_page);
+		retry(follower, page->result, read_snapshot_page);
 		return;
 	}
-	follower->retry_ms = RETRY_MIN_MS;
+	mark_answered(follower);
 	follower->round_trip =
 		MIN(follower->round_trip, now - follower->sent_at);
 	if (!follower->last_snapshot_key)
@@ -255,7 +277,8 @@
 	follower->sent_at = mt_kernel_now(follower->kernel);
 	follower->store->newest(follower->store->self, follower->topic,
 				mt_str_from(follower->last_snapshot_key),
-				on_snapshot_page, follower);
+				follower->timeout_ms, on_snapshot_page,
+				follower);
 }
 
 static void on_catch_up_read(void *ctx, const mt_store_page_t *page);
@@ -266,7 +289,8 @@
 
 	follower->pending_calls++;
 	follower->store->read(follower->store->self, follower->topic,
-			      follower->next, 0, on_catch_up_read, catch_up);
+			      follower->next, 0, READ_TIMEOUT_MIN_MS,
+			      on_catch_up_read, catch_up);
 }
 
 static void end_catch_up(mt_catch_up_t *catch_up, bool current)
--- a/lib/dag/store_port.h
+++ b/lib/dag/store_port.h
@@ -72,13 +72,16 @@
 	void (*append)(void *self, const mt_store_append_t *append,
 		       mt_store_append_cb cb, void *ctx);
 	/** Reads a page of records from offset `from` on. While there is no
-	 * such record, the store delays its answer for up to `wait_ms`. */
+	 * such record, the store delays its answer for up to `wait_ms`.
+	 * `timeout_ms`, here and below, is the time until the answer must
+	 * begin, and the longest time between two parts of it. */
 	void (*read)(void *self, const char *topic, uint64_t from,
-		     mt_ms_t wait_ms, mt_store_page_cb cb, void *ctx);
+		     mt_ms_t wait_ms, mt_ms_t timeout_ms, mt_store_page_cb cb,
+		     void *ctx);
 	/** Reads a page with the newest record of each key, in the order of the
 	 * keys, from the first key after `after_key` on. */
 	void (*newest)(void *self, const char *topic, mt_str_t after_key,
-		       mt_store_page_cb cb, void *ctx);
+		       mt_ms_t timeout_ms, mt_store_page_cb cb, void *ctx);
 } mt_store_port_t;
 
 #endif
--- a/tests/fleet/fake_store.c
+++ b/tests/fleet/fake_store.c
@@ -490,11 +490,11 @@
 }
 
 static void read_topic(void *self, const char *topic, uint64_t from,
-		       mt_ms_t wait_ms, mt_store_page_cb cb, void *ctx)
+		       mt_ms_t wait_ms, mt_ms_t timeout_ms, mt_store_page_cb cb,
+		       void *ctx)
 {
 	mt_sim_host_t *host = self;
-	/* The caller's time-out is 1.5 s longer than the long poll. */
-	mt_fake_call_t *call = new_call(host, topic, ctx, wait_ms + 1500);
+	mt_fake_call_t *call = new_call(host, topic, ctx, timeout_ms);
 
 	call->on_page = cb;
 	call->from = from;
@@ -503,11 +503,10 @@
 }
 
 static void newest(void *self, const char *topic, mt_str_t after_key,
-		   mt_store_page_cb cb, void *ctx)
+		   mt_ms_t timeout_ms, mt_store_page_cb cb, void *ctx)
 {
 	mt_sim_host_t *host = self;
-	/* The caller's time-out is 1.5 s. */
-	mt_fake_call_t *call = new_call(host, topic, ctx, 1500);
+	mt_fake_call_t *call = new_call(host, topic, ctx, timeout_ms);
 
 	call->on_page = cb;
 	call->newest = true;
--- a/tests/platformd/main.c
+++ b/tests/platformd/main.c
@@ -16,6 +16,9 @@
 #include "net/loop.h"
 #include "platform/store_http.h"
 
+/** Time-out of reads, in addition to that of a long poll. */
+#define READ_TIMEOUT_MS 1500u
+
 #define BODY_MAX_BYTES (4u * 1024u * 1024u)
 #define OFFSET_BYTES 8
 
@@ -292,12 +295,14 @@
 		on_append_call(platform, http);
 	} else if (mt_str_equal(http->path, MT_STR("/mimosaturn/log-read"))) {
 		store->read(store->self, topic, query_number(http, "from", 0),
-			    query_number(http, "wait_ms", 0), on_page,
-			    new_pending_call(http));
+			    query_number(http, "wait_ms", 0),
+			    query_number(http, "wait_ms", 0) + READ_TIMEOUT_MS,
+			    on_page, new_pending_call(http));
 	} else if (mt_str_equal(http->path, MT_STR("/mimosaturn/log-newest"))) {
 		call = new_pending_call(http);
 		call->newest = true;
-		store->newest(store->self, topic, (mt_str_t){0}, on_page, call);
+		store->newest(store->self, topic, (mt_str_t){0},
+			      READ_TIMEOUT_MS, on_page, call);
 	} else if (mt_str_equal(http->path, MT_STR("/test/faults"))) {
 		on_faults_call(platform, http);
 	} else if (mt_str_equal(http->path, MT_STR("/test/audit"))) {
--- a/tests/unit/test_engine.c
+++ b/tests/unit/test_engine.c
@@ -369,7 +369,7 @@
 }
 
 static void defer_newest(void *self, const char *topic, mt_str_t after_key,
-			 mt_store_page_cb cb, void *ctx)
+			 mt_ms_t timeout_ms, mt_store_page_cb cb, void *ctx)
 {
 	mt_capturing_store_t *store = self;
 
--- a/tests/unit/test_follower.c
+++ b/tests/unit/test_follower.c
@@ -25,25 +25,28 @@
 	 * this fake gives a snapshot no records. */
 	uint64_t from;
 	mt_ms_t wait_ms;
+	mt_ms_t timeout_ms;
 	mt_store_page_cb cb;
 	void *ctx;
 } mt_paged_call_t;
 
 static void on_read_call(void *self, const char *topic, uint64_t from,
-			 mt_ms_t wait_ms, mt_store_page_cb cb, void *ctx)
+			 mt_ms_t wait_ms, mt_ms_t timeout_ms,
+			 mt_store_page_cb cb, void *ctx)
 {
 	mt_paged_store_t *store = self;
-	mt_paged_call_t call = {false, from, wait_ms, cb, ctx};
+	mt_paged_call_t call = {false, from, wait_ms, timeout_ms, cb, ctx};
 
 	store->reads++;
 	g_array_append_val(store->calls, call);
 }
 
 static void on_newest_call(void *self, const char *topic, mt_str_t after_key,
-			   mt_store_page_cb cb, void *ctx)
+			   mt_ms_t timeout_ms, mt_store_page_cb cb, void *ctx)
 {
 	mt_paged_store_t *store = self;
-	mt_paged_call_t call = {true, after_key.len ? 1 : 0, 0, cb, ctx};
+	mt_paged_call_t call = {true, after_key.len ? 1 : 0, 0, timeout_ms, cb,
+				ctx};
 
 	g_array_append_val(store->calls, call);
 }
@@ -70,16 +73,22 @@
 	call.cb(call.ctx, &page);
 }
 
-static void refuse(mt_paged_store_t *store, guint index)
+/** Answers the pending call at `index` with a failure. */
+static void fail(mt_paged_store_t *store, guint index, mt_store_result_t result)
 {
 	mt_paged_call_t call =
 		g_array_index(store->calls, mt_paged_call_t, index);
-	mt_store_page_t page = {.result = MT_STORE_REFUSED};
+	mt_store_page_t page = {.result = result};
 
 	g_array_remove_index(store->calls, index);
 	call.cb(call.ctx, &page);
 }
 
+static void refuse(mt_paged_store_t *store, guint index)
+{
+	fail(store, index, MT_STORE_REFUSED);
+}
+
 typedef struct mt_follower_fixture_t {
 	mt_timers_t *timers;
 	mt_kernel_t *kernel;
@@ -257,7 +266,42 @@
 	tear_down(&fixture);
 }
 
+/** Time-out of the only pending call, a read, without its long poll. */
+static mt_ms_t read_timeout(const mt_follower_fixture_t *fixture)
+{
+	const mt_paged_call_t *call =
+		&g_array_index(fixture->store.calls, mt_paged_call_t, 0);
+
+	CU_ASSERT_EQUAL(fixture->store.calls->len, 1);
+	return call->timeout_ms - call->wait_ms;
+}
+
+/**
+ * Pattern: many hosts read a large configuration at once over a slow link.
+ * Reads that end before the answer begins only add traffic, so that each one
+ * waits twice as long as the one before, up to 12 s.
+ */
+static void a_read_that_timed_out_is_repeated_with_more_time(void)
+{
+	static const mt_ms_t expected[] = {1500, 3000, 6000, 12000, 12000};
+	mt_follower_fixture_t fixture;
+
+	set_up(&fixture);
+	for (size_t i = 0; i < G_N_ELEMENTS(expected); i++) {
+		CU_ASSERT_EQUAL(read_timeout(&fixture), expected[i]);
+		fail(&fixture.store, 0, MT_STORE_UNKNOWN);
+		mt_timers_advance(fixture.timers,
+				  mt_timers_now(fixture.timers) + 500);
+	}
+	fixture.store.end = 1;
+	answer(&fixture.store, 0);
+	CU_ASSERT_EQUAL(read_timeout(&fixture), 1500);
+	tear_down(&fixture);
+}
+
 const mt_test_t mt_follower_tests[] = {
+	{"a read that timed out is repeated with more time",
+	 a_read_that_timed_out_is_repeated_with_more_time},
 	{"a catch-up reads all pages", a_catch_up_reads_all_pages},
 	{"a catch-up ends where the topic ended",
 	 a_catch_up_ends_where_the_topic_ended},
--- a/tests/unit/test_front.c
+++ b/tests/unit/test_front.c
@@ -30,13 +30,14 @@
 }
 
 static void defer_read(void *self, const char *topic, uint64_t from,
-		       mt_ms_t wait_ms, mt_store_page_cb cb, void *ctx)
+		       mt_ms_t wait_ms, mt_ms_t timeout_ms, mt_store_page_cb cb,
+		       void *ctx)
 {
 	add_call(self, cb, ctx);
 }
 
 static void defer_newest(void *self, const char *topic, mt_str_t after_key,
-			 mt_store_page_cb cb, void *ctx)
+			 mt_ms_t timeout_ms, mt_store_page_cb cb, void *ctx)
 {
 	add_call(self, cb, ctx);
 }
