Find slow servers by the progress of sibling tasks, and move runs away

Only runs without any progress were moved, so that gangs with one slow member held all their accelerators.

--- a/lib/dag/backend.h
+++ b/lib/dag/backend.h
@@ -95,7 +95,12 @@
 	/** Number of active runs in the last report that were not the present
 	 * run of a task placed here. */
 	unsigned n_stray_runs;
-	mt_ms_t avoid_until;  /**< no placement before this local time */
+	mt_ms_t avoid_until; /**< no placement before this local time */
+	/* Rates of progress of the tasks placed here, see pace.h. */
+	double ratio_sum;     /**< sum over the tasks compared last */
+	unsigned n_ratios;    /**< number of the tasks compared last */
+	double slow_ratio;    /**< mean of the ratios, if the server is slow */
+	mt_ms_t slow_at;      /**< when it was last found slow; 0: never */
 	unsigned fail_streak; /**< number of consecutive failed runs on it */
 	void *owner;	      /**< not used; always NULL */
 } mt_backend_t;
--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -283,6 +283,7 @@
 		return;
 	g_hash_table_iter_init(&iter, engine->backends);
 	mt_survival_decay(&engine->survival, TICK_MS / 1000.0);
+	mt_relocation_find_slow_servers(engine);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		record_running_time(engine, value);
 		mt_commands_tick(engine, value);
--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -42,6 +42,8 @@
 	mt_survival_t survival;
 	mt_ms_t pass_started_at; /**< start of the last scheduling pass */
 	mt_ms_t last_sweep_at;	 /**< time of the last sweep, see sweep.c */
+	/** Time of the last search for slow servers, see relocation.c. */
+	mt_ms_t slow_search_at;
 };
 
 /**
@@ -171,9 +173,19 @@
 
 /* relocation.c */
 
+/** Measures the rate of progress of a run that its server reports. */
+void mt_relocation_note_progress(mt_dag_task_t *task, mt_ms_t now);
+
+/**
+ * Called at each tick: finds slow servers now and then. No task is placed on
+ * them for some time.
+ */
+void mt_relocation_find_slow_servers(mt_engine_t *engine);
+
 /**
- * Called at each tick for each server: moves stalled runs, and runs that would
- * not end before a draining server stops, to other servers.
+ * Called at each tick for each server: moves runs to other servers that are
+ * stalled, that run on a slow server, or that would not end before a draining
+ * server stops.
  */
 void mt_relocation_tick(mt_engine_t *engine, mt_backend_t *backend);
 
--- a/lib/dag/relocation.c
+++ b/lib/dag/relocation.c
@@ -1,5 +1,6 @@
 /** @file relocation.c Moves runs to other servers. */
 #include "dag/engine_internal.h"
+#include "dag/pace.h"
 
 /**
  * A run counts as stalled only if its progress, which its server reports in
@@ -26,6 +27,27 @@
 
 #define PERCENT_MAX 100u
 
+/** Time over which the rate of progress of a run is measured, at least. */
+#define PACE_WINDOW_MS 1000u
+
+/** A rate of progress is used for this long after it was measured. */
+#define PACE_AGE_MAX_MS 2500u
+
+/**
+ * From this progress on, a rate says nothing: a member of a gang that has done
+ * its work waits for the others.
+ */
+#define PACE_PERCENT_MAX 95u
+
+/** Interval of the search for slow servers. */
+#define SLOW_SEARCH_INTERVAL_MS 500u
+
+/** How long no task is placed on a server after it was found slow. */
+#define AVOID_SLOW_MS 4000u
+
+/** A server counts as slow for this long after it was found slow. */
+#define SLOW_AGE_MAX_MS 1000u
+
 /**
  * Time without a change of its progress after which the run is stalled: the
  * longer of STALL_MS and STALL_ESTIMATE_PERCENT of its estimated run time.
@@ -57,6 +79,126 @@
 	       mt_backend_is_responsive(task->server, now, STALL_MS);
 }
 
+/* Slow servers. */
+
+void mt_relocation_note_progress(mt_dag_task_t *task, mt_ms_t now)
+{
+	mt_ms_t elapsed = now - task->pace_from_at;
+
+	if (task->pace_from_at && elapsed < PACE_WINDOW_MS)
+		return;
+	if (task->pace_from_at && task->percent >= task->pace_from_percent) {
+		task->pace = (task->percent - task->pace_from_percent) *
+			     1000.0 / (double)elapsed;
+		task->paced_at = now;
+	}
+	task->pace_from_at = now;
+	task->pace_from_percent = task->percent;
+}
+
+/** True if the rate of progress of the run can be compared with siblings. */
+static bool has_pace(const mt_dag_task_t *task, mt_ms_t now)
+{
+	GQuark data_rack = task->step->data_rack;
+
+	return is_running(task) && task->paced_at &&
+	       now - task->paced_at <= PACE_AGE_MAX_MS &&
+	       task->percent < PACE_PERCENT_MAX &&
+	       (!data_rack || task->server->info.rack == data_rack);
+}
+
+/** Compares the running tasks of a step, and adds the result to their servers.
+ */
+static void compare_step(const mt_dag_step_t *step, mt_ms_t now)
+{
+	mt_pace_sample_t *samples = g_new(mt_pace_sample_t, step->n_placed);
+	mt_dag_task_t **tasks = g_new(mt_dag_task_t *, step->n_placed);
+	unsigned n = 0;
+
+	for (uint32_t i = 0; i < step->spec->count && n < step->n_placed; i++) {
+		if (!has_pace(&step->tasks[i], now))
+			continue;
+		samples[n] = (mt_pace_sample_t){step->tasks[i].pace, 0};
+		tasks[n++] = &step->tasks[i];
+	}
+	if (mt_pace_compare(samples, n)) {
+		for (unsigned i = 0; i < n; i++) {
+			tasks[i]->server->ratio_sum += samples[i].ratio;
+			tasks[i]->server->n_ratios++;
+		}
+	}
+	g_free(samples);
+	g_free(tasks);
+}
+
+static void compare_all_steps(mt_engine_t *engine, mt_ms_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, engine->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const mt_dag_job_t *job = value;
+
+		for (uint32_t i = 0; i < job->n_steps_total; i++) {
+			if (job->steps[i].n_placed)
+				compare_step(&job->steps[i], now);
+		}
+	}
+}
+
+/** Evaluates the comparisons of the tasks on a server. */
+static void judge_server(mt_engine_t *engine, mt_backend_t *backend,
+			 mt_ms_t now)
+{
+	double ratio = backend->ratio_sum / MAX(1, backend->n_ratios);
+	bool is_slow = backend->n_ratios && mt_pace_is_slow(ratio);
+
+	backend->ratio_sum = 0;
+	backend->n_ratios = 0;
+	if (!is_slow)
+		return;
+	if (now - backend->slow_at > AVOID_SLOW_MS)
+		mt_kernel_event(engine->deps.kernel, "server_slow",
+				"\"server\":\"%s\",\"tasks\":%u,"
+				"\"speed_percent\":%u",
+				backend->info.target.id.text,
+				backend->tasks->len,
+				(unsigned)(ratio * PERCENT_MAX));
+	backend->slow_ratio = ratio;
+	backend->slow_at = now;
+	backend->avoid_until = MAX(backend->avoid_until, now + AVOID_SLOW_MS);
+}
+
+void mt_relocation_find_slow_servers(mt_engine_t *engine)
+{
+	mt_ms_t now = mt_engine_now(engine);
+	GHashTableIter iter;
+	gpointer value;
+
+	if (now - engine->slow_search_at < SLOW_SEARCH_INTERVAL_MS)
+		return;
+	engine->slow_search_at = now;
+	compare_all_steps(engine, now);
+	g_hash_table_iter_init(&iter, engine->backends);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		judge_server(engine, value, now);
+}
+
+/** True if the run would end clearly earlier on another server. */
+static bool crawls(const mt_dag_task_t *task, mt_ms_t now)
+{
+	const mt_backend_t *server = task->server;
+	const MtDag__Step *spec = task->step->spec;
+
+	return server->slow_at && now - server->slow_at <= SLOW_AGE_MAX_MS &&
+	       has_pace(task, now) && !spec->lasting &&
+	       mt_pace_should_restart(task->percent, task->pace,
+				      server->slow_ratio, spec->checkpointing);
+}
+
+/* Ends of runs. */
+
 /** Estimated time until the run ends. */
 static mt_ms_t time_left(const mt_dag_task_t *task)
 {
@@ -113,6 +255,8 @@
 			backend->avoid_until = MAX(backend->avoid_until,
 						   now + AVOID_STALLED_MS);
 			relocate(engine, task, "stands still");
+		} else if (crawls(task, now)) {
+			relocate(engine, task, "its server is slow");
 		} else if (should_evacuate(task, now)) {
 			relocate(engine, task, "its server leaves");
 		}
--- a/lib/dag/reports.c
+++ b/lib/dag/reports.c
@@ -194,6 +194,7 @@
 		task->percent = active->percent;
 		task->progressed_at = now;
 	}
+	mt_relocation_note_progress(task, now);
 	mt_dag_task_save_checkpoint(task, active->checkpoint, now);
 	if (task->stop_wanted || job->state >= MT_DAG__STATE__COMPLETED)
 		mt_commands_stop(engine, task);
