--- a/lib/dag/dag.pb-c.c
+++ b/lib/dag/dag.pb-c.c
@@ -322,49 +322,49 @@
   assert(message->base.descriptor == &mt_dag__host__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   mt_dag__standby__init
-                     (MtDag__Standby         *message)
+void   mt_dag__slot_holder__init
+                     (MtDag__SlotHolder         *message)
 {
-  static const MtDag__Standby init_value = MT_DAG__STANDBY__INIT;
+  static const MtDag__SlotHolder init_value = MT_DAG__SLOT_HOLDER__INIT;
   *message = init_value;
 }
-size_t mt_dag__standby__get_packed_size
-                     (const MtDag__Standby *message)
+size_t mt_dag__slot_holder__get_packed_size
+                     (const MtDag__SlotHolder *message)
 {
-  assert(message->base.descriptor == &mt_dag__standby__descriptor);
+  assert(message->base.descriptor == &mt_dag__slot_holder__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t mt_dag__standby__pack
-                     (const MtDag__Standby *message,
+size_t mt_dag__slot_holder__pack
+                     (const MtDag__SlotHolder *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &mt_dag__standby__descriptor);
+  assert(message->base.descriptor == &mt_dag__slot_holder__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t mt_dag__standby__pack_to_buffer
-                     (const MtDag__Standby *message,
+size_t mt_dag__slot_holder__pack_to_buffer
+                     (const MtDag__SlotHolder *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &mt_dag__standby__descriptor);
+  assert(message->base.descriptor == &mt_dag__slot_holder__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-MtDag__Standby *
-       mt_dag__standby__unpack
+MtDag__SlotHolder *
+       mt_dag__slot_holder__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (MtDag__Standby *)
-     protobuf_c_message_unpack (&mt_dag__standby__descriptor,
+  return (MtDag__SlotHolder *)
+     protobuf_c_message_unpack (&mt_dag__slot_holder__descriptor,
                                 allocator, len, data);
 }
-void   mt_dag__standby__free_unpacked
-                     (MtDag__Standby *message,
+void   mt_dag__slot_holder__free_unpacked
+                     (MtDag__SlotHolder *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &mt_dag__standby__descriptor);
+  assert(message->base.descriptor == &mt_dag__slot_holder__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   mt_dag__peer_call__init
@@ -412,6 +412,96 @@
   assert(message->base.descriptor == &mt_dag__peer_call__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mt_dag__config_call__init
+                     (MtDag__ConfigCall         *message)
+{
+  static const MtDag__ConfigCall init_value = MT_DAG__CONFIG_CALL__INIT;
+  *message = init_value;
+}
+size_t mt_dag__config_call__get_packed_size
+                     (const MtDag__ConfigCall *message)
+{
+  assert(message->base.descriptor == &mt_dag__config_call__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mt_dag__config_call__pack
+                     (const MtDag__ConfigCall *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mt_dag__config_call__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mt_dag__config_call__pack_to_buffer
+                     (const MtDag__ConfigCall *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mt_dag__config_call__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+MtDag__ConfigCall *
+       mt_dag__config_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (MtDag__ConfigCall *)
+     protobuf_c_message_unpack (&mt_dag__config_call__descriptor,
+                                allocator, len, data);
+}
+void   mt_dag__config_call__free_unpacked
+                     (MtDag__ConfigCall *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mt_dag__config_call__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mt_dag__config_reply__init
+                     (MtDag__ConfigReply         *message)
+{
+  static const MtDag__ConfigReply init_value = MT_DAG__CONFIG_REPLY__INIT;
+  *message = init_value;
+}
+size_t mt_dag__config_reply__get_packed_size
+                     (const MtDag__ConfigReply *message)
+{
+  assert(message->base.descriptor == &mt_dag__config_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mt_dag__config_reply__pack
+                     (const MtDag__ConfigReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mt_dag__config_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mt_dag__config_reply__pack_to_buffer
+                     (const MtDag__ConfigReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mt_dag__config_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+MtDag__ConfigReply *
+       mt_dag__config_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (MtDag__ConfigReply *)
+     protobuf_c_message_unpack (&mt_dag__config_reply__descriptor,
+                                allocator, len, data);
+}
+void   mt_dag__config_reply__free_unpacked
+                     (MtDag__ConfigReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mt_dag__config_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mt_dag__peer_reply__init
                      (MtDag__PeerReply         *message)
 {
@@ -1308,7 +1398,7 @@
   (ProtobufCMessageInit) mt_dag__host__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mt_dag__standby__field_descriptors[4] =
+static const ProtobufCFieldDescriptor mt_dag__slot_holder__field_descriptors[4] =
 {
   {
     "incarnation",
@@ -1316,7 +1406,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(MtDag__Standby, incarnation),
+    offsetof(MtDag__SlotHolder, incarnation),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
@@ -1328,7 +1418,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(MtDag__Standby, released),
+    offsetof(MtDag__SlotHolder, released),
     NULL,
     NULL,
     0,             /* flags */
@@ -1340,7 +1430,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(MtDag__Standby, address),
+    offsetof(MtDag__SlotHolder, address),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
@@ -1352,37 +1442,37 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(MtDag__Standby, port),
+    offsetof(MtDag__SlotHolder, port),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned mt_dag__standby__field_indices_by_name[] = {
+static const unsigned mt_dag__slot_holder__field_indices_by_name[] = {
   2,   /* field[2] = address */
   0,   /* field[0] = incarnation */
   3,   /* field[3] = port */
   1,   /* field[1] = released */
 };
-static const ProtobufCIntRange mt_dag__standby__number_ranges[1 + 1] =
+static const ProtobufCIntRange mt_dag__slot_holder__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 4 }
 };
-const ProtobufCMessageDescriptor mt_dag__standby__descriptor =
+const ProtobufCMessageDescriptor mt_dag__slot_holder__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "mt_dag.Standby",
-  "Standby",
-  "MtDag__Standby",
+  "mt_dag.SlotHolder",
+  "SlotHolder",
+  "MtDag__SlotHolder",
   "mt_dag",
-  sizeof(MtDag__Standby),
+  sizeof(MtDag__SlotHolder),
   4,
-  mt_dag__standby__field_descriptors,
-  mt_dag__standby__field_indices_by_name,
-  1,  mt_dag__standby__number_ranges,
-  (ProtobufCMessageInit) mt_dag__standby__init,
+  mt_dag__slot_holder__field_descriptors,
+  mt_dag__slot_holder__field_indices_by_name,
+  1,  mt_dag__slot_holder__number_ranges,
+  (ProtobufCMessageInit) mt_dag__slot_holder__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor mt_dag__peer_call__field_descriptors[3] =
@@ -1449,6 +1539,134 @@
   (ProtobufCMessageInit) mt_dag__peer_call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor mt_dag__config_call__field_descriptors[1] =
+{
+  {
+    "from",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__ConfigCall, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mt_dag__config_call__field_indices_by_name[] = {
+  0,   /* field[0] = from */
+};
+static const ProtobufCIntRange mt_dag__config_call__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor mt_dag__config_call__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mt_dag.ConfigCall",
+  "ConfigCall",
+  "MtDag__ConfigCall",
+  "mt_dag",
+  sizeof(MtDag__ConfigCall),
+  1,
+  mt_dag__config_call__field_descriptors,
+  mt_dag__config_call__field_indices_by_name,
+  1,  mt_dag__config_call__number_ranges,
+  (ProtobufCMessageInit) mt_dag__config_call__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mt_dag__config_reply__field_descriptors[5] =
+{
+  {
+    "known",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__ConfigReply, known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__ConfigReply, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__ConfigReply, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__ConfigReply, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__ConfigReply, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mt_dag__config_reply__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  4,   /* field[4] = key */
+  0,   /* field[0] = known */
+  1,   /* field[1] = offset */
+  2,   /* field[2] = value */
+};
+static const ProtobufCIntRange mt_dag__config_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor mt_dag__config_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mt_dag.ConfigReply",
+  "ConfigReply",
+  "MtDag__ConfigReply",
+  "mt_dag",
+  sizeof(MtDag__ConfigReply),
+  5,
+  mt_dag__config_reply__field_descriptors,
+  mt_dag__config_reply__field_indices_by_name,
+  1,  mt_dag__config_reply__number_ranges,
+  (ProtobufCMessageInit) mt_dag__config_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor mt_dag__peer_reply__field_descriptors[3] =
 {
   {
--- a/lib/dag/dag.pb-c.h
+++ b/lib/dag/dag.pb-c.h
@@ -22,8 +22,10 @@
 typedef struct MtDag__Progress MtDag__Progress;
 typedef struct MtDag__Leader MtDag__Leader;
 typedef struct MtDag__Host MtDag__Host;
-typedef struct MtDag__Standby MtDag__Standby;
+typedef struct MtDag__SlotHolder MtDag__SlotHolder;
 typedef struct MtDag__PeerCall MtDag__PeerCall;
+typedef struct MtDag__ConfigCall MtDag__ConfigCall;
+typedef struct MtDag__ConfigReply MtDag__ConfigReply;
 typedef struct MtDag__PeerReply MtDag__PeerReply;
 
 
@@ -293,11 +295,12 @@
 
 
 /*
- * A standby: a host that reads all records of jobs, so that it can answer calls
- * about them and become the leader without a delay. Written repeatedly while the
- * host is a standby.
+ * The holder of a slot, see slots.h. A standby reads all records of jobs, so that
+ * it can answer calls about them and become the leader without a delay. A relay
+ * passes the configuration on to the hosts of its data centre. Written
+ * repeatedly while the host holds the slot.
  */
-struct  MtDag__Standby
+struct  MtDag__SlotHolder
 {
   ProtobufCMessage base;
   /*
@@ -305,7 +308,7 @@
    */
   char *incarnation;
   /*
-   * the host is no longer a standby
+   * the host has given up the slot
    */
   protobuf_c_boolean released;
   /*
@@ -314,8 +317,8 @@
   char *address;
   uint32_t port;
 };
-#define MT_DAG__STANDBY__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&mt_dag__standby__descriptor) \
+#define MT_DAG__SLOT_HOLDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mt_dag__slot_holder__descriptor) \
     , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
 
 
@@ -340,6 +343,54 @@
     , 0, 0, (char *)protobuf_c_empty_string }
 
 
+/*
+ * Asks a relay for the configuration.
+ */
+struct  MtDag__ConfigCall
+{
+  ProtobufCMessage base;
+  /*
+   * offset in the topic of the configuration
+   */
+  uint64_t from;
+};
+#define MT_DAG__CONFIG_CALL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mt_dag__config_call__descriptor) \
+    , 0 }
+
+
+/*
+ * The answer to a ConfigCall.
+ */
+struct  MtDag__ConfigReply
+{
+  ProtobufCMessage base;
+  /*
+   * the relay has a copy of the configuration
+   */
+  protobuf_c_boolean known;
+  /*
+   * of the configuration in its topic
+   */
+  uint64_t offset;
+  /*
+   * the configuration; empty if `offset` is below `from`
+   */
+  ProtobufCBinaryData value;
+  /*
+   * age of the copy
+   */
+  uint64_t age_ms;
+  /*
+   * key of the configuration in its topic
+   */
+  char *key;
+};
+#define MT_DAG__CONFIG_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mt_dag__config_reply__descriptor) \
+    , 0, 0, {0,NULL}, 0, (char *)protobuf_c_empty_string }
+
+
 /*
  * The answer to a PeerCall.
  */
@@ -491,24 +542,24 @@
 void   mt_dag__host__free_unpacked
                      (MtDag__Host *message,
                       ProtobufCAllocator *allocator);
-/* MtDag__Standby methods */
-void   mt_dag__standby__init
-                     (MtDag__Standby         *message);
-size_t mt_dag__standby__get_packed_size
-                     (const MtDag__Standby   *message);
-size_t mt_dag__standby__pack
-                     (const MtDag__Standby   *message,
+/* MtDag__SlotHolder methods */
+void   mt_dag__slot_holder__init
+                     (MtDag__SlotHolder         *message);
+size_t mt_dag__slot_holder__get_packed_size
+                     (const MtDag__SlotHolder   *message);
+size_t mt_dag__slot_holder__pack
+                     (const MtDag__SlotHolder   *message,
                       uint8_t             *out);
-size_t mt_dag__standby__pack_to_buffer
-                     (const MtDag__Standby   *message,
+size_t mt_dag__slot_holder__pack_to_buffer
+                     (const MtDag__SlotHolder   *message,
                       ProtobufCBuffer     *buffer);
-MtDag__Standby *
-       mt_dag__standby__unpack
+MtDag__SlotHolder *
+       mt_dag__slot_holder__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   mt_dag__standby__free_unpacked
-                     (MtDag__Standby *message,
+void   mt_dag__slot_holder__free_unpacked
+                     (MtDag__SlotHolder *message,
                       ProtobufCAllocator *allocator);
 /* MtDag__PeerCall methods */
 void   mt_dag__peer_call__init
@@ -529,6 +580,44 @@
 void   mt_dag__peer_call__free_unpacked
                      (MtDag__PeerCall *message,
                       ProtobufCAllocator *allocator);
+/* MtDag__ConfigCall methods */
+void   mt_dag__config_call__init
+                     (MtDag__ConfigCall         *message);
+size_t mt_dag__config_call__get_packed_size
+                     (const MtDag__ConfigCall   *message);
+size_t mt_dag__config_call__pack
+                     (const MtDag__ConfigCall   *message,
+                      uint8_t             *out);
+size_t mt_dag__config_call__pack_to_buffer
+                     (const MtDag__ConfigCall   *message,
+                      ProtobufCBuffer     *buffer);
+MtDag__ConfigCall *
+       mt_dag__config_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mt_dag__config_call__free_unpacked
+                     (MtDag__ConfigCall *message,
+                      ProtobufCAllocator *allocator);
+/* MtDag__ConfigReply methods */
+void   mt_dag__config_reply__init
+                     (MtDag__ConfigReply         *message);
+size_t mt_dag__config_reply__get_packed_size
+                     (const MtDag__ConfigReply   *message);
+size_t mt_dag__config_reply__pack
+                     (const MtDag__ConfigReply   *message,
+                      uint8_t             *out);
+size_t mt_dag__config_reply__pack_to_buffer
+                     (const MtDag__ConfigReply   *message,
+                      ProtobufCBuffer     *buffer);
+MtDag__ConfigReply *
+       mt_dag__config_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mt_dag__config_reply__free_unpacked
+                     (MtDag__ConfigReply *message,
+                      ProtobufCAllocator *allocator);
 /* MtDag__PeerReply methods */
 void   mt_dag__peer_reply__init
                      (MtDag__PeerReply         *message);
@@ -571,12 +660,18 @@
 typedef void (*MtDag__Host_Closure)
                  (const MtDag__Host *message,
                   void *closure_data);
-typedef void (*MtDag__Standby_Closure)
-                 (const MtDag__Standby *message,
+typedef void (*MtDag__SlotHolder_Closure)
+                 (const MtDag__SlotHolder *message,
                   void *closure_data);
 typedef void (*MtDag__PeerCall_Closure)
                  (const MtDag__PeerCall *message,
                   void *closure_data);
+typedef void (*MtDag__ConfigCall_Closure)
+                 (const MtDag__ConfigCall *message,
+                  void *closure_data);
+typedef void (*MtDag__ConfigReply_Closure)
+                 (const MtDag__ConfigReply *message,
+                  void *closure_data);
 typedef void (*MtDag__PeerReply_Closure)
                  (const MtDag__PeerReply *message,
                   void *closure_data);
@@ -594,8 +689,10 @@
 extern const ProtobufCMessageDescriptor mt_dag__progress__descriptor;
 extern const ProtobufCMessageDescriptor mt_dag__leader__descriptor;
 extern const ProtobufCMessageDescriptor mt_dag__host__descriptor;
-extern const ProtobufCMessageDescriptor mt_dag__standby__descriptor;
+extern const ProtobufCMessageDescriptor mt_dag__slot_holder__descriptor;
 extern const ProtobufCMessageDescriptor mt_dag__peer_call__descriptor;
+extern const ProtobufCMessageDescriptor mt_dag__config_call__descriptor;
+extern const ProtobufCMessageDescriptor mt_dag__config_reply__descriptor;
 extern const ProtobufCMessageDescriptor mt_dag__peer_reply__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/lib/dag/follower.c
+++ b/lib/dag/follower.c
@@ -26,8 +26,9 @@
 	mt_follower_handler_t handler;
 	bool has_snapshot; /**< a complete snapshot has been read */
 	bool stopped;
-	bool ever_current; /**< `current_as_of` is set */
-	uint64_t next;	   /**< offset at which the next read starts */
+	bool skip_replaced; /**< see mt_follower_skip_replaced() */
+	bool ever_current;  /**< `current_as_of` is set */
+	uint64_t next;	    /**< offset at which the next read starts */
 	/** End of the topic when the first page of the snapshot was read. */
 	uint64_t snapshot_end;
 	/** Last key read of the snapshot that is being read; NULL: none. */
@@ -169,6 +170,14 @@
 	call_later(follower, follower->read_delay_ms, read_next);
 }
 
+static void note_round_trip(mt_follower_t *follower)
+{
+	mt_ms_t now = mt_kernel_now(follower->kernel);
+
+	follower->round_trip =
+		MIN(follower->round_trip, now - follower->sent_at);
+}
+
 static void on_read(void *ctx, const mt_store_page_t *page)
 {
 	mt_follower_t *follower = ctx;
@@ -177,10 +186,14 @@
 		return;
 	if (page->result == MT_STORE_DONE) {
 		mark_answered(follower);
+		note_round_trip(follower);
 		deliver(follower, page);
 		if (follower->next >= page->end) {
-			mark_current(follower, follower->sent_at);
+			mark_current(follower,
+				     follower->sent_at - page->age_ms);
 			read_after_delay(follower);
+		} else if (follower->skip_replaced) {
+			read_snapshot_page(follower);
 		} else {
 			read_next(follower);
 		}
@@ -231,7 +244,7 @@
 static void begin_snapshot(mt_follower_t *follower, const mt_store_page_t *page)
 {
 	follower->snapshot_end = page->end;
-	follower->snapshot_sent_at = follower->sent_at;
+	follower->snapshot_sent_at = follower->sent_at - page->age_ms;
 	if (follower->handler.on_snapshot)
 		follower->handler.on_snapshot(follower->handler.ctx, true);
 }
@@ -240,7 +253,6 @@
 static void on_snapshot_page(void *ctx, const mt_store_page_t *page)
 {
 	mt_follower_t *follower = ctx;
-	mt_ms_t now = mt_kernel_now(follower->kernel);
 
 	if (!finish_call(follower))
 		return;
@@ -249,8 +261,7 @@
 		return;
 	}
 	mark_answered(follower);
-	follower->round_trip =
-		MIN(follower->round_trip, now - follower->sent_at);
+	note_round_trip(follower);
 	if (!follower->last_snapshot_key)
 		begin_snapshot(follower, page);
 	for (size_t i = 0; i < page->count; i++)
@@ -346,6 +357,11 @@
 	read_next(follower);
 }
 
+void mt_follower_skip_replaced(mt_follower_t *follower)
+{
+	follower->skip_replaced = true;
+}
+
 bool mt_follower_has_snapshot(const mt_follower_t *follower)
 {
 	return follower->has_snapshot;
--- a/lib/dag/follower.h
+++ b/lib/dag/follower.h
@@ -59,8 +59,9 @@
 mt_ms_t mt_follower_age(const mt_follower_t *follower);
 
 /**
- * Shortest round trip in ms of all reads of snapshot pages so far; MT_NEVER_MS:
- * no such read has been answered.
+ * Shortest round trip in ms of all reads so far; MT_NEVER_MS: none has been
+ * answered. It includes the wait of long polls, so that it is too long until a
+ * read was answered at once.
  */
 mt_ms_t mt_follower_round_trip(const mt_follower_t *follower);
 
@@ -85,6 +86,13 @@
  */
 void mt_follower_set_read_delay(mt_follower_t *follower, mt_ms_t read_delay_ms);
 
+/**
+ * Makes the follower skip records that newer ones have replaced: a read that
+ * did not reach the end of the topic is followed by a new snapshot. For topics
+ * whose records are large and replace each other, such as the configuration.
+ */
+void mt_follower_skip_replaced(mt_follower_t *follower);
+
 /**
  * Stops reading. The handler is not called again. The follower is freed when
  * the pending calls to the store have been answered.
--- a/lib/dag/host.c
+++ b/lib/dag/host.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "dag/config_relay.h"
 #include "dag/leadership.h"
 
 /** Timeout of the long polls for the records of jobs. */
@@ -31,6 +32,10 @@
 	/** Of the topic MT_RECORDS_TOPIC; NULL: this host is neither leader nor
 	 * standby. */
 	mt_follower_t *records_follower;
+	mt_config_source_t *config_source; /**< read by `config_follower` */
+	/** Answers the hosts of this data centre; NULL: this host is no relay.
+	 */
+	mt_config_relay_t *config_relay;
 	mt_follower_t *config_follower; /**< of the configuration's topic */
 	mt_table_t *table;
 	mt_writer_t *writer;
@@ -195,6 +200,35 @@
 		unfollow_records(host);
 }
 
+static void on_relay(void *ctx, bool is_relay)
+{
+	mt_dag_host_t *host = ctx;
+	const mt_config_format_t *format = &host->deps.config_format;
+
+	mt_kernel_event(host->deps.kernel, "relay", "\"relay\":%s",
+			is_relay ? "true" : "false");
+	if (is_relay) {
+		host->config_relay =
+			mt_config_relay_new(host->deps.kernel, host->deps.store,
+					    format->topic, format->key);
+		return;
+	}
+	mt_config_relay_free(host->config_relay);
+	host->config_relay = NULL;
+}
+
+static bool find_relay(void *ctx, mt_endpoint_t *relay, bool *may_come)
+{
+	mt_dag_host_t *host = ctx;
+
+	/* While the distance to the store is not known, it may be far. */
+	*may_come = !host->config_relay &&
+		    (!mt_leadership_is_informed(host->leadership) ||
+		     mt_leadership_is_far(host->leadership));
+	return mt_leadership_is_far(host->leadership) &&
+	       mt_leadership_find_relay(host->leadership, relay);
+}
+
 /** A host that catches up with the records before it schedules. */
 typedef struct mt_take_over_t {
 	mt_dag_host_t *host;
@@ -300,14 +334,23 @@
 {
 	mt_leadership_deps_t deps = {
 		host->deps.kernel,	host->deps.store,
-		host->deps.host,	host->deps.incarnation,
-		host->deps.cores_milli, host->deps.endpoint};
+		host->deps.host,	host->deps.dc,
+		host->deps.incarnation, host->deps.cores_milli,
+		host->deps.endpoint};
 	mt_leadership_handler_t handler = {host, on_elected, on_deposed,
-					   on_standby};
+					   on_standby, on_relay};
 
 	host->leadership = mt_leadership_new(&deps, &handler);
 }
 
+static void make_config_source(mt_dag_host_t *host)
+{
+	mt_config_source_deps_t deps = {host->deps.kernel, host->deps.store,
+					host->deps.peers, find_relay, host};
+
+	host->config_source = mt_config_source_new(&deps);
+}
+
 static void make_engine(mt_dag_host_t *host)
 {
 	mt_engine_deps_t deps = {0};
@@ -359,9 +402,11 @@
 					   deps->server_list_format);
 	make_writer(host);
 	make_leadership(host);
-	host->config_follower = mt_follower_new(deps->kernel, deps->store,
-						deps->config_format.topic,
-						CONFIG_WAIT_MS, &on_configs);
+	make_config_source(host);
+	host->config_follower = mt_follower_new(
+		deps->kernel, mt_config_source_port(host->config_source),
+		deps->config_format.topic, CONFIG_WAIT_MS, &on_configs);
+	mt_follower_skip_replaced(host->config_follower);
 	make_engine(host);
 	make_front(host);
 	mt_timers_every(mt_kernel_timers(deps->kernel), TICK_MS, on_tick, host);
@@ -373,6 +418,16 @@
 	return host->front;
 }
 
+MtDag__ConfigReply mt_dag_host_config(const mt_dag_host_t *host,
+				      const MtDag__ConfigCall *call)
+{
+	MtDag__ConfigReply none = MT_DAG__CONFIG_REPLY__INIT;
+
+	return host->config_relay
+		       ? mt_config_relay_answer(host->config_relay, call)
+		       : none;
+}
+
 bool mt_dag_host_is_ready(const mt_dag_host_t *host)
 {
 	return !host->draining && mt_dag_front_is_ready(host->front);
--- a/lib/dag/host.h
+++ b/lib/dag/host.h
@@ -33,6 +33,7 @@
 	/** See mt_dag_front_deps_t. */
 	MtDag__Job *(*decode_job)(mt_str_t body);
 	mt_name_t host;		/**< name of this host */
+	mt_name_t dc;		/**< name of its data centre */
 	mt_name_t incarnation;	/**< id of this process; a restart changes it */
 	mt_endpoint_t endpoint; /**< where this host takes calls of others */
 	uint32_t cores_milli; /**< size of this host in thousandths of a core */
@@ -47,6 +48,13 @@
 
 mt_dag_front_t *mt_dag_host_front(const mt_dag_host_t *host);
 
+/**
+ * Answers a call of another host for the configuration. Only a relay knows it.
+ * The reply refers to memory of this host, which is valid until its next event.
+ */
+MtDag__ConfigReply mt_dag_host_config(const mt_dag_host_t *host,
+				      const MtDag__ConfigCall *call);
+
 /** True when this host can serve calls of clients. */
 bool mt_dag_host_is_ready(const mt_dag_host_t *host);
 
--- a/lib/dag/leadership.c
+++ b/lib/dag/leadership.c
@@ -1,6 +1,7 @@
-/** @file leadership.c Claims and keeps the leadership and a standby's slot. */
+/** @file leadership.c Claims and keeps the leadership and slots. */
 #include "dag/leadership.h"
 
+#include "dag/duty.h"
 #include "dag/election.h"
 #include "dag/follower.h"
 #include "dag/records.h"
@@ -37,28 +38,33 @@
 
 /**
  * Delay before a host takes a standby's slot, in addition to that of its claims
- * of the leadership. Smaller hosts wait longer, as larger ones lead first.
+ * of the leadership. Smaller hosts wait longer for any slot, so that larger
+ * ones take it first.
  */
-#define SLOT_DELAY_MS 300u
-#define SLOT_DELAY_RANDOM_MS 700
+#define STANDBY_DELAY_MS 300u
+#define STANDBY_DELAY_RANDOM_MS 700
 #define SLOT_DELAY_SMALLER_MS 2000u
 
+/** Delay before a host takes the slot of a relay, below this random time. */
+#define RELAY_DELAY_RANDOM_MS 300
+
+/** Hosts with a longer round trip to the store are far from it. */
+#define FAR_ROUND_TRIP_MS 25u
+
 struct mt_leadership_t {
 	mt_leadership_deps_t deps;
 	mt_leadership_handler_t handler;
 	mt_follower_t *follower;
 	mt_election_t election;
-	mt_standbys_t standbys;
-	mt_writer_t *writer;	    /**< host and standby records */
+	mt_duty_t *standby;
+	mt_duty_t *relay;
+	mt_writer_t *writer;	    /**< host and slot records */
 	mt_writer_t *leader_writer; /**< heartbeats; NULL: not elected */
 	mt_ms_t heartbeat_at;	    /**< of the last heartbeat */
-	char *slot_producer;	    /**< producer of claims of slots */
-	uint64_t slot_epoch;	    /**< of the last claim of a slot */
 	bool claims_allowed;
-	bool claiming;	  /**< the append of a claim has no answer yet */
-	bool taking_slot; /**< the claim of a slot has no answer yet */
-	bool elected;	  /**< the handler knows that this host leads */
-	bool standby;	  /**< the handler knows that it is a standby */
+	bool claiming;	 /**< the append of a claim has no answer yet */
+	bool delays_set; /**< the delays of claims are set */
+	bool elected;	 /**< the handler knows that this host leads */
 	/** This host has given up the present term, or another host has ended
 	 * it, but the records read so far do not show this yet. */
 	bool term_over;
@@ -217,22 +223,6 @@
 	mt_dag__host__free_unpacked(other, NULL);
 }
 
-static void on_standby_record(mt_leadership_t *leadership, uint64_t slot,
-			      mt_str_t value)
-{
-	MtDag__Standby *standby = mt_dag__standby__unpack(
-		NULL, value.len, (const uint8_t *)value.data);
-
-	if (!standby) {
-		mt_log(leadership->deps.kernel, MT_LOG_ERR, "leadership",
-		       "ignoring a malformed standby record");
-		return;
-	}
-	mt_standbys_on_record(&leadership->standbys, slot, standby,
-			      now_of(leadership));
-	mt_dag__standby__free_unpacked(standby, NULL);
-}
-
 static void on_record(void *ctx, const mt_store_record_t *record)
 {
 	mt_leadership_t *leadership = ctx;
@@ -246,7 +236,9 @@
 	else if (kind == MT_RECORD_HOST)
 		on_host_record(leadership, record);
 	else if (kind == MT_RECORD_STANDBY)
-		on_standby_record(leadership, number, record->value);
+		mt_duty_on_record(leadership->standby, number, record->value);
+	else if (kind == MT_RECORD_RELAY)
+		mt_duty_on_record(leadership->relay, number, record->value);
 }
 
 /** Begins the term of this host, whose claim has been read. */
@@ -271,7 +263,6 @@
 {
 	mt_leadership_t *leadership = ctx;
 	bool leads = mt_election_is_leader(&leadership->election);
-	bool standby = mt_leadership_is_standby(leadership);
 
 	mt_election_on_read(&leadership->election, now_of(leadership));
 	if (!leads) {
@@ -281,10 +272,8 @@
 		   !leadership->draining) {
 		begin_term(leadership);
 	}
-	if (standby == leadership->standby)
-		return;
-	leadership->standby = standby;
-	leadership->handler.on_standby(leadership->handler.ctx, standby);
+	mt_duty_report(leadership->standby);
+	mt_duty_report(leadership->relay);
 }
 
 /* Claims. */
@@ -302,93 +291,36 @@
 }
 
 /**
- * Appends one record, on the condition that no record has been appended to the
- * topic since this host last read it.
+ * Claims the leadership by appending a leader record, on the condition that no
+ * record has been appended to the topic since this host last read it. The term
+ * is the offset of the leader record plus one.
  */
-static void append_if_unchanged(mt_leadership_t *leadership,
-				mt_record_key_t key,
-				const ProtobufCMessage *message,
-				const char *producer, uint64_t epoch,
-				mt_store_append_cb cb)
+static void claim(mt_leadership_t *leadership)
 {
-	mt_store_record_t record = {mt_str_from(key.text), {0}, 0};
+	/* Plus one, as term 0 means no leader, and an epoch must exceed 0. */
+	uint64_t term = mt_follower_next(leadership->follower) + 1;
+	MtDag__Leader leader = leader_record(leadership, term);
+	mt_record_key_t key = mt_record_key(MT_RECORD_LEADER, 0);
+	GBytes *bytes = mt_dag_pack(&leader.base);
+	mt_store_record_t record = {mt_str_from(key.text), mt_bytes_view(bytes),
+				    0};
 	mt_store_append_t append = {0};
-	GBytes *bytes = mt_dag_pack(message);
 
-	record.value = mt_bytes_view(bytes);
 	append.topic = MT_LEADERS_TOPIC;
 	append.records = &record;
 	append.count = 1;
 	append.expected_end = mt_follower_next(leadership->follower);
-	append.producer = producer;
-	append.epoch = epoch;
+	append.producer = MT_SCHEDULER_PRODUCER;
+	append.epoch = term;
+	/* The writer of heartbeats, of the same epoch, starts at sequence 1. */
 	append.sequence = 0;
 	append.timeout_ms = CLAIM_TIMEOUT_MS;
+	leadership->claiming = true;
 	leadership->deps.store->append(leadership->deps.store->self, &append,
-				       cb, leadership);
+				       on_claimed, leadership);
 	g_bytes_unref(bytes);
 }
 
-/** Claims the leadership. The term is the offset of the claim plus one. */
-static void claim(mt_leadership_t *leadership)
-{
-	/* Plus one, as term 0 means no leader, and an epoch must exceed 0. */
-	uint64_t term = mt_follower_next(leadership->follower) + 1;
-	MtDag__Leader leader = leader_record(leadership, term);
-
-	leadership->claiming = true;
-	append_if_unchanged(leadership, mt_record_key(MT_RECORD_LEADER, 0),
-			    &leader.base, MT_SCHEDULER_PRODUCER, term,
-			    on_claimed);
-}
-
-static MtDag__Standby standby_record(mt_leadership_t *leadership)
-{
-	MtDag__Standby standby = MT_DAG__STANDBY__INIT;
-
-	standby.incarnation = leadership->deps.incarnation.text;
-	standby.address = leadership->deps.endpoint.address.text;
-	standby.port = leadership->deps.endpoint.port;
-	return standby;
-}
-
-static void on_slot_taken(void *ctx, mt_store_result_t result, uint64_t offset)
-{
-	mt_leadership_t *leadership = ctx;
-
-	leadership->taking_slot = false;
-	if (result != MT_STORE_DONE)
-		mt_standbys_back_off(&leadership->standbys, now_of(leadership));
-}
-
-/** Claims a standby's slot. */
-static void take_slot(mt_leadership_t *leadership, int slot)
-{
-	MtDag__Standby standby = standby_record(leadership);
-
-	leadership->taking_slot = true;
-	leadership->standbys.renewal_sent_at = now_of(leadership);
-	append_if_unchanged(leadership,
-			    mt_record_key(MT_RECORD_STANDBY, (uint64_t)slot),
-			    &standby.base, leadership->slot_producer,
-			    ++leadership->slot_epoch, on_slot_taken);
-}
-
-/** Repeats the standby record of this host, or releases its slot. */
-static void write_standby(mt_leadership_t *leadership, bool released,
-			  mt_writer_cb cb)
-{
-	MtDag__Standby standby = standby_record(leadership);
-	int slot = mt_standbys_own_slot(&leadership->standbys);
-
-	standby.released = released;
-	leadership->standbys.renewal_sent_at = now_of(leadership);
-	add_record(leadership->writer,
-		   mt_record_key(MT_RECORD_STANDBY, (uint64_t)slot),
-		   &standby.base);
-	mt_writer_commit(leadership->writer, false, cb, leadership);
-}
-
 static void write_host(mt_leadership_t *leadership)
 {
 	MtDag__Host host = MT_DAG__HOST__INIT;
@@ -414,15 +346,19 @@
 {
 	mt_election_t *election = &leadership->election;
 
-	if (!election->claim_delay_ms)
-		election->claim_delay_ms =
-			CLAIM_DELAY_ROUND_TRIPS *
-				mt_follower_round_trip(leadership->follower) +
-			random_ms(leadership, CLAIM_DELAY_RANDOM_MS);
-	if (!leadership->standbys.take_delay_ms)
-		leadership->standbys.take_delay_ms =
-			election->claim_delay_ms + SLOT_DELAY_MS +
-			random_ms(leadership, SLOT_DELAY_RANDOM_MS);
+	if (leadership->delays_set)
+		return;
+	leadership->delays_set = true;
+	election->claim_delay_ms =
+		CLAIM_DELAY_ROUND_TRIPS *
+			mt_follower_round_trip(leadership->follower) +
+		random_ms(leadership, CLAIM_DELAY_RANDOM_MS);
+	mt_duty_set_delay(
+		leadership->standby,
+		election->claim_delay_ms + STANDBY_DELAY_MS +
+			random_ms(leadership, STANDBY_DELAY_RANDOM_MS));
+	mt_duty_set_delay(leadership->relay,
+			  random_ms(leadership, RELAY_DELAY_RANDOM_MS));
 }
 
 static bool is_smaller_host(const mt_election_t *election)
@@ -430,30 +366,29 @@
 	return election->cores_milli < election->largest_cores_milli;
 }
 
-/** Keeps, takes or releases a standby's slot. The leader holds none. */
-static void tick_standby(mt_leadership_t *leadership)
+/**
+ * Keeps, takes or releases slots. The leader is no standby, as it reads the
+ * records of jobs anyway.
+ */
+static void tick_duties(mt_leadership_t *leadership)
 {
-	mt_ms_t now = now_of(leadership);
+	uint64_t end = mt_follower_next(leadership->follower);
 	mt_ms_t extra = is_smaller_host(&leadership->election)
 				? SLOT_DELAY_SMALLER_MS
 				: 0;
-	int slot;
 
-	if (mt_standbys_should_renew(&leadership->standbys, now)) {
-		write_standby(leadership, leadership->elected, NULL);
-		return;
-	}
-	if (leadership->elected || leadership->taking_slot ||
-	    leadership->claiming)
-		return;
-	slot = mt_standbys_slot_to_take(&leadership->standbys, extra, now);
-	if (slot != MT_STANDBY_NO_SLOT)
-		take_slot(leadership, slot);
+	mt_duty_tick(leadership->standby,
+		     leadership->claims_allowed && !leadership->elected &&
+			     !leadership->claiming,
+		     extra, end);
+	mt_duty_tick(leadership->relay, mt_leadership_is_far(leadership), extra,
+		     end);
 }
 
 static void set_read_delay(mt_leadership_t *leadership)
 {
-	bool no_delay = leadership->elected || leadership->standby ||
+	bool no_delay = leadership->elected ||
+			mt_duty_is_held(leadership->standby) ||
 			mt_election_may_be_vacant(&leadership->election,
 						  now_of(leadership));
 
@@ -475,19 +410,19 @@
 		return;
 	if (!leadership->host_recorded)
 		write_host(leadership);
-	if (!leadership->claims_allowed || leadership->draining)
+	if (leadership->draining)
 		return;
 	set_delays(leadership);
-	if (!leadership->claiming &&
+	if (leadership->claims_allowed && !leadership->claiming &&
 	    mt_election_should_claim(&leadership->election, now))
 		claim(leadership);
-	tick_standby(leadership);
+	tick_duties(leadership);
 }
 
 /* Construction. */
 
 /**
- * Makes the writer of host and standby records. Its producer name is unique to
+ * Makes the writer of host and slot records. Its producer name is unique to
  * this process. Its epoch can therefore always be 1, and its first sequence
  * number 0.
  */
@@ -500,6 +435,25 @@
 	return mt_writer_new(&deps);
 }
 
+static mt_duty_t *make_duty(mt_leadership_t *leadership, mt_record_kind_t kind,
+			    uint64_t first_key, int n_slots,
+			    void (*on_change)(void *, bool))
+{
+	mt_duty_deps_t deps = {0};
+
+	deps.kernel = leadership->deps.kernel;
+	deps.store = leadership->deps.store;
+	deps.writer = leadership->writer;
+	deps.incarnation = leadership->deps.incarnation;
+	deps.endpoint = leadership->deps.endpoint;
+	deps.record_kind = kind;
+	deps.first_key = first_key;
+	deps.n_slots = n_slots;
+	deps.on_change = on_change;
+	deps.ctx = leadership->handler.ctx;
+	return mt_duty_new(&deps);
+}
+
 mt_leadership_t *mt_leadership_new(const mt_leadership_deps_t *deps,
 				   const mt_leadership_handler_t *handler)
 {
@@ -512,11 +466,12 @@
 	mt_election_init(&leadership->election, &deps->host, &deps->incarnation,
 			 deps->cores_milli, now_of(leadership));
 	leadership->election.lacks_records = true;
-	mt_standbys_init(&leadership->standbys, &deps->incarnation,
-			 now_of(leadership));
-	leadership->slot_producer =
-		g_strdup_printf("%s-slot", deps->incarnation.text);
 	leadership->writer = make_writer(deps);
+	leadership->standby = make_duty(leadership, MT_RECORD_STANDBY, 0,
+					MT_STANDBYS, handler->on_standby);
+	leadership->relay =
+		make_duty(leadership, MT_RECORD_RELAY, mt_name_hash(&deps->dc),
+			  1, handler->on_relay);
 	leadership->follower =
 		mt_follower_new(deps->kernel, deps->store, MT_LEADERS_TOPIC,
 				RECORDS_WAIT_MS, &on_records);
@@ -550,17 +505,35 @@
 	leadership->drained_ctx = ctx;
 	if (releases)
 		release(leadership);
-	else if (mt_standbys_own_slot(&leadership->standbys) !=
-		 MT_STANDBY_NO_SLOT)
-		write_standby(leadership, true, on_slot_released);
+	else if (mt_duty_is_held(leadership->standby))
+		mt_duty_release(leadership->standby, on_slot_released,
+				leadership);
 	else
 		report_drained(leadership);
+	mt_duty_release(leadership->relay, NULL, NULL);
+}
+
+bool mt_leadership_find_relay(const mt_leadership_t *leadership,
+			      mt_endpoint_t *endpoint)
+{
+	return mt_duty_list(leadership->relay, endpoint) > 0;
+}
+
+bool mt_leadership_is_far(const mt_leadership_t *leadership)
+{
+	return mt_leadership_is_informed(leadership) &&
+	       mt_follower_round_trip(leadership->follower) >=
+		       FAR_ROUND_TRIP_MS;
+}
+
+bool mt_leadership_is_informed(const mt_leadership_t *leadership)
+{
+	return mt_follower_has_snapshot(leadership->follower);
 }
 
 bool mt_leadership_is_standby(const mt_leadership_t *leadership)
 {
-	return mt_standbys_own_slot(&leadership->standbys) !=
-	       MT_STANDBY_NO_SLOT;
+	return mt_duty_is_held(leadership->standby);
 }
 
 mt_ms_t mt_leadership_age(const mt_leadership_t *leadership)
@@ -577,6 +550,5 @@
 	if (election->endpoint.port && !election->released &&
 	    !mt_election_is_leader(election))
 		endpoints[n++] = election->endpoint;
-	return n + mt_standbys_list(&leadership->standbys, now_of(leadership),
-				    endpoints + n);
+	return n + mt_duty_list(leadership->standby, endpoints + n);
 }
--- a/lib/dag/records.h
+++ b/lib/dag/records.h
@@ -32,7 +32,8 @@
 	 * the begin of a term, see write_fence() in host.c. */
 	MT_RECORD_LEADER = 'l',
 	MT_RECORD_HOST = 'h',	 /**< a host and its size in cores */
-	MT_RECORD_STANDBY = 's', /**< a standby, see standby.h */
+	MT_RECORD_STANDBY = 's', /**< a standby, see slots.h */
+	MT_RECORD_RELAY = 'r',	 /**< the relay of a data centre, see slots.h */
 } mt_record_kind_t;
 
 /** Hexadecimal digits of a job id. */
@@ -42,7 +43,8 @@
  * Key of a record: its kind, MT_JOB_ID_DIGITS hexadecimal digits, and a
  * terminating zero. The digits are the job id; in the key of a host record they
  * are a hash of the host's name, in that of a standby record the number of its
- * slot, and in that of the leader record 0.
+ * slot, in that of a relay record a hash of the name of its data centre, and in
+ * that of the leader record 0.
  */
 typedef struct mt_record_key_t {
 	char text[MT_JOB_ID_DIGITS + 2];
--- a/programs/entryd/main.c
+++ b/programs/entryd/main.c
@@ -157,8 +157,7 @@
 		settings->callers.port, mt_dag_host_front(entryd->host));
 	return entryd->front_http &&
 	       mt_peer_server_new(entryd->kernel, entryd->loop,
-				  &settings->peers,
-				  mt_dag_host_front(entryd->host)) &&
+				  &settings->peers, entryd->host) &&
 	       mt_readiness_server_new(
 		       entryd->loop, &settings->readiness.address,
 		       settings->readiness.port, is_ready, entryd) &&
@@ -204,6 +203,7 @@
 		WIRE_TOPIC_OPERATOR, WIRE_KEY_CONFIG, mt_config_decode};
 	deps.decode_job = mt_job_decode;
 	deps.host = settings->host;
+	deps.dc = settings->dc;
 	deps.endpoint = settings->peers;
 	deps.incarnation = make_incarnation(&settings->host);
 	deps.cores_milli = settings->cores_milli;
--- a/tests/unit/script_dag.c
+++ b/tests/unit/script_dag.c
@@ -10,7 +10,7 @@
 #include "dag/election.h"
 #include "dag/plan.h"
 #include "dag/backend.h"
-#include "dag/standby.h"
+#include "dag/slots.h"
 #include "dag/table.h"
 #include "unit/script.h"
 
@@ -26,7 +26,7 @@
 	uint32_t chosen[UNITS_MAX][UNIT_TASKS_MAX];
 	mt_plan_t plan;
 	mt_election_t election;
-	mt_standbys_t standbys;
+	mt_slots_t slots;
 	mt_ms_t now;
 	mt_timers_t *timers;
 	mt_kernel_t *kernel;
@@ -265,57 +265,55 @@
 	return true;
 }
 
-/* Standbys. In the commands, `process` is the incarnation of a host. */
+/* Slots. In the commands, `process` is the incarnation of a host. */
 
-static void apply_standby(mt_dag_fixture_t *fixture, char **words)
+static void apply_slot(mt_dag_fixture_t *fixture, char **words)
 {
-	MtDag__Standby standby = MT_DAG__STANDBY__INIT;
+	MtDag__SlotHolder holder = MT_DAG__SLOT_HOLDER__INIT;
 
-	standby.incarnation = (char *)mt_script_option(words, "process", "");
-	standby.released = mt_script_flag(words, "released");
-	mt_standbys_on_record(&fixture->standbys,
-			      mt_script_number(words, "slot", 0), &standby,
-			      fixture->now);
+	holder.incarnation = (char *)mt_script_option(words, "process", "");
+	holder.released = mt_script_flag(words, "released");
+	mt_slots_on_record(&fixture->slots, mt_script_number(words, "slot", 0),
+			   &holder, fixture->now);
 }
 
-static void start_standby(mt_dag_fixture_t *fixture, char **words)
+static void start_slots(mt_dag_fixture_t *fixture, char **words)
 {
 	mt_name_t process = mt_name(mt_script_option(words, "process", "a-1"));
 
-	mt_standbys_init(&fixture->standbys, &process, fixture->now);
-	fixture->standbys.take_delay_ms = mt_script_number(words, "delay", 0);
+	mt_slots_init(&fixture->slots, 3, &process, fixture->now);
+	fixture->slots.take_delay_ms = mt_script_number(words, "delay", 0);
 }
 
-static void show_standby(mt_dag_fixture_t *fixture, char **words, GString *out)
+static void show_slot(mt_dag_fixture_t *fixture, char **words, GString *out)
 {
-	int own = mt_standbys_own_slot(&fixture->standbys);
-	int free_slot = mt_standbys_slot_to_take(
-		&fixture->standbys, mt_script_number(words, "extra", 0),
-		fixture->now);
+	int own = mt_slots_own(&fixture->slots);
+	int free_slot = mt_slots_to_take(&fixture->slots,
+					 mt_script_number(words, "extra", 0),
+					 fixture->now);
 
-	if (own == MT_STANDBY_NO_SLOT)
+	if (own == MT_NO_SLOT)
 		g_string_append(out, "none");
 	else
 		g_string_append_printf(out, "slot %d", own);
-	if (free_slot != MT_STANDBY_NO_SLOT)
+	if (free_slot != MT_NO_SLOT)
 		g_string_append_printf(out, ", takes %d", free_slot);
-	if (mt_standbys_should_renew(&fixture->standbys, fixture->now))
+	if (mt_slots_should_renew(&fixture->slots, fixture->now))
 		g_string_append(out, ", renews");
 	g_string_append_c(out, '\n');
 }
 
-static bool standby_command(mt_dag_fixture_t *fixture, char **words,
-			    GString *out)
+static bool slot_command(mt_dag_fixture_t *fixture, char **words, GString *out)
 {
-	if (!strcmp(words[0], "standby-start")) {
-		start_standby(fixture, words);
-	} else if (!strcmp(words[0], "standby-record")) {
-		apply_standby(fixture, words);
-	} else if (!strcmp(words[0], "standby-back-off")) {
-		mt_standbys_back_off(&fixture->standbys, fixture->now);
-	} else if (!strcmp(words[0], "standby-after")) {
+	if (!strcmp(words[0], "slot-start")) {
+		start_slots(fixture, words);
+	} else if (!strcmp(words[0], "slot-record")) {
+		apply_slot(fixture, words);
+	} else if (!strcmp(words[0], "slot-back-off")) {
+		mt_slots_back_off(&fixture->slots, fixture->now);
+	} else if (!strcmp(words[0], "slot-after")) {
 		fixture->now += mt_script_number(words, "ms", 0);
-		show_standby(fixture, words, out);
+		show_slot(fixture, words, out);
 	} else {
 		return false;
 	}
@@ -443,7 +441,7 @@
 	(void)rest;
 	return plan_command(fixture, words, out) ||
 	       election_command(fixture, words, out) ||
-	       standby_command(fixture, words, out) ||
+	       slot_command(fixture, words, out) ||
 	       table_command(fixture, words, out) ||
 	       lease_command(fixture, words, out);
 }
--- a/tests/unit/test_follower.c
+++ b/tests/unit/test_follower.c
@@ -299,7 +299,32 @@
 	tear_down(&fixture);
 }
 
+/**
+ * Pattern: a large configuration changes faster than a far host can read it.
+ * After a read that did not reach the end, the host reads the newest one
+ * instead of all those in between.
+ */
+static void replaced_records_are_skipped(void)
+{
+	mt_follower_fixture_t fixture;
+	unsigned reads;
+
+	set_up(&fixture);
+	mt_follower_skip_replaced(fixture.follower);
+	reads = fixture.store.reads;
+	fixture.store.end = 3 * PAGE_RECORDS;
+	answer(&fixture.store, 0);
+	CU_ASSERT_EQUAL(fixture.store.reads, reads);
+	CU_ASSERT_TRUE(
+		g_array_index(fixture.store.calls, mt_paged_call_t, 0).newest);
+	CU_ASSERT_TRUE(mt_follower_has_snapshot(fixture.follower));
+	answer(&fixture.store, 0);
+	CU_ASSERT_EQUAL(mt_follower_next(fixture.follower), 3 * PAGE_RECORDS);
+	tear_down(&fixture);
+}
+
 const mt_test_t mt_follower_tests[] = {
+	{"replaced records are skipped", replaced_records_are_skipped},
 	{"a read that timed out is repeated with more time",
 	 a_read_that_timed_out_is_repeated_with_more_time},
 	{"a catch-up reads all pages", a_catch_up_reads_all_pages},
--- a/tests/unit/test_front.c
+++ b/tests/unit/test_front.c
@@ -157,7 +157,7 @@
 	fixture->records_follower = new_follower(fixture);
 	fixture->deps.config_follower = new_follower(fixture);
 	fixture->deps.config_age_max_ms = 2500;
-	fixture->peers = (mt_peer_port_t){fixture, keep_peer_call};
+	fixture->peers = (mt_peer_port_t){fixture, keep_peer_call, NULL};
 	fixture->peer_calls =
 		g_array_new(FALSE, FALSE, sizeof(mt_pending_peer_call_t));
 	fixture->deps.peers = &fixture->peers;
--- a/tests/unit/tests.h
+++ b/tests/unit/tests.h
@@ -16,6 +16,7 @@
 extern const mt_test_t mt_survival_tests[];
 extern const mt_test_t mt_job_model_tests[];
 extern const mt_test_t mt_pace_tests[];
+extern const mt_test_t mt_config_relay_tests[];
 extern const mt_test_t mt_mutated_input_tests[];
 
 #endif
