Ignore malformed replies of other hosts; tests of hand-overs and old permissions

Cause: a reply of another host was used as it came; a state that does not exist indexed the names of the states.

Before: the new test 'a malformed reply of another host is ignored' fails. After: it passes; the call goes on to the next host.

--- a/lib/dag/front.c
+++ b/lib/dag/front.c
@@ -436,7 +436,15 @@
 			  const MtDag__PeerReply *reply)
 {
 	return op->verb == MT_VERB_CANCEL &&
-	       (!reply || reply->outcome == MT_FRONT_OUTCOME_UNKNOWN);
+	       (!reply || reply->outcome != MT_FRONT_OUTCOME_NOT_DONE);
+}
+
+/** True if the reply settles the call; false if another host has to be asked.
+ */
+static bool is_settled(const MtDag__PeerReply *reply)
+{
+	return reply && reply->outcome < MT_FRONT_OUTCOME_NOT_DONE &&
+	       reply->state <= MT_DAG__STATE__CANCELLED;
 }
 
 static void on_peer_reply(void *ctx, const MtDag__PeerReply *peer_reply)
@@ -445,8 +453,7 @@
 	mt_front_reply_t reply = {MT_FRONT_OUTCOME_NOT_DONE,
 				  MT_DAG__STATE__QUEUED, 0, RETRY_AFTER_S};
 
-	if (!peer_reply || peer_reply->outcome == MT_FRONT_OUTCOME_NOT_DONE ||
-	    peer_reply->outcome == MT_FRONT_OUTCOME_UNKNOWN) {
+	if (!is_settled(peer_reply)) {
 		op->maybe_done =
 			op->maybe_done || is_maybe_done(op, peer_reply);
 		forward(op);
--- a/tests/unit/test_engine.c
+++ b/tests/unit/test_engine.c
@@ -25,6 +25,8 @@
 	mt_kernel_t *kernel;
 	mt_backend_port_t port;
 	unsigned stops;
+	unsigned starts;
+	mt_ms_t records_age_ms; /**< age of the leader's copy of the records */
 	/** Holds that were sent and not answered, oldest first. */
 	GArray *holds; /**< mt_pending_hold_t */
 	mt_engine_t *engine;
@@ -45,6 +47,17 @@
 	g_free(ctx);
 }
 
+/** Never answers; see count_stop(). */
+static void count_start(void *self, const mt_backend_target_t *target,
+			const mt_start_command_t *command, mt_backend_cb cb,
+			void *ctx)
+{
+	mt_engine_fixture_t *fixture = self;
+
+	fixture->starts++;
+	g_free(ctx);
+}
+
 static void keep_hold(void *self, const mt_backend_target_t *target,
 		      const mt_hold_command_t *command, mt_backend_cb cb,
 		      void *ctx)
@@ -60,9 +73,11 @@
 	return 0;
 }
 
-static mt_ms_t zero_records_age_ms(void *ctx)
+static mt_ms_t records_age_ms(void *ctx)
 {
-	return 0;
+	const mt_engine_fixture_t *fixture = ctx;
+
+	return fixture->records_age_ms;
 }
 
 static mt_backend_t *add_server(mt_engine_fixture_t *fixture, const char *id)
@@ -94,13 +109,14 @@
 	*fixture = (mt_engine_fixture_t){0};
 	fixture->timers = mt_timers_new(10000);
 	fixture->kernel = mt_kernel_new("test", fixture->timers, 1);
-	fixture->port =
-		(mt_backend_port_t){fixture, NULL, count_stop, keep_hold};
+	fixture->port = (mt_backend_port_t){fixture, count_start, count_stop,
+					    keep_hold};
 	fixture->holds = g_array_new(FALSE, FALSE, sizeof(mt_pending_hold_t));
 	deps.kernel = fixture->kernel;
 	deps.backends = &fixture->port;
 	deps.wall_ms = wall_ms;
-	deps.records_age_ms = zero_records_age_ms;
+	deps.records_age_ms = records_age_ms;
+	deps.records_age_ctx = fixture;
 	fixture->engine = mt_engine_new(&deps);
 	fixture->servers[0] = add_server(fixture, "server-0");
 	fixture->servers[1] = add_server(fixture, "server-1");
@@ -612,7 +628,60 @@
 	tear_down(&fixture);
 }
 
+/**
+ * Pattern: the leader was paused, or cut off from the store, for some seconds.
+ * Another host may lead by now, so that it starts and renews nothing before it
+ * has read the records again.
+ */
+static void a_leader_with_old_records_starts_and_renews_nothing(void)
+{
+	mt_engine_fixture_t fixture;
+	mt_dag_task_t *task;
+	mt_pending_hold_t hold;
+
+	set_up(&fixture);
+	task = add_running_task(&fixture);
+	task->phase = MT_TASK_PHASE_STARTING;
+	fixture.servers[0]->answered_at = 10000;
+	fixture.records_age_ms = 5000;
+	mt_commands_start(fixture.engine, task);
+	CU_ASSERT_EQUAL(fixture.starts, 0);
+	mt_commands_hold(fixture.engine, fixture.servers[0]);
+	hold = g_array_index(fixture.holds, mt_pending_hold_t, 0);
+	CU_ASSERT_EQUAL(hold.command.due_ms, 0);
+	fixture.records_age_ms = 100;
+	mt_commands_start(fixture.engine, task);
+	CU_ASSERT_EQUAL(fixture.starts, 1);
+	mt_commands_hold(fixture.engine, fixture.servers[1]);
+	tear_down(&fixture);
+}
+
+/**
+ * A new leader learns of a server only from records of jobs, as the server has
+ * left. It is not used again.
+ */
+static void a_server_that_has_left_gets_no_tasks(void)
+{
+	mt_engine_fixture_t fixture;
+	mt_dag_job_t *job;
+
+	set_up(&fixture);
+	fixture.servers[0]->listed = false;
+	fixture.servers[1]->hold_answered = false;
+	job = add_job(&fixture, 1, 0, 1);
+	mt_planner_run(fixture.engine);
+	CU_ASSERT_EQUAL(job->steps[0].tasks[0].phase, MT_TASK_PHASE_WAITING);
+	fixture.servers[0]->listed = true;
+	mt_planner_run(fixture.engine);
+	CU_ASSERT_EQUAL(job->steps[0].tasks[0].phase, MT_TASK_PHASE_STARTING);
+	tear_down(&fixture);
+}
+
 const mt_test_t mt_engine_tests[] = {
+	{"a leader with old records starts and renews nothing",
+	 a_leader_with_old_records_starts_and_renews_nothing},
+	{"a server that has left gets no tasks",
+	 a_server_that_has_left_gets_no_tasks},
 	{"a late answer to a hold counts", a_late_answer_to_a_hold_counts},
 	{"an overtaken report gives no run up",
 	 an_overtaken_report_gives_no_run_up},
--- a/tests/unit/test_front.c
+++ b/tests/unit/test_front.c
@@ -377,7 +377,33 @@
 	tear_down(&fixture);
 }
 
+/**
+ * A reply of another host with values that do not exist is treated like no
+ * reply: the call goes on to the next host.
+ */
+static void a_malformed_reply_of_another_host_is_ignored(void)
+{
+	mt_front_fixture_t fixture;
+	MtDag__PeerReply reply = MT_DAG__PEER_REPLY__INIT;
+
+	set_up_without_records(&fixture, 3);
+	show(&fixture);
+	reply.outcome = 99;
+	answer_peer(&fixture, &reply);
+	reply.outcome = MT_FRONT_OUTCOME_STATE;
+	reply.state = (MtDag__State)99;
+	answer_peer(&fixture, &reply);
+	CU_ASSERT_EQUAL(fixture.replies, 0);
+	reply.state = MT_DAG__STATE__ACTIVE;
+	answer_peer(&fixture, &reply);
+	CU_ASSERT_EQUAL(fixture.replies, 1);
+	CU_ASSERT_EQUAL(fixture.reply.state, MT_DAG__STATE__ACTIVE);
+	tear_down(&fixture);
+}
+
 const mt_test_t mt_front_tests[] = {
+	{"a malformed reply of another host is ignored",
+	 a_malformed_reply_of_another_host_is_ignored},
 	{"a call is passed on to the next host",
 	 a_call_is_passed_on_to_the_next_host},
 	{"a call waits for a new leader", a_call_waits_for_a_new_leader},
