--- a/tests/unit/test_leadership.c
+++ b/tests/unit/test_leadership.c
@@ -97,6 +97,8 @@
 	mt_store_page_t page = {.records = &record};
 	mt_store_page_cb cb = fixture->page_cb;
 
+	g_assert(cb);
+
 	if (value) {
 		record.value = mt_bytes_view(value);
 		page.count = 1;
