--- a/tests/scripts/mutants.sh
+++ b/tests/scripts/mutants.sh
@@ -119,7 +119,21 @@
 mutant "start sent before its placement is stored" lib/dag/job_model.c \
 	's/task->placement_stored = false;/task->placement_stored = true;/'
 mutant "end of a task declared deletable before it is stored" lib/dag/commands.c \
-	's/\{engine->term, backend->last_end_stored, 0,\s*0\}/{engine->term, backend->last_end_handled, 0, 0}/'
+	's/n_failed_holds \? 0 : backend->last_end_stored/n_failed_holds ? 0 : backend->last_end_handled/'
+mutant "answer to an overdue hold ignored" lib/dag/commands.c \
+	's/if \(answer->result == MT_COMMAND_DONE\)\n\t\ton_report/if (timely \&\& answer->result == MT_COMMAND_DONE)\n\t\ton_report/'
+mutant "runs of a listed server given up with their leases" lib/dag/commands.c \
+	's/backend->listed \? LISTED_GRACE_MS : 0/0/'
+mutant "ended runs deletable after a failed hold" lib/dag/commands.c \
+	's/n_failed_holds \? 0 : backend->last_end_stored/n_failed_holds ? backend->last_end_stored : backend->last_end_stored/'
+mutant "age of the copy of a relay ignored" lib/dag/config_relay.c \
+	's/page.age_ms = reply->age_ms;//'
+mutant "fenced leader leads again in its term" lib/dag/leadership.c \
+	's/leadership->term_over = true;//'
+mutant "unfinished job shown to another host without a read" lib/dag/front.c \
+	's/return exact \|\|/return/'
+mutant "slow servers not found" lib/dag/pace.c \
+	's/return ratio < SLOW_RATIO;/return false;/'
 mutant "run deemed lost though an unanswered start may have run it" lib/dag/commands.c \
 	's/if \(!task->start_unanswered\)/if (true)/'
 mutant "step started before its dependencies" lib/dag/job_model.c \
