--- a/lib/dag/duty.c
+++ b/lib/dag/duty.c
@@ -24,7 +24,7 @@
 
 	duty->deps = *deps;
 	mt_slots_init(&duty->slots, deps->n_slots, &deps->incarnation,
-		      now_of(duty));
+		      &deps->endpoint, now_of(duty));
 	duty->producer = g_strdup_printf("%s-%c", deps->incarnation.text,
 					 (char)deps->record_kind);
 	return duty;
--- a/lib/dag/slots.c
+++ b/lib/dag/slots.c
@@ -8,9 +8,10 @@
 #define SLOT_TIMEOUT_MS 6000u
 
 void mt_slots_init(mt_slots_t *slots, int n_slots, const mt_name_t *incarnation,
-		   mt_ms_t now)
+		   const mt_endpoint_t *endpoint, mt_ms_t now)
 {
 	*slots = (mt_slots_t){.incarnation = *incarnation,
+			      .endpoint = *endpoint,
 			      .n_slots = n_slots,
 			      .take_wait_start = now,
 			      .renewal_sent_at = now};
@@ -39,10 +40,20 @@
 	return mt_name_equal(&slot->incarnation, &slots->incarnation);
 }
 
-static bool is_free(const mt_slot_t *slot, mt_ms_t now)
+/** True if an earlier process of this host, which has ended, held the slot. */
+static bool is_predecessors(const mt_slots_t *slots, const mt_slot_t *slot)
+{
+	return slot->endpoint.port == slots->endpoint.port &&
+	       mt_name_equal(&slot->endpoint.address,
+			     &slots->endpoint.address) &&
+	       !is_own(slots, slot);
+}
+
+static bool is_free(const mt_slots_t *slots, const mt_slot_t *slot, mt_ms_t now)
 {
 	return !slot->incarnation.len ||
-	       now - slot->renewed_at > SLOT_TIMEOUT_MS;
+	       now - slot->renewed_at > SLOT_TIMEOUT_MS ||
+	       is_predecessors(slots, slot);
 }
 
 int mt_slots_own(const mt_slots_t *slots)
@@ -63,7 +74,7 @@
 	    now - slots->take_wait_start < delay)
 		return MT_NO_SLOT;
 	for (int i = 0; i < slots->n_slots; i++) {
-		if (is_free(&slots->slots[i], now))
+		if (is_free(slots, &slots->slots[i], now))
 			return i;
 	}
 	return MT_NO_SLOT;
@@ -88,7 +99,7 @@
 	for (int i = 0; i < slots->n_slots; i++) {
 		const mt_slot_t *slot = &slots->slots[i];
 
-		if (!is_free(slot, now) && !is_own(slots, slot))
+		if (!is_free(slots, slot, now) && !is_own(slots, slot))
 			endpoints[n++] = slot->endpoint;
 	}
 	return n;
--- a/lib/dag/slots.h
+++ b/lib/dag/slots.h
@@ -26,7 +26,8 @@
 
 /** The slots of one duty. */
 typedef struct mt_slots_t {
-	mt_name_t incarnation; /**< id of this host process */
+	mt_name_t incarnation;	/**< id of this host process */
+	mt_endpoint_t endpoint; /**< where this host takes calls of others */
 	mt_slot_t slots[MT_SLOTS_MAX];
 	int n_slots;
 	/** Local time from which the wait before this host takes a slot counts:
@@ -38,7 +39,7 @@
 } mt_slots_t;
 
 void mt_slots_init(mt_slots_t *slots, int n_slots, const mt_name_t *incarnation,
-		   mt_ms_t now);
+		   const mt_endpoint_t *endpoint, mt_ms_t now);
 
 /** To be called for each slot record read; ignores unknown slots. */
 void mt_slots_on_record(mt_slots_t *slots, uint64_t slot,
@@ -49,7 +50,8 @@
 
 /**
  * Slot that this host should take now, or MT_NO_SLOT. A slot is free if its
- * holder has released it or not renewed it for SLOT_TIMEOUT_MS (slots.c).
+ * holder has released it or not renewed it for SLOT_TIMEOUT_MS (slots.c), or if
+ * the holder is an earlier process of this host, which has ended.
  * @param extra_delay_ms added to the delay of this host
  */
 int mt_slots_to_take(const mt_slots_t *slots, mt_ms_t extra_delay_ms,
--- a/tests/unit/script_dag.c
+++ b/tests/unit/script_dag.c
@@ -273,6 +273,8 @@
 
 	holder.incarnation = (char *)mt_script_option(words, "process", "");
 	holder.released = mt_script_flag(words, "released");
+	holder.address = (char *)mt_script_option(words, "address", "10.0.0.2");
+	holder.port = 1;
 	mt_slots_on_record(&fixture->slots, mt_script_number(words, "slot", 0),
 			   &holder, fixture->now);
 }
@@ -280,8 +282,10 @@
 static void start_slots(mt_dag_fixture_t *fixture, char **words)
 {
 	mt_name_t process = mt_name(mt_script_option(words, "process", "a-1"));
+	mt_endpoint_t endpoint = {
+		mt_name(mt_script_option(words, "address", "10.0.0.1")), 1};
 
-	mt_slots_init(&fixture->slots, 3, &process, fixture->now);
+	mt_slots_init(&fixture->slots, 3, &process, &endpoint, fixture->now);
 	fixture->slots.take_delay_ms = mt_script_number(words, "delay", 0);
 }
 
