--- a/lib/dag/front.c
+++ b/lib/dag/front.c
@@ -151,18 +151,11 @@
 	return true;
 }
 
-/**
- * Replies with `outcome` and logs the event call_answered, unless the call was
- * replied to before.
- */
-static void reply_op(mt_front_op_t *op, mt_front_outcome_t outcome)
+/** Logs the event call_answered and counts the time of the call. */
+static void log_answered(const mt_front_op_t *op, mt_front_outcome_t outcome)
 {
-	mt_front_reply_t reply = {outcome, MT_DAG__STATE__QUEUED, 0,
-				  RETRY_AFTER_S};
 	mt_kernel_t *kernel = op->front->deps.kernel;
 
-	if (!finish_op(op, &reply))
-		return;
 	mt_kernel_event(
 		kernel, "call_answered",
 		"\"job\":\"%016" G_GINT64_MODIFIER
@@ -176,6 +169,16 @@
 			  mt_kernel_now(kernel) - op->started_at);
 }
 
+/** Replies with `outcome`, unless the call was replied to before. */
+static void reply_op(mt_front_op_t *op, mt_front_outcome_t outcome)
+{
+	mt_front_reply_t reply = {outcome, MT_DAG__STATE__QUEUED, 0,
+				  RETRY_AFTER_S};
+
+	if (finish_op(op, &reply))
+		log_answered(op, outcome);
+}
+
 static void show_job(const mt_table_job_t *job, mt_front_cb cb, void *ctx)
 {
 	mt_front_reply_t reply = {MT_FRONT_OUTCOME_STATE, mt_table_state(job),
@@ -439,8 +442,7 @@
 	       (!reply || reply->outcome != MT_FRONT_OUTCOME_NOT_DONE);
 }
 
-/** True if the reply settles the call; false if another host has to be asked.
- */
+/** True if the reply settles the call; otherwise another host is asked. */
 static bool is_settled(const MtDag__PeerReply *reply)
 {
 	return reply && reply->outcome < MT_FRONT_OUTCOME_NOT_DONE &&
@@ -462,7 +464,8 @@
 	reply.outcome = (mt_front_outcome_t)peer_reply->outcome;
 	reply.state = peer_reply->state;
 	reply.pending = peer_reply->pending;
-	finish_op(op, &reply);
+	if (finish_op(op, &reply) && op->verb == MT_VERB_CANCEL)
+		log_answered(op, reply.outcome);
 	g_free(op);
 }
 
