--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Plays the scenario long-runs; with TROUBLE=0 without the disruption.
+# Plays the scenario cancel-unstored; with TROUBLE=0 without the disruption.
 # Exit status: 1 the rule was broken, 0 it held, 2 the case could not run.
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
-TROUBLE=${TROUBLE:-1} exec "$folder/../standin/run-scenario.sh" long-runs "$folder"
+TROUBLE=${TROUBLE:-1} exec "$folder/../standin/run-scenario.sh" cancel-unstored "$folder"
