--- a/review/standin/main.c
+++ b/review/standin/main.c
@@ -27,23 +27,44 @@
 static FILE *record_file;
 static mt_ms_t started_at;
 static mt_http_client_t *client;
-static const char *const host_config =
-	"{\"version\":1,\"routes\":["
-	"{\"name\":\"urgent\",\"host\":\"127.0.0.1\",\"path_prefix\":"
-	"\"/urgent/\",\"kind\":\"non_idempotent\",\"timeout_ms\":3000,"
-	"\"target_latency_ms\":500,\"priority\":0,\"service\":\"shop\","
-	"\"max_attempts\":4,\"slack_factor\":3.0,\"public\":false},"
-	"{\"name\":\"batch\",\"host\":\"127.0.0.1\",\"path_prefix\":"
-	"\"/batch/\",\"kind\":\"non_idempotent\",\"timeout_ms\":3000,"
-	"\"target_latency_ms\":3000,\"priority\":2,\"service\":\"shop\","
-	"\"max_attempts\":4,\"slack_factor\":3.0,\"public\":false}],"
-	"\"services\":[{\"name\":\"shop\",\"health_path\":\"/healthz\","
-	"\"max_connections\":64,\"protocol\":\"h1\",\"tls_enabled\":false,"
-	"\"admission_check\":true,\"standby\":false}],"
-	"\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":262144,"
-	"\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
-	"\"tenants\":[{\"name\":\"tenant\",\"api_keys\":[\"good\"],"
-	"\"priority\":1,\"guaranteed\":{\"gpu\":16}}]}";
+
+/* Desired state. */
+
+static char *route_text(const char *name, const char *prefix, unsigned priority)
+{
+	return g_strdup_printf(
+		"{\"name\":\"%s\",\"host\":\"127.0.0.1\",\"path_prefix\":"
+		"\"%s\",\"kind\":\"non_idempotent\",\"timeout_ms\":3000,"
+		"\"target_latency_ms\":3000,\"priority\":%u,"
+		"\"service\":\"shop\",\"max_attempts\":4,"
+		"\"slack_factor\":3.0,\"public\":false}",
+		name, prefix, priority);
+}
+
+void put_config(unsigned version, const char *route)
+{
+	char *urgent = route_text("urgent", "/urgent/", 0);
+	char *batch = route_text("batch", "/batch/", 2);
+	char *added = route ? route_text(route, "/albums/", 2) : g_strdup("");
+	char *text = g_strdup_printf(
+		"{\"version\":%u,\"routes\":[%s,%s%s%s],"
+		"\"services\":[{\"name\":\"shop\",\"health_path\":\"/healthz\","
+		"\"max_connections\":64,\"protocol\":\"h1\",\"tls_enabled\":"
+		"false,\"admission_check\":true,\"standby\":false}],"
+		"\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":"
+		"262144,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
+		"\"tenants\":[{\"name\":\"tenant\",\"api_keys\":[\"good\"],"
+		"\"priority\":1,\"guaranteed\":{\"gpu\":16}}]}",
+		version, urgent, batch, route ? "," : "", added);
+
+	store_put("keyed.op", "config", text);
+	record("operator: version %u, with the routes urgent, batch %s",
+	       version, route ? route : "");
+	g_free(text);
+	g_free(urgent);
+	g_free(batch);
+	g_free(added);
+}
 
 /* Time and record. */
 
@@ -72,9 +93,9 @@
 void finish(int status, const char *why)
 {
 	record("%s: %s",
-	       status == 0	 ? "HELD"
+	       status == 0   ? "HELD"
 	       : status == 1 ? "BROKEN"
-			 : "NOT RUN",
+			     : "NOT RUN",
 	       why);
 	printf("%s\n", why);
 	exit(status);
@@ -276,7 +297,7 @@
 	client = mt_http_client_new(loop);
 	run_events = g_ptr_array_new();
 	store_init();
-	store_put("keyed.op", "config", host_config);
+	put_config(1, NULL);
 	if (!scenario_find(scenario.name))
 		return false;
 	for (unsigned i = 0; i < scenario.n_hosts; i++) {
@@ -305,7 +326,8 @@
 	if (argc == 2 && !strcmp(argv[1], "free-ports"))
 		return print_free_base();
 	if (argc != 6) {
-		fprintf(stderr, "usage: %s SCENARIO BASE HOSTS TROUBLE RECORD\n",
+		fprintf(stderr,
+			"usage: %s SCENARIO BASE HOSTS TROUBLE RECORD\n",
 			argv[0]);
 		return 2;
 	}
--- a/review/standin/scenario.c
+++ b/review/standin/scenario.c
@@ -136,12 +136,12 @@
 		if (in_stage() < 12000)
 			break;
 		twice = count_twice();
-		why = g_strdup_printf(
-			"%u subtasks, %u starts, %u ended done; %u starts break "
-			"TWICE; all jobs completed: %s",
-			SMALL_JOBS * SMALL_TASKS, runs_started(""),
-			runs_ended("", "done"), twice,
-			all_complete() ? "yes" : "no");
+		why = g_strdup_printf("%u subtasks, %u starts, %u ended done; "
+				      "%u starts break "
+				      "TWICE; all jobs completed: %s",
+				      SMALL_JOBS * SMALL_TASKS,
+				      runs_started(""), runs_ended("", "done"),
+				      twice, all_complete() ? "yes" : "no");
 		finish(twice ? 1 : all_complete() ? 0 : 2, why);
 	}
 }
@@ -215,7 +215,8 @@
 	case 5:
 		if (next_reply.done && next_reply.status != 200)
 			finish(2, "the second job was not accepted");
-		/* LOST: `finish_s` after the end of the traffic, and for 3 s. */
+		/* LOST: `finish_s` after the end of the traffic, and for 3 s.
+		 */
 		if (in_stage() < FINISH_MS + 3000)
 			break;
 		why = g_strdup_printf(
@@ -282,7 +283,8 @@
 		if (!lasting_state.done)
 			break;
 		why = g_strdup_printf(
-			"subtask of a job that lasts, not cancelled: %u starts, "
+			"subtask of a job that lasts, not cancelled: %u "
+			"starts, "
 			"%u running %u s after its end; the job is shown as %s",
 			runs_started(LASTING_JOB), runs_now(LASTING_JOB),
 			(LASTING_CALM_MS + 1000) / 1000, lasting_state.body);
@@ -499,8 +501,8 @@
 			"%u subtasks that last: %u starts, %u leases lapsed, "
 			"%u of them break AVAIL (miss_allowed %u); %u run now",
 			SERVING_TASKS, runs_started(SERVING_JOB),
-			runs_ended(SERVING_JOB, "lapsed"), misses,
-			MISS_ALLOWED, runs_now(SERVING_JOB));
+			runs_ended(SERVING_JOB, "lapsed"), misses, MISS_ALLOWED,
+			runs_now(SERVING_JOB));
 		finish(misses ? 1 : 0, why);
 	}
 }
@@ -666,8 +668,8 @@
 			break;
 		why = g_strdup_printf(
 			"%u subtasks, %u starts and %u stops in %u s; from "
-			"%u s on, the longest time with nothing running: %"
-			G_GUINT64_FORMAT " ms",
+			"%u s on, the longest time with nothing running: "
+			"%" G_GUINT64_FORMAT " ms",
 			LONG_TASKS, runs_started(LONG_JOB),
 			runs_ended(LONG_JOB, "stopped"),
 			(FINISH_MS + 30000) / 1000, FINISH_MS / 1000,
@@ -676,6 +678,250 @@
 	}
 }
 
+/*
+ * oversized-job: a job comes whose body is as large as `max_body_bytes` allows.
+ * Its client repeats it at the next host after each 504. Then a client cancels
+ * a job that runs.
+ */
+
+#define MAX_BODY_BYTES 262144u
+#define OVERSIZED_JOB "0000000000004b16"
+#define RUNNING_JOB "0000000000004a01"
+#define ACK_TIMEOUT_MS 5000u
+#define STOP_TIMEOUT_MS 400u
+
+static reply_t running_reply;
+static reply_t oversized_reply;
+static reply_t stop_reply;
+static reply_t small_reply;
+static unsigned oversized_host;
+static unsigned stop_host;
+static mt_ms_t stop_asked_at;
+static mt_ms_t stop_acked_at;
+
+static char *oversized_body(void)
+{
+	const char *head = "{\"spec\":\"ms=1000 cpu=1000\",\"steps\":["
+			   "{\"count\":1,\"cpu\":1000,\"estimate_ms\":1000,"
+			   "\"image\":\"";
+	const char *tail = "\"}]}";
+	size_t len = MAX_BODY_BYTES - strlen(head) - strlen(tail);
+	char *image = g_strnfill(len, 'i');
+	char *body = g_strconcat(head, image, tail, NULL);
+
+	g_free(image);
+	return body;
+}
+
+static void play_oversized_job(void)
+{
+	char *body;
+	char *why;
+	bool broken;
+
+	switch (stage) {
+	case 0:
+		if (hosts_are_ready() && leading_host() >= 0)
+			next_stage();
+		break;
+	case 1:
+		if (in_stage() < 1000)
+			break;
+		body = job_body("ms=90000 cpu=1000", 2, 1000, 90000, "");
+		call_host(0, "POST", "/batch/" RUNNING_JOB, body,
+			  &running_reply);
+		g_free(body);
+		next_stage();
+		break;
+	case 2:
+		if (in_stage() < 2000)
+			break;
+		if (runs_now(RUNNING_JOB) != 2)
+			finish(2, "the first job does not run");
+		next_stage();
+		break;
+	case 3:
+		/* The usual retries of a client: at the next host. */
+		if (!scenario.trouble) {
+			next_stage();
+			break;
+		}
+		if (oversized_reply.sent && !oversized_reply.done)
+			break;
+		if (oversized_host == scenario.n_hosts ||
+		    (oversized_reply.done && oversized_reply.status != 504)) {
+			next_stage();
+			break;
+		}
+		body = oversized_body();
+		call_host(oversized_host++, "POST", "/batch/" OVERSIZED_JOB,
+			  body, &oversized_reply);
+		g_free(body);
+		break;
+	case 4:
+		/* Cancels until it is acknowledged. */
+		if (!stop_asked_at)
+			stop_asked_at = now_ms();
+		if (stop_reply.done &&
+		    (stop_reply.status == 200 || stop_reply.status == 410)) {
+			stop_acked_at = stop_reply.done_at;
+			next_stage();
+		} else if (in_stage() > ACK_TIMEOUT_MS) {
+			stop_acked_at = stop_asked_at + ACK_TIMEOUT_MS;
+			next_stage();
+		} else if (!stop_reply.sent || stop_reply.done) {
+			call_host(stop_host++ % scenario.n_hosts, "DELETE",
+				  "/batch/" RUNNING_JOB, "", &stop_reply);
+		}
+		break;
+	case 5:
+		if (now_ms() <
+		    stop_acked_at + CANCEL_MS + STOP_TIMEOUT_MS + 500)
+			break;
+		body = job_body("ms=1000 cpu=1000", 1, 1000, 1000, "");
+		call_host(0, "POST", "/batch/0000000000004c01", body,
+			  &small_reply);
+		g_free(body);
+		next_stage();
+		break;
+	case 6:
+		/* The rule is judged here; the small job is only shown. */
+		if (!small_reply.done)
+			break;
+		broken = runs_now(RUNNING_JOB) > 0;
+		why = g_strdup_printf(
+			"oversized job: last answer %d after %u hosts; "
+			"cancelling: last answer %d; the cancelled job has %u "
+			"subtasks running %" G_GUINT64_FORMAT " ms after it "
+			"was first asked for; a new small job gets %d; "
+			"appends refused for their size: %u",
+			oversized_reply.status, oversized_host,
+			stop_reply.status, runs_now(RUNNING_JOB),
+			now_ms() - stop_asked_at, small_reply.status,
+			store_oversized);
+		finish(broken ? 1 : 0, why);
+	}
+}
+
+/* long-name: a version adds a route whose name has more than 47 bytes. */
+
+#define CONFIG_APPLY_MS 2500u
+#define SHORT_NAME "albums"
+#define LONG_NAME "batch-colorize-of-family-albums-for-the-northern-shops"
+
+static reply_t album_reply;
+
+static void play_long_name(void)
+{
+	char *body;
+	char *why;
+
+	switch (stage) {
+	case 0:
+		if (hosts_are_ready() && leading_host() >= 0)
+			next_stage();
+		break;
+	case 1:
+		if (in_stage() < 1000)
+			break;
+		put_config(2, scenario.trouble ? LONG_NAME : SHORT_NAME);
+		next_stage();
+		break;
+	case 2:
+		if (in_stage() < CONFIG_APPLY_MS + CONTACT_MS)
+			break;
+		body = job_body("ms=500 cpu=1000", 1, 1000, 500, "");
+		call_host(0, "POST", "/albums/0000000000005a01", body,
+			  &album_reply);
+		g_free(body);
+		next_stage();
+		break;
+	case 3:
+		if (!album_reply.done)
+			break;
+		why = g_strdup_printf("a call on the added route, %u ms after "
+				      "the version: %d",
+				      CONFIG_APPLY_MS + CONTACT_MS,
+				      album_reply.status);
+		finish(album_reply.status == 404   ? 1
+		       : album_reply.status == 200 ? 0
+						   : 2,
+		       why);
+	}
+}
+
+/*
+ * reborn-cut: a worker without work crashes and starts again under its id. It
+ * gets work at once, and is cut off soon after that.
+ */
+
+#define REBORN_CUT_MS 12000u
+
+static reply_t warm_reply;
+static reply_t reborn_reply;
+static worker_t *reborn;
+
+static void play_reborn_cut(void)
+{
+	unsigned twice;
+	char *body;
+	char *why;
+
+	switch (stage) {
+	case 0:
+		if (hosts_are_ready() && leading_host() >= 0)
+			next_stage();
+		break;
+	case 1:
+		if (in_stage() < 12000)
+			break;
+		/* One job a worker, so that each of them has been used. */
+		body = job_body("ms=500 cpu=64000", 2, 64000, 500, "");
+		call_host(0, "POST", "/batch/0000000000006a01", body,
+			  &warm_reply);
+		g_free(body);
+		next_stage();
+		break;
+	case 2:
+		if (in_stage() < 8000)
+			break;
+		if (scenario.trouble)
+			worker_restart(scenario.workers[0]);
+		body = job_body("ms=30000 cpu=40000", 1, 40000, 30000, "");
+		call_host(0, "POST", "/batch/0000000000006a02", body,
+			  &reborn_reply);
+		g_free(body);
+		next_stage();
+		break;
+	case 3:
+		if (in_stage() < 500)
+			break;
+		for (unsigned i = 0; i < scenario.n_workers; i++) {
+			if (worker_n_running(scenario.workers[i]))
+				reborn = scenario.workers[i];
+		}
+		if (reborn != scenario.workers[0])
+			finish(2, "the job runs on another worker");
+		worker_cut(reborn, true);
+		next_stage();
+		break;
+	case 4:
+		if (in_stage() < REBORN_CUT_MS)
+			break;
+		worker_cut(reborn, false);
+		next_stage();
+		break;
+	case 5:
+		if (in_stage() < 4000)
+			break;
+		twice = count_twice();
+		why = g_strdup_printf("%u starts of the subtask; %u break "
+				      "TWICE",
+				      runs_started("0000000000006a02"), twice);
+		finish(twice ? 1 : 0, why);
+	}
+}
+
 /* List. */
 
 bool scenario_find(const char *name)
@@ -691,6 +937,9 @@
 		{"lasting-done", 2, 64000, play_lasting_done},
 		{"silent-channels", 4, 64000, play_silent_channels},
 		{"wide-gang", 8, 64000, play_wide_gang},
+		{"oversized-job", 2, 64000, play_oversized_job},
+		{"long-name", 2, 64000, play_long_name},
+		{"reborn-cut", 2, 64000, play_reborn_cut},
 		{"long-runs", 8, 64000, play_long_runs},
 		{"failing-job", 4, 64000, play_failing_job},
 		{"cancel-unstored", 2, 64000, play_cancel_unstored},
--- a/review/standin/scenario.h
+++ b/review/standin/scenario.h
@@ -32,6 +32,8 @@
 /** Sends a call of a client to a host; `reply` must stay valid. */
 void call_host(unsigned host, const char *method, const char *path,
 	       const char *body, reply_t *reply);
+/** Puts a desired state; `route` is the name of a further route, or NULL. */
+void put_config(unsigned version, const char *route);
 bool hosts_are_ready(void);
 /** Index of the host that leads, by the system's own record in the store. */
 int leading_host(void);
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -93,6 +93,10 @@
 worker_t *worker_new(unsigned index, uint16_t port, uint16_t shown_port,
 		     unsigned cpu_milli);
 void worker_tick(worker_t *worker);
+/** Crashes, and starts again under the same id. */
+void worker_restart(worker_t *worker);
+/** Nothing reaches the worker, and it reaches nothing; it runs on. */
+void worker_cut(worker_t *worker, bool cut);
 unsigned worker_n_running(const worker_t *worker);
 void worker_set_hold_max(mt_ms_t ms);
 /** Ends the runs of a task with this prefix, as if by themselves. */
@@ -104,7 +108,6 @@
 /** Records and counts breaches of the rule TWICE. */
 unsigned count_twice(void);
 
-
 /* Proxy (proxy.c). */
 
 /** Passes the channels to a port on to another one. */
--- a/review/standin/store.c
+++ b/review/standin/store.c
@@ -219,15 +219,14 @@
 static gboolean add_item(gpointer key, gpointer value, gpointer data)
 {
 	page_t *page = data;
-	const rec_t *rec =
-		page->topic->records->pdata[*(const guint64 *)value];
+	const rec_t *rec = page->topic->records->pdata[*(const guint64 *)value];
 	json_t *item;
 
 	if (*page->after && strcmp(key, page->after) <= 0)
 		return FALSE;
 	if (json_array_size(page->items) >= PAGE_ITEMS ||
-	    (page->bytes && page->bytes + g_bytes_get_size(rec->value) >
-				    PAGE_BYTES)) {
+	    (page->bytes &&
+	     page->bytes + g_bytes_get_size(rec->value) > PAGE_BYTES)) {
 		page->more = true;
 		return TRUE;
 	}
--- a/review/standin/worker.c
+++ b/review/standin/worker.c
@@ -9,6 +9,7 @@
 #define HOLD_WAIT_MAX_MS 2000u
 #define CLOCK_START_MS 1000u
 #define STOP_MS 50u
+#define ENTRY_LAG_MS 800u /* `lag_ms` of the site */
 
 typedef struct hold_t {
 	pending_t *call;
@@ -38,7 +39,9 @@
 	GPtrArray *ends;    /**< run_event_t, not forgotten yet */
 	unsigned next_end;
 	GPtrArray *holds; /**< hold_t, waiting for an end */
+	bool cut;	  /**< nothing reaches it, and it reaches nothing */
 	mt_ms_t next_beat;
+	mt_ms_t unlist_at; /**< removal of its entry; 0: none */
 	unsigned sequence;
 };
 
@@ -205,10 +208,10 @@
 	for (guint i = 0; i < worker->ends->len && i < ENDS_MAX; i++) {
 		const run_event_t *event = worker->ends->pdata[i];
 
-		json_array_append_new(
-			finished,
-			json_pack("[isiss]", event->number, event->task,
-				  event->run, event->how, ""));
+		json_array_append_new(finished,
+				      json_pack("[isiss]", event->number,
+						event->task, event->run,
+						event->how, ""));
 	}
 	json_object_set_new(json, "running", running);
 	json_object_set_new(json, "finished", finished);
@@ -240,8 +243,8 @@
 
 static void grant(worker_t *worker, guint64 due)
 {
-	worker->due = MAX(worker->due,
-			  MIN(due, clock_of(worker) + hold_max_ms));
+	worker->due =
+		MAX(worker->due, MIN(due, clock_of(worker) + hold_max_ms));
 }
 
 static unsigned cpu_used(const worker_t *worker)
@@ -258,8 +261,8 @@
 
 /**
  * What a subtask does stands in its job's `spec`: "ms=N cpu=N" for a length and
- * its size, "ms=0" for one that runs on; "vary=N" adds 0 to 15 times N ms; with "fails" the runs end
- * `failed`.
+ * its size, "ms=0" for one that runs on; "vary=N" adds 0 to 15 times N ms; with
+ * "fails" the runs end `failed`.
  */
 static unsigned spec_number(const char *spec, const char *name)
 {
@@ -304,10 +307,11 @@
 		run->event->started_at = now_ms();
 		run->cpu = spec_number(spec, "cpu=");
 		run->how = strstr(spec, "fails") ? "failed" : "done";
-		run->end_at = ms ? now_ms() + ms +
-					   spec_number(spec, "vary=") *
-						   ((unsigned)atoi(dot + 1) % 16)
-				 : MT_NEVER_MS;
+		run->end_at =
+			ms ? now_ms() + ms +
+					spec_number(spec, "vary=") *
+						((unsigned)atoi(dot + 1) % 16)
+			   : MT_NEVER_MS;
 		g_ptr_array_add(run_events, run->event);
 		g_hash_table_insert(worker->runs, run->event->task, run);
 		record("worker %u: start of %s run %u", worker->index, task,
@@ -352,8 +356,7 @@
 	if (number(json, "due_ms"))
 		grant(worker, number(json, "due_ms"));
 	hold->call = call;
-	hold->until =
-		now_ms() + MIN(number(json, "wait_ms"), HOLD_WAIT_MAX_MS);
+	hold->until = now_ms() + MIN(number(json, "wait_ms"), HOLD_WAIT_MAX_MS);
 	g_ptr_array_add(worker->holds, hold);
 	answer_holds(worker);
 }
@@ -362,20 +365,25 @@
 {
 	worker_t *worker = ctx;
 	pending_t *call = pending_new(http);
-	json_t *json = mt_json_parse(http->body);
-	mt_str_t instance =
-		mt_http_header(http->exchange, "mimosaturn-expect-instance");
-	guint64 fence = number(json, "fencing_token");
+	json_t *json;
+	mt_str_t instance;
+	guint64 fence;
 
-	if (instance.len &&
-	    !mt_str_equal(instance, mt_str_from(worker->id))) {
+	if (worker->cut) {
+		pending_drop(call);
+		return;
+	}
+	json = mt_json_parse(http->body);
+	instance = mt_http_header(http->exchange, "mimosaturn-expect-instance");
+	fence = number(json, "fencing_token");
+
+	if (instance.len && !mt_str_equal(instance, mt_str_from(worker->id))) {
 		pending_answer_json(call, 0, 421, base_answer(worker));
 	} else if (fence < worker->fence) {
 		refuse(worker, call, "fence");
 	} else {
 		worker->fence = fence;
-		if (mt_str_equal(http->path,
-				 MT_STR("/mimosaturn/run-start")))
+		if (mt_str_equal(http->path, MT_STR("/mimosaturn/run-start")))
 			on_start(worker, call, json);
 		else if (mt_str_equal(http->path,
 				      MT_STR("/mimosaturn/run-stop")))
@@ -402,10 +410,10 @@
 	worker->clock_from = now_ms();
 	worker->cpu = cpu_milli;
 	worker->next_end = 1;
-	worker->runs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					     free_run);
-	worker->barred = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					       g_free);
+	worker->runs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_run);
+	worker->barred =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	worker->ends = g_ptr_array_new();
 	worker->holds = g_ptr_array_new();
 	if (!mt_http_server_new(loop, &address, port, 1024u * 1024u, on_call,
@@ -420,10 +428,59 @@
 	end_due_runs(worker);
 	check_lease(worker);
 	answer_holds(worker);
-	if (now_ms() >= worker->next_beat)
+	if (worker->cut && worker->unlist_at && now_ms() >= worker->unlist_at) {
+		/* After three intervals of silence. */
+		store_put("keyed.servers", worker->id, NULL);
+		record("worker %u: its entry is removed", worker->index);
+		worker->unlist_at = 0;
+	}
+	if (!worker->cut && now_ms() >= worker->next_beat)
 		write_entry(worker);
 }
 
+void worker_cut(worker_t *worker, bool cut)
+{
+	worker->cut = cut;
+	worker->unlist_at = cut ? now_ms() + 3 * BEAT_MS : 0;
+	for (guint i = 0; cut && i < worker->holds->len; i++) {
+		hold_t *hold = worker->holds->pdata[i];
+
+		pending_drop(hold->call);
+		g_free(hold);
+	}
+	if (cut)
+		g_ptr_array_set_size(worker->holds, 0);
+	record("worker %u: %s", worker->index,
+	       cut ? "cut off from everything" : "back");
+}
+
+void worker_restart(worker_t *worker)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, worker->runs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		run_t *run = value;
+
+		run->event->ended_at = now_ms();
+		run->event->how = "crashed";
+		g_hash_table_iter_remove(&iter);
+	}
+	g_hash_table_remove_all(worker->barred);
+	g_ptr_array_set_size(worker->ends, 0);
+	worker->next_end = 1;
+	worker->fence = 0;
+	worker->due = 0;
+	worker->life++;
+	worker->sequence = 0;
+	worker->born = unix_ms();
+	worker->clock_from = now_ms();
+	/* The entry of the new life follows with its first report. */
+	worker->next_beat = now_ms() + ENTRY_LAG_MS;
+	record("worker %u: restarted under the same id", worker->index);
+}
+
 unsigned worker_n_running(const worker_t *worker)
 {
 	return g_hash_table_size(worker->runs);
