--- a/review/standin/main.c
+++ b/review/standin/main.c
@@ -16,7 +16,7 @@
 #include "scenario.h"
 
 #define TICK_MS 5u
-#define PORTS 100
+#define PORTS 110
 #define FIRST_BASE 21000
 #define LAST_BASE 59000
 
@@ -302,7 +302,7 @@
 		return false;
 	for (unsigned i = 0; i < scenario.n_hosts; i++) {
 		uint16_t port = (uint16_t)(scenario.base + i);
-		uint16_t shown = (uint16_t)(scenario.base + 30 + i);
+		uint16_t shown = (uint16_t)(scenario.base + 34 + i);
 
 		if (!store_listen(port, i) || !proxy_listen(shown, port))
 			return false;
--- a/review/standin/proxy.c
+++ b/review/standin/proxy.c
@@ -8,6 +8,7 @@
 	uv_tcp_t far;
 	uv_connect_t connect;
 	unsigned open_ends;
+	unsigned delayed; /**< number of writes that wait */
 	bool silent;
 	bool closing;
 } channel_t;
@@ -15,6 +16,9 @@
 typedef struct write_t {
 	uv_write_t request;
 	char *data;
+	size_t len;
+	channel_t *channel; /**< of a delayed write */
+	bool to_far;
 } write_t;
 
 typedef struct proxy_t {
@@ -23,17 +27,24 @@
 } proxy_t;
 
 static GPtrArray *channels;
+static mt_ms_t delay_ms;
 
-static void on_closed(uv_handle_t *handle)
+static void free_if_unused(channel_t *channel)
 {
-	channel_t *channel = handle->data;
-
-	if (--channel->open_ends)
+	if (channel->open_ends || channel->delayed)
 		return;
 	g_ptr_array_remove_fast(channels, channel);
 	g_free(channel);
 }
 
+static void on_closed(uv_handle_t *handle)
+{
+	channel_t *channel = handle->data;
+
+	channel->open_ends--;
+	free_if_unused(channel);
+}
+
 static void close_channel(channel_t *channel)
 {
 	if (channel->closing)
@@ -56,6 +67,22 @@
 	free(write);
 }
 
+static void send_write(void *ctx)
+{
+	write_t *write = ctx;
+	channel_t *channel = write->channel;
+	uv_tcp_t *to = write->to_far ? &channel->far : &channel->near;
+	uv_buf_t data = uv_buf_init(write->data, (unsigned)write->len);
+
+	channel->delayed--;
+	if (channel->closing || channel->silent)
+		on_written(&write->request, 0);
+	else
+		uv_write(&write->request, (uv_stream_t *)to, &data, 1,
+			 on_written);
+	free_if_unused(channel);
+}
+
 static void on_data(uv_stream_t *from, ssize_t n, const uv_buf_t *buffer)
 {
 	channel_t *channel = from->data;
@@ -63,7 +90,6 @@
 						  ? &channel->far
 						  : &channel->near);
 	write_t *write;
-	uv_buf_t data;
 
 	if (n <= 0) {
 		free(buffer->base);
@@ -73,8 +99,14 @@
 	}
 	write = calloc(1, sizeof(*write));
 	write->data = buffer->base;
-	data = uv_buf_init(buffer->base, (unsigned)n);
-	uv_write(&write->request, to, &data, 1, on_written);
+	write->len = (size_t)n;
+	write->channel = channel;
+	write->to_far = to == (uv_stream_t *)&channel->far;
+	channel->delayed++;
+	if (delay_ms || channel->delayed > 1)
+		mt_timers_after(timers, delay_ms, send_write, write);
+	else
+		send_write(write);
 }
 
 static void on_connected(uv_connect_t *connect, int status)
@@ -145,3 +177,8 @@
 	}
 	return n;
 }
+
+void proxy_delay(mt_ms_t ms)
+{
+	delay_ms = ms;
+}
--- a/review/standin/run-scenario.sh
+++ b/review/standin/run-scenario.sh
@@ -35,7 +35,7 @@
 		"readiness": "127.0.0.1:$((base + 50 + i))",
 		"metrics": "127.0.0.1:$((base + 60 + i))",
 		"peers": "127.0.0.1:$((base + 70 + i))",
-		"store": "127.0.0.1:$((base + 30 + i))", "advice": "",
+		"store": "127.0.0.1:$((base + 34 + i))", "advice": "",
 		"lease_max_ms": 10000, "stop_task_ms": 400, "restore_ms": 100,
 		"keep_ended_s": 120, "stop_grace_s": 6, "revoke_key_ms": 5000
 	}
--- a/review/standin/scenario.c
+++ b/review/standin/scenario.c
@@ -922,6 +922,115 @@
 	}
 }
 
+/*
+ * full-rack: the rack with a job's data is full of long work, the other two
+ * racks are idle.
+ */
+
+#define RACK_GPUS 64u
+#define DATA_JOB "0000000000007a02"
+
+static reply_t filling_reply;
+static reply_t data_reply;
+static mt_ms_t data_waits_since;
+static mt_ms_t data_gap;
+
+static void play_full_rack(void)
+{
+	char *body;
+	char *why;
+
+	switch (stage) {
+	case 0:
+		if (hosts_are_ready() && leading_host() >= 0)
+			next_stage();
+		break;
+	case 1:
+		if (in_stage() < 1000)
+			break;
+		body = job_body("ms=60000 cpu=4000", RACK_GPUS, 4000, 60000,
+				",\"gpu\":1,\"data_rack\":\"r1-0\"");
+		if (scenario.trouble)
+			call_host(0, "POST", "/batch/0000000000007a01", body,
+				  &filling_reply);
+		g_free(body);
+		next_stage();
+		break;
+	case 2:
+		if (in_stage() < 3000)
+			break;
+		if (scenario.trouble && runs_now("") != RACK_GPUS)
+			finish(2, "the rack is not full");
+		body = job_body("ms=15000 cpu=4000", 2, 4000, 15000,
+				",\"gpu\":1,\"data_rack\":\"r1-0\"");
+		call_host(1, "POST", "/batch/" DATA_JOB, body, &data_reply);
+		g_free(body);
+		next_stage();
+		break;
+	case 3:
+		if (in_stage() < FINISH_MS)
+			break;
+		next_stage();
+		break;
+	case 4:
+		if (!runs_started(DATA_JOB)) {
+			if (!data_waits_since)
+				data_waits_since = now_ms();
+			data_gap = now_ms() - data_waits_since;
+		}
+		if (in_stage() < 10000)
+			break;
+		why = g_strdup_printf(
+			"a job whose data rack is full: nothing of it runs for "
+			"%" G_GUINT64_FORMAT " ms from %u s after its hand-in "
+			"on; %u subtasks run on 24 workers",
+			data_gap, FINISH_MS / 1000, runs_now(""));
+		finish(data_gap >= LOST_GAP_MS ? 1 : 0, why);
+	}
+}
+
+/* slow-links: all links are slow for 20 s while jobs run. */
+
+#define SLOW_JOBS 16u
+
+static reply_t slow_replies[SLOW_JOBS];
+static unsigned n_slow;
+
+static void play_slow_links(void)
+{
+	static const mt_ms_t delays_ms[] = {700, 1500, 2500, 700};
+	unsigned twice;
+	char path[40];
+	char *body;
+	char *why;
+
+	if (stage == 0 && hosts_are_ready() && leading_host() >= 0)
+		next_stage();
+	if (stage == 0)
+		return;
+	if (n_slow < SLOW_JOBS && in_stage() > 1000 + n_slow * 1500) {
+		g_snprintf(path, sizeof(path), "/batch/%016x", 0x8000 + n_slow);
+		body = job_body("ms=2000 vary=200 cpu=4000", 8, 4000, 3500, "");
+		call_host(n_slow % scenario.n_hosts, "POST", path, body,
+			  &slow_replies[n_slow]);
+		n_slow++;
+		g_free(body);
+	}
+	if (scenario.trouble && in_stage() > 5000 && in_stage() < 25000)
+		proxy_delay(delays_ms[(in_stage() / 2500) %
+				      G_N_ELEMENTS(delays_ms)]);
+	else
+		proxy_delay(0);
+	if (in_stage() < 60000)
+		return;
+	twice = count_twice();
+	why = g_strdup_printf("%u starts, %u ended done, %u lapsed; %u break "
+			      "TWICE; %u still run",
+			      runs_started(""), runs_ended("", "done"),
+			      runs_ended("", "lapsed"), twice, runs_now(""));
+	finish(twice ? 1 : 0, why);
+}
+
 /* List. */
 
 bool scenario_find(const char *name)
@@ -940,6 +1049,8 @@
 		{"oversized-job", 2, 64000, play_oversized_job},
 		{"long-name", 2, 64000, play_long_name},
 		{"reborn-cut", 2, 64000, play_reborn_cut},
+		{"full-rack", 24, 64000, play_full_rack},
+		{"slow-links", 6, 64000, play_slow_links},
 		{"long-runs", 8, 64000, play_long_runs},
 		{"failing-job", 4, 64000, play_failing_job},
 		{"cancel-unstored", 2, 64000, play_cancel_unstored},
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -16,7 +16,7 @@
 #include "net/loop.h"
 
 #define MAX_HOSTS 8
-#define MAX_WORKERS 16
+#define MAX_WORKERS 24
 #define STORE_MAIN 0 /* index of the store port that no disruption touches */
 
 /** How the store treats the calls that arrive on one of its ports. */
@@ -114,5 +114,7 @@
 bool proxy_listen(uint16_t port, uint16_t far_port);
 /** All open channels go silent for good; new ones work. @return their number */
 unsigned proxy_silence(void);
+/** All that is passed on from now on arrives this much later. */
+void proxy_delay(mt_ms_t ms);
 
 #endif
