--- a/tests/unit/test_engine.c
+++ b/tests/unit/test_engine.c
@@ -1,196 +1,23 @@
 /**
  * @file test_engine.c
- * Tests of the scheduling engine of lib/dag. The backend servers are fakes that
- * count stop commands; the store is a fake that records the last append.
+ * Tests of the scheduling engine of lib/dag. The store is a fake that records
+ * the last append.
  */
 #include <CUnit/Basic.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "dag/engine_internal.h"
+#include "unit/engine_fixture.h"
 #include "unit/tests.h"
 
-#define SERVERS 2u
-#define CAPACITY_GPU 8u
-
-/** A hold that the fake server has received. */
-typedef struct mt_pending_hold_t {
-	mt_hold_command_t command;
-	mt_backend_cb cb;
-	void *ctx;
-} mt_pending_hold_t;
-
-typedef struct mt_engine_fixture_t {
-	mt_timers_t *timers;
-	mt_kernel_t *kernel;
-	mt_backend_port_t port;
-	unsigned stops;
-	unsigned starts;
-	mt_ms_t records_age_ms; /**< age of the leader's copy of the records */
-	/** Holds that were sent and not answered, oldest first. */
-	GArray *holds; /**< mt_pending_hold_t */
-	mt_engine_t *engine;
-	mt_backend_t *servers[SERVERS];
-} mt_engine_fixture_t;
-
-/**
- * Never answers. Frees the engine's context, as the engine would do when it
- * gets the answer.
- */
-static void count_stop(void *self, const mt_backend_target_t *target,
-		       const mt_stop_command_t *command, mt_backend_cb cb,
-		       void *ctx)
-{
-	mt_engine_fixture_t *fixture = self;
-
-	fixture->stops++;
-	g_free(ctx);
-}
-
-/** Never answers; see count_stop(). */
-static void count_start(void *self, const mt_backend_target_t *target,
-			const mt_start_command_t *command, mt_backend_cb cb,
-			void *ctx)
-{
-	mt_engine_fixture_t *fixture = self;
-
-	fixture->starts++;
-	g_free(ctx);
-}
-
-static void keep_hold(void *self, const mt_backend_target_t *target,
-		      const mt_hold_command_t *command, mt_backend_cb cb,
-		      void *ctx)
-{
-	mt_engine_fixture_t *fixture = self;
-	mt_pending_hold_t hold = {*command, cb, ctx};
-
-	g_array_append_val(fixture->holds, hold);
-}
-
-static int64_t wall_ms(void)
-{
-	return 0;
-}
-
-static mt_ms_t records_age_ms(void *ctx)
-{
-	const mt_engine_fixture_t *fixture = ctx;
-
-	return fixture->records_age_ms;
-}
-
-static mt_backend_t *add_server(mt_engine_fixture_t *fixture, const char *id)
-{
-	mt_backend_t *server = g_new0(mt_backend_t, 1);
-
-	server->info.target.id = mt_name(id);
-	server->info.target.port = 1;
-	server->info.service = mt_name("service");
-	server->info.capacity =
-		(mt_dag_resources_t){64000, 64000, CAPACITY_GPU};
-	server->tasks = g_ptr_array_new();
-	server->listed = true;
-	server->hold_answered = true;
-	server->clock_known = true;
-	g_hash_table_insert(fixture->engine->backends, &server->info.target.id,
-			    server);
-	return server;
-}
-
-/**
- * Sets the clock to 10000. The tests add jobs and place tasks at 9000, that is
- * 1 s before they begin.
- */
-static void set_up(mt_engine_fixture_t *fixture)
-{
-	mt_engine_deps_t deps = {0};
-
-	*fixture = (mt_engine_fixture_t){0};
-	fixture->timers = mt_timers_new(10000);
-	fixture->kernel = mt_kernel_new("test", fixture->timers, 1);
-	fixture->port = (mt_backend_port_t){fixture, count_start, count_stop,
-					    keep_hold};
-	fixture->holds = g_array_new(FALSE, FALSE, sizeof(mt_pending_hold_t));
-	deps.kernel = fixture->kernel;
-	deps.backends = &fixture->port;
-	deps.wall_ms = wall_ms;
-	deps.records_age_ms = records_age_ms;
-	deps.records_age_ctx = fixture;
-	fixture->engine = mt_engine_new(&deps);
-	fixture->servers[0] = add_server(fixture, "server-0");
-	fixture->servers[1] = add_server(fixture, "server-1");
-}
-
-/** Answers the oldest hold. */
-static void answer_hold(mt_engine_fixture_t *fixture,
-			const mt_backend_answer_t *answer)
-{
-	mt_pending_hold_t hold =
-		g_array_index(fixture->holds, mt_pending_hold_t, 0);
-
-	g_array_remove_index(fixture->holds, 0);
-	hold.cb(hold.ctx, answer);
-}
-
-/** Answers the pending holds to a later leadership, which ignores them. */
-static void tear_down(mt_engine_fixture_t *fixture)
-{
-	mt_backend_answer_t none = {.result = MT_COMMAND_UNKNOWN};
-
-	fixture->engine->generation++;
-	while (fixture->holds->len)
-		answer_hold(fixture, &none);
-	g_array_unref(fixture->holds);
-	g_hash_table_destroy(fixture->engine->jobs);
-	g_hash_table_destroy(fixture->engine->backends);
-	g_ptr_array_unref(fixture->engine->flushes);
-	g_free(fixture->engine);
-	mt_kernel_free(fixture->kernel);
-	mt_timers_free(fixture->timers);
-}
-
-/** Adds a job of one step; each task needs all accelerators of a server. */
-static mt_dag_job_t *add_job(mt_engine_fixture_t *fixture, uint64_t id,
-			     uint32_t priority, uint32_t count)
-{
-	MtDag__Job job = MT_DAG__JOB__INIT;
-	MtDag__Step step = MT_DAG__STEP__INIT;
-	MtDag__Step *steps[] = {&step};
-	GBytes *bytes;
-	mt_str_t view;
-	mt_dag_job_t *job_model;
-
-	step.count = count;
-	step.gpu = CAPACITY_GPU;
-	step.cpu_milli = 1000;
-	step.estimate_ms = 5000;
-	step.gang = count > 1;
-	job.id = id;
-	job.queue = (char *)"batch";
-	job.service = (char *)"service";
-	job.priority = priority;
-	job.attempts_max = 3;
-	job.n_steps = 1;
-	job.steps = steps;
-	bytes = mt_dag_pack(&job.base);
-	view = mt_bytes_view(bytes);
-	job_model = mt_dag_job_new(
-		mt_dag__job__unpack(NULL, view.len, (const uint8_t *)view.data),
-		9000);
-	g_bytes_unref(bytes);
-	job_model->queue.service = mt_name("service");
-	job_model->queue.priority = priority;
-	g_hash_table_insert(fixture->engine->jobs, &job_model->id, job_model);
-	return job_model;
-}
-
 /** Adds a gang whose members are running, one on each server. */
 static mt_dag_step_t *add_running_gang(mt_engine_fixture_t *fixture)
 {
-	mt_dag_step_t *step = &add_job(fixture, 1, 2, SERVERS)->steps[0];
+	mt_dag_step_t *step = &mt_engine_fixture_add_job(
+				       fixture, 1, 2, MT_ENGINE_FIXTURE_SERVERS)
+				       ->steps[0];
 
-	for (unsigned i = 0; i < SERVERS; i++) {
+	for (unsigned i = 0; i < MT_ENGINE_FIXTURE_SERVERS; i++) {
 		mt_dag_task_place(&step->tasks[i], fixture->servers[i], 1,
 				  9000);
 		step->tasks[i].placement_stored = true;
@@ -209,15 +36,15 @@
 	mt_engine_fixture_t fixture;
 	mt_dag_step_t *gang;
 
-	set_up(&fixture);
+	mt_engine_fixture_open(&fixture);
 	gang = add_running_gang(&fixture);
 	fixture.servers[1]->avoid_until = 99999; /* after the test */
-	add_job(&fixture, 2, 0, 1);
+	mt_engine_fixture_add_job(&fixture, 2, 0, 1);
 	mt_planner_run(fixture.engine);
 	CU_ASSERT_TRUE(gang->tasks[0].stop_wanted);
 	CU_ASSERT_TRUE(gang->tasks[1].stop_wanted);
 	CU_ASSERT_EQUAL(fixture.stops, 2);
-	tear_down(&fixture);
+	mt_engine_fixture_close(&fixture);
 }
 
 /**
@@ -230,19 +57,19 @@
 	mt_engine_fixture_t fixture;
 	mt_dag_step_t *gang;
 
-	set_up(&fixture);
+	mt_engine_fixture_open(&fixture);
 	gang = add_running_gang(&fixture);
-	for (unsigned i = 0; i < SERVERS; i++) {
+	for (unsigned i = 0; i < MT_ENGINE_FIXTURE_SERVERS; i++) {
 		gang->tasks[i].placement_stored = false;
 		gang->tasks[i].phase = MT_TASK_PHASE_STARTING;
 	}
 	fixture.servers[1]->n_failed_holds = 1;
-	add_job(&fixture, 2, 0, 1);
+	mt_engine_fixture_add_job(&fixture, 2, 0, 1);
 	mt_planner_run(fixture.engine);
 	CU_ASSERT_EQUAL(gang->tasks[0].phase, MT_TASK_PHASE_WAITING);
 	CU_ASSERT_EQUAL(gang->tasks[1].phase, MT_TASK_PHASE_WAITING);
 	CU_ASSERT_EQUAL(fixture.stops, 0);
-	tear_down(&fixture);
+	mt_engine_fixture_close(&fixture);
 }
 
 static void answer_unavailable(void *self, const mt_backend_target_t *target,
@@ -265,7 +92,7 @@
 	mt_engine_fixture_t fixture;
 	mt_dag_step_t *gang;
 
-	set_up(&fixture);
+	mt_engine_fixture_open(&fixture);
 	gang = add_running_gang(&fixture);
 	gang->tasks[1].phase = MT_TASK_PHASE_STARTING;
 	gang->tasks[1].start_unanswered = true;
@@ -274,7 +101,7 @@
 	CU_ASSERT_TRUE(gang->tasks[0].stop_wanted);
 	CU_ASSERT_TRUE(gang->tasks[1].stop_wanted);
 	CU_ASSERT_EQUAL(fixture.stops, 2);
-	tear_down(&fixture);
+	mt_engine_fixture_close(&fixture);
 }
 
 static void nothing_is_stopped_while_capacity_is_free(void)
@@ -282,13 +109,13 @@
 	mt_engine_fixture_t fixture;
 	mt_dag_job_t *urgent;
 
-	set_up(&fixture);
-	urgent = add_job(&fixture, 2, 0, 1);
+	mt_engine_fixture_open(&fixture);
+	urgent = mt_engine_fixture_add_job(&fixture, 2, 0, 1);
 	mt_planner_run(fixture.engine);
 	CU_ASSERT_EQUAL(urgent->steps[0].tasks[0].phase,
 			MT_TASK_PHASE_STARTING);
 	CU_ASSERT_EQUAL(fixture.stops, 0);
-	tear_down(&fixture);
+	mt_engine_fixture_close(&fixture);
 }
 
 /**
@@ -312,14 +139,16 @@
 	mt_engine_fixture_t fixture;
 	mt_dag_job_t *batch;
 
-	set_up(&fixture);
+	mt_engine_fixture_open(&fixture);
 	add_preemptions(&fixture);
-	mt_dag_task_place(&add_job(&fixture, 1, 2, 1)->steps[0].tasks[0],
+	mt_dag_task_place(&mt_engine_fixture_add_job(&fixture, 1, 2, 1)
+				   ->steps[0]
+				   .tasks[0],
 			  fixture.servers[0], 1, 9000);
-	batch = add_job(&fixture, 2, 2, 1);
+	batch = mt_engine_fixture_add_job(&fixture, 2, 2, 1);
 	mt_planner_run(fixture.engine);
 	CU_ASSERT_EQUAL(batch->steps[0].tasks[0].phase, MT_TASK_PHASE_STARTING);
-	tear_down(&fixture);
+	mt_engine_fixture_close(&fixture);
 }
 
 /**
@@ -335,12 +164,14 @@
 	mt_dag_job_t *batch;
 	mt_dag_job_t *urgent;
 
-	set_up(&fixture);
+	mt_engine_fixture_open(&fixture);
 	add_preemptions(&fixture);
-	mt_dag_task_place(&add_job(&fixture, 1, 0, 1)->steps[0].tasks[0],
+	mt_dag_task_place(&mt_engine_fixture_add_job(&fixture, 1, 0, 1)
+				   ->steps[0]
+				   .tasks[0],
 			  fixture.servers[0], 1, 9000);
 	fixture.servers[1]->used.cpu_milli = 30000;
-	batch = add_job(&fixture, 2, 2, 1);
+	batch = mt_engine_fixture_add_job(&fixture, 2, 2, 1);
 	mt_planner_run(fixture.engine);
 	CU_ASSERT_EQUAL(batch->steps[0].tasks[0].phase, MT_TASK_PHASE_STARTING);
 	mt_dag_task_unplace(&batch->steps[0].tasks[0]);
@@ -348,11 +179,11 @@
 	fixture.servers[0]->info.capacity.cpu_milli = 10000;
 	mt_planner_run(fixture.engine);
 	CU_ASSERT_EQUAL(batch->steps[0].tasks[0].phase, MT_TASK_PHASE_WAITING);
-	urgent = add_job(&fixture, 3, 0, 1);
+	urgent = mt_engine_fixture_add_job(&fixture, 3, 0, 1);
 	mt_planner_run(fixture.engine);
 	CU_ASSERT_EQUAL(urgent->steps[0].tasks[0].phase,
 			MT_TASK_PHASE_STARTING);
-	tear_down(&fixture);
+	mt_engine_fixture_close(&fixture);
 }
 
 /** A store that captures appends and answers no call until the test ends. */
@@ -425,14 +256,14 @@
 	mt_dag_job_t *job;
 	char *payload;
 
-	set_up(&fixture);
+	mt_engine_fixture_open(&fixture);
 	open_store(&store);
 	deps.kernel = fixture.kernel;
 	deps.store = &store.port;
 	deps.topic = MT_RECORDS_TOPIC;
 	deps.producer = "test";
 	fixture.engine->writer = mt_writer_new(&deps);
-	job = add_job(&fixture, 1, 2, 1);
+	job = mt_engine_fixture_add_job(&fixture, 1, 2, 1);
 	payload = g_strnfill(1000, 'x');
 	if (job->spec->payload != protobuf_c_empty_string)
 		free(job->spec->payload);
@@ -445,7 +276,7 @@
 	CU_ASSERT_STRING_EQUAL(store.written->str, "p:short a:short ");
 	close_store(&store);
 	mt_writer_close(fixture.engine->writer);
-	tear_down(&fixture);
+	mt_engine_fixture_close(&fixture);
 }
 
 static void apply_record(mt_table_t *table, mt_record_kind_t kind, uint64_t id,
@@ -466,14 +297,14 @@
 	mt_dag_job_t *job;
 	GBytes *bytes;
 
-	set_up(&fixture);
+	mt_engine_fixture_open(&fixture);
 	open_store(&store);
 	fixture.engine->deps.store = &store.port;
 	fixture.engine->deps.table = mt_table_new(fixture.kernel);
 	fixture.engine->deps.directory =
 		mt_directory_new(fixture.kernel, &store.port, &format);
 	mt_engine_become_leader(fixture.engine, 7);
-	job = add_job(&fixture, 1, 2, 1);
+	job = mt_engine_fixture_add_job(&fixture, 1, 2, 1);
 	bytes = mt_dag_pack(&job->spec->base);
 	mt_dag_task_place(&job->steps[0].tasks[0], fixture.servers[0], 1, 9000);
 	job->steps[0].tasks[0].placement_stored = true;
@@ -488,27 +319,7 @@
 	g_bytes_unref(bytes);
 	mt_table_free(fixture.engine->deps.table);
 	mt_directory_free(fixture.engine->deps.directory);
-	tear_down(&fixture);
-}
-
-/** Runs the timers of the fixture for `ms`, which is a multiple of 100. */
-static void advance(mt_engine_fixture_t *fixture, mt_ms_t ms)
-{
-	for (mt_ms_t i = 0; i < ms; i += 100)
-		mt_timers_advance(fixture->timers,
-				  mt_timers_now(fixture->timers) + 100);
-}
-
-/** Places a running task on the first server. */
-static mt_dag_task_t *add_running_task(mt_engine_fixture_t *fixture)
-{
-	mt_dag_task_t *task = &add_job(fixture, 1, 2, 1)->steps[0].tasks[0];
-
-	mt_dag_task_place(task, fixture->servers[0], 1, 9000);
-	task->placement_stored = true;
-	task->phase = MT_TASK_PHASE_RUNNING;
-	task->start_settled_at = 9000;
-	return task;
+	mt_engine_fixture_close(&fixture);
 }
 
 /** An answer to a hold that reports the successful end of the task's run. */
@@ -536,19 +347,19 @@
 	mt_ended_run_t ended;
 	mt_backend_answer_t answer;
 
-	set_up(&fixture);
-	task = add_running_task(&fixture);
+	mt_engine_fixture_open(&fixture);
+	task = mt_engine_fixture_add_running_task(&fixture);
 	mt_commands_hold(fixture.engine, fixture.servers[0]);
 	CU_ASSERT_EQUAL(fixture.holds->len, 1);
-	advance(&fixture, 1500);
+	mt_engine_fixture_advance(&fixture, 1500);
 	CU_ASSERT_EQUAL(fixture.holds->len, 2);
 	CU_ASSERT_EQUAL(fixture.servers[0]->n_overdue_holds, 1);
 	answer = success_of(task, &ended);
-	answer_hold(&fixture, &answer);
+	mt_engine_fixture_answer_hold(&fixture, &answer);
 	CU_ASSERT_EQUAL(task->phase, MT_TASK_PHASE_DONE);
 	CU_ASSERT_EQUAL(fixture.servers[0]->n_overdue_holds, 0);
 	CU_ASSERT_TRUE(fixture.servers[0]->n_failed_holds > 0);
-	tear_down(&fixture);
+	mt_engine_fixture_close(&fixture);
 }
 
 /**
@@ -563,10 +374,10 @@
 	mt_active_run_t active = {0};
 	mt_pending_hold_t first;
 
-	set_up(&fixture);
-	task = add_running_task(&fixture);
+	mt_engine_fixture_open(&fixture);
+	task = mt_engine_fixture_add_running_task(&fixture);
 	mt_commands_hold(fixture.engine, fixture.servers[0]);
-	advance(&fixture, 1500);
+	mt_engine_fixture_advance(&fixture, 1500);
 	CU_ASSERT_EQUAL_FATAL(fixture.holds->len, 2);
 	first = g_array_index(fixture.holds, mt_pending_hold_t, 0);
 	g_array_remove_index(fixture.holds, 0);
@@ -574,12 +385,12 @@
 	active.run = 1;
 	answer.active_runs = &active;
 	answer.n_active_runs = 1;
-	answer_hold(&fixture, &answer);
+	mt_engine_fixture_answer_hold(&fixture, &answer);
 	answer.n_active_runs = 0;
 	first.cb(first.ctx, &answer);
 	CU_ASSERT_EQUAL(task->phase, MT_TASK_PHASE_RUNNING);
 	CU_ASSERT_PTR_EQUAL(task->server, fixture.servers[0]);
-	tear_down(&fixture);
+	mt_engine_fixture_close(&fixture);
 }
 
 /**
@@ -591,15 +402,15 @@
 	mt_engine_fixture_t fixture;
 	mt_dag_task_t *task;
 
-	set_up(&fixture);
-	task = add_running_task(&fixture);
+	mt_engine_fixture_open(&fixture);
+	task = mt_engine_fixture_add_running_task(&fixture);
 	fixture.servers[0]->leases_expire_at = 10000;
 	mt_commands_tick(fixture.engine, fixture.servers[0]);
 	CU_ASSERT_EQUAL(task->phase, MT_TASK_PHASE_RUNNING);
 	fixture.servers[0]->listed = false;
 	mt_commands_tick(fixture.engine, fixture.servers[0]);
 	CU_ASSERT_EQUAL(task->phase, MT_TASK_PHASE_WAITING);
-	tear_down(&fixture);
+	mt_engine_fixture_close(&fixture);
 }
 
 /**
@@ -611,21 +422,21 @@
 	mt_engine_fixture_t fixture;
 	mt_backend_answer_t reset = {.result = MT_COMMAND_UNKNOWN};
 
-	set_up(&fixture);
-	add_running_task(&fixture);
+	mt_engine_fixture_open(&fixture);
+	mt_engine_fixture_add_running_task(&fixture);
 	fixture.servers[0]->last_end_handled = 57;
 	fixture.servers[0]->last_end_stored = 57;
 	mt_commands_hold(fixture.engine, fixture.servers[0]);
 	CU_ASSERT_EQUAL(g_array_index(fixture.holds, mt_pending_hold_t, 0)
 				.command.last_seen,
 			57);
-	answer_hold(&fixture, &reset);
-	advance(&fixture, 1000);
+	mt_engine_fixture_answer_hold(&fixture, &reset);
+	mt_engine_fixture_advance(&fixture, 1000);
 	CU_ASSERT_EQUAL_FATAL(fixture.holds->len, 1);
 	CU_ASSERT_EQUAL(g_array_index(fixture.holds, mt_pending_hold_t, 0)
 				.command.last_seen,
 			0);
-	tear_down(&fixture);
+	mt_engine_fixture_close(&fixture);
 }
 
 /**
@@ -639,8 +450,8 @@
 	mt_dag_task_t *task;
 	mt_pending_hold_t hold;
 
-	set_up(&fixture);
-	task = add_running_task(&fixture);
+	mt_engine_fixture_open(&fixture);
+	task = mt_engine_fixture_add_running_task(&fixture);
 	task->phase = MT_TASK_PHASE_STARTING;
 	fixture.servers[0]->answered_at = 10000;
 	fixture.records_age_ms = 5000;
@@ -653,7 +464,7 @@
 	mt_commands_start(fixture.engine, task);
 	CU_ASSERT_EQUAL(fixture.starts, 1);
 	mt_commands_hold(fixture.engine, fixture.servers[1]);
-	tear_down(&fixture);
+	mt_engine_fixture_close(&fixture);
 }
 
 /**
@@ -665,16 +476,16 @@
 	mt_engine_fixture_t fixture;
 	mt_dag_job_t *job;
 
-	set_up(&fixture);
+	mt_engine_fixture_open(&fixture);
 	fixture.servers[0]->listed = false;
 	fixture.servers[1]->hold_answered = false;
-	job = add_job(&fixture, 1, 0, 1);
+	job = mt_engine_fixture_add_job(&fixture, 1, 0, 1);
 	mt_planner_run(fixture.engine);
 	CU_ASSERT_EQUAL(job->steps[0].tasks[0].phase, MT_TASK_PHASE_WAITING);
 	fixture.servers[0]->listed = true;
 	mt_planner_run(fixture.engine);
 	CU_ASSERT_EQUAL(job->steps[0].tasks[0].phase, MT_TASK_PHASE_STARTING);
-	tear_down(&fixture);
+	mt_engine_fixture_close(&fixture);
 }
 
 const mt_test_t mt_engine_tests[] = {
