--- a/lib/dag/candidates.c
+++ b/lib/dag/candidates.c
@@ -9,6 +9,19 @@
  */
 #define CONTENDED_SHARE 0.7
 
+/**
+ * A service is underused when less than this share of its cores and
+ * accelerators is in use; an accelerator counts as MT_CORES_PER_GPU cores.
+ */
+#define UNDERUSED_SHARE 0.6
+
+/**
+ * On an underused service, a step of a job of which nothing runs is overdue
+ * after waiting this long. It must not wait any longer for room that is
+ * reserved for others, or for room in a preferred rack.
+ */
+#define OVERDUE_MS 1500u
+
 /**
  * On a contended service, a task is started only if the probability that it
  * ends before it is preempted is at least this.
@@ -52,6 +65,27 @@
 	       gpu_used > CONTENDED_SHARE * gpu_all;
 }
 
+/** True if the service is underused. All its listed servers are counted. */
+static bool is_underused(const mt_planner_t *planner)
+{
+	GHashTableIter iter;
+	gpointer value;
+	double used = 0;
+	double all = 0;
+
+	g_hash_table_iter_init(&iter, planner->engine->backends);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const mt_backend_t *backend = value;
+
+		if (!backend->listed ||
+		    !mt_name_equal(&backend->info.service, planner->service))
+			continue;
+		used += mt_dag_resources_cores(&backend->used);
+		all += mt_dag_resources_cores(&backend->info.capacity);
+	}
+	return used < UNDERUSED_SHARE * all;
+}
+
 /**
  * Number of waiting tasks that may start now; 0 for a gang unless all of its
  * tasks wait.
@@ -118,7 +152,7 @@
 {
 	for (uint32_t i = 0; i < job->n_steps_total; i++) {
 		mt_dag_step_t *step = &job->steps[i];
-		mt_candidate_step_t candidate = {step, 0, false, 0, 0};
+		mt_candidate_step_t candidate = {step, 0, false, 0, 0, false};
 
 		if (step->n_done == step->spec->count ||
 		    !is_due(planner, step) || !mt_dag_step_is_ready(step) ||
@@ -133,6 +167,9 @@
 		if (!step->waiting_since)
 			step->waiting_since = planner->now;
 		candidate.waited_ms = planner->now - step->waiting_since;
+		candidate.overdue = planner->underused &&
+				    candidate.waited_ms > OVERDUE_MS &&
+				    !mt_dag_job_n_placed(job);
 		g_array_append_val(planner->candidates, candidate);
 	}
 }
@@ -162,6 +199,7 @@
 	gpointer value;
 
 	planner->contended = is_contended(planner);
+	planner->underused = is_underused(planner);
 	g_hash_table_iter_init(&iter, planner->engine->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		mt_dag_job_t *job = value;
--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -5,8 +5,8 @@
  * within their accounts' guarantees), advice_requests.c (advice requests, that
  * is requests to the policy service), commands.c (sends commands to servers),
  * reports.c (applies what servers report), relocation.c (moves runs to other
- * servers), flush.c (writes changes to the store) and sweep.c (deletes the
- * records of ended jobs).
+ * servers), flush.c (writes changes to the store), sweep.c (deletes the records
+ * of ended jobs) and wait_log.c (logs why steps wait).
  *
  * A scheduling pass plans placements and stores changed jobs. It runs after
  * each tick and soon after a change. A tick handles time-outs and repeats
@@ -44,6 +44,7 @@
 	mt_ms_t last_sweep_at;	 /**< time of the last sweep, see sweep.c */
 	/** Time of the last search for slow servers, see relocation.c. */
 	mt_ms_t slow_search_at;
+	mt_ms_t wait_logged_at; /**< time of the last log, see wait_log.c */
 };
 
 /**
--- a/lib/dag/plan.c
+++ b/lib/dag/plan.c
@@ -4,6 +4,20 @@
 #include <stdlib.h>
 #include <string.h>
 
+/** Resources of a server that are reserved for units that cannot start soon. */
+typedef struct mt_kept_t {
+	mt_dag_resources_t free;
+	mt_dag_resources_t releasing;
+} mt_kept_t;
+
+/** A plan that is being computed. */
+typedef struct mt_plan_run_t {
+	mt_plan_t *plan;
+	const mt_plan_index_t *index;
+	mt_kept_t *kept; /**< per server */
+	uint32_t n_limited_reservations;
+} mt_plan_run_t;
+
 bool mt_dag_resources_fit(const mt_dag_resources_t *need,
 			  const mt_dag_resources_t *available)
 {
@@ -45,8 +59,16 @@
 	sum->gpu = subtract_clamped(sum->gpu, part->gpu);
 }
 
-static bool has_label(const mt_plan_server_t *server, GQuark label)
+double mt_dag_resources_cores(const mt_dag_resources_t *resources)
 {
+	return resources->cpu_milli / 1000.0 +
+	       resources->gpu * MT_CORES_PER_GPU;
+}
+
+bool mt_plan_server_has_label(const mt_plan_server_t *server, GQuark label)
+{
+	if (!label)
+		return true;
 	for (unsigned i = 0; i < MT_PLAN_LABELS_MAX; i++) {
 		if (server->labels[i] == label)
 			return true;
@@ -70,8 +92,7 @@
 		return false;
 	if (conflicts(scope->unit, plan_server))
 		return false;
-	return !scope->unit->label ||
-	       has_label(plan_server, scope->unit->label);
+	return mt_plan_server_has_label(plan_server, scope->unit->label);
 }
 
 static mt_dag_resources_t available_on(const mt_scope_t *scope, uint32_t server)
@@ -79,6 +100,8 @@
 	const mt_plan_server_t *plan_server = &scope->plan->servers[server];
 	mt_dag_resources_t available = plan_server->free;
 
+	if (scope->kind == MT_CAPACITY_ROOM)
+		return plan_server->room;
 	if (scope->kind != MT_CAPACITY_FREE)
 		mt_dag_resources_add(&available, &plan_server->releasing);
 	if (scope->freed)
@@ -266,36 +289,80 @@
 	return n_assigned == unit->count;
 }
 
+/** True if the whole unit would fit into the set if no other task ran there. */
+static bool fits_into_room(const mt_plan_run_t *run, const mt_plan_unit_t *unit,
+			   const mt_server_set_t *server_set)
+{
+	mt_scope_t scope = {run->plan,	run->index,	  unit,
+			    server_set, MT_CAPACITY_ROOM, NULL};
+
+	return mt_scope_fit_count(&scope) >= unit->count;
+}
+
+/** Adds to `sum` what `before` has more of than `after`. */
+static void add_difference(mt_dag_resources_t *sum,
+			   const mt_dag_resources_t *before,
+			   const mt_dag_resources_t *after)
+{
+	mt_dag_resources_t difference = *before;
+
+	mt_dag_resources_subtract(&difference, after);
+	mt_dag_resources_add(sum, &difference);
+}
+
+/** Reserves the resources of one task on a server. */
+static void reserve_on(mt_plan_run_t *run, const mt_plan_unit_t *unit,
+		       uint32_t server, bool soon)
+{
+	const mt_plan_server_t *after = &run->plan->servers[server];
+	mt_plan_server_t before = *after;
+	mt_kept_t *kept = &run->kept[server];
+
+	allocate(run->plan, unit, &server, 1);
+	if (soon)
+		return;
+	add_difference(&kept->free, &before.free, &after->free);
+	add_difference(&kept->releasing, &before.releasing, &after->releasing);
+}
+
 /**
  * Reserves resources for the tasks of the unit that were not placed, so that
  * later units cannot use these resources. Uses free resources and resources
- * being released.
+ * being released. Reserves nothing for a gang that cannot fit into the set even
+ * if all other tasks there end, as the resources would stay idle in vain.
+ * @param soon the whole unit fits once the resources being released are free
  */
-static void reserve(mt_plan_t *plan, const mt_plan_index_t *index,
-		    const mt_plan_unit_t *unit,
-		    const mt_server_set_t *server_set)
+static void reserve(mt_plan_run_t *run, const mt_plan_unit_t *unit,
+		    const mt_server_set_t *server_set, bool soon)
 {
-	mt_scope_t scope = {
-		plan, index, unit, server_set, MT_CAPACITY_FREE_OR_RELEASING,
-		NULL};
-	uint32_t *chosen = g_new(uint32_t, unit->count);
-	uint32_t n_assigned =
-		assign_servers(&scope, chosen, unit->count - unit->placed);
+	mt_scope_t scope = {run->plan,
+			    run->index,
+			    unit,
+			    server_set,
+			    MT_CAPACITY_FREE_OR_RELEASING,
+			    NULL};
+	uint32_t *chosen;
+	uint32_t n_assigned;
 
-	allocate(plan, unit, chosen, n_assigned);
+	if (!unit->reserves ||
+	    (unit->is_gang && !fits_into_room(run, unit, server_set)))
+		return;
+	if (unit->reservation_limited &&
+	    run->n_limited_reservations++ >= run->plan->reservations_max)
+		return;
+	chosen = g_new(uint32_t, unit->count);
+	n_assigned = assign_servers(&scope, chosen, unit->count - unit->placed);
+	for (uint32_t i = 0; i < n_assigned; i++)
+		reserve_on(run, unit, chosen[i], soon);
 	g_free(chosen);
 }
 
 /**
  * True if the unit is restricted to one rack; otherwise it may use several.
- * - The planner sets `same_rack` only if some rack, when empty, has room for
- *   all tasks of the step. any_rack_fits() in planner.c counts the servers
- *   without a rack as one rack, whereas the plan counts them as part of no
- *   rack. If only these servers have room for the unit, it is therefore
- *   restricted to a rack although it fits into none, and waits until the
- *   planner drops the restriction, see should_spread() in planner.c.
- * - The planner sets `data_rack` only if that rack, when empty, has room for
- *   the gang, or for one task of a unit that is not a gang.
+ * - The planner sets `same_rack` only if some rack has room for all tasks of
+ *   the step when no other task runs there.
+ * - It sets `data_rack` only if that rack has room for the gang, or for one
+ *   task of a unit that is not a gang.
  */
 static bool is_restricted_to_rack(const mt_plan_unit_t *unit)
 {
@@ -304,25 +371,30 @@
 
 /**
  * The rack into which the largest number of the unit's tasks fits, or NULL if
- * no task fits into any rack. The caller reserves resources in this rack. As
- * later units cannot use these, the room in this rack grows whenever a task
- * there ends, and so the next plans tend to select this rack again.
+ * no task fits into any rack. For a gang, only racks are considered into which
+ * it would fit if no other task ran there. The caller reserves resources in
+ * this rack. As later units cannot use these, the room in this rack grows
+ * whenever a task there ends, and so the next plans tend to select this rack
+ * again.
  */
-static const mt_server_set_t *
-find_rack_fitting_most(const mt_plan_t *plan, const mt_plan_index_t *index,
-		       const mt_plan_unit_t *unit)
+static const mt_server_set_t *find_rack_fitting_most(const mt_plan_run_t *run,
+						     const mt_plan_unit_t *unit)
 {
 	const mt_server_set_t *best = NULL;
 	uint32_t best_fit = 0;
 
-	for (uint32_t i = 0; i < index->n_racks; i++) {
-		const mt_server_set_t *rack = &index->racks[i];
-		mt_scope_t scope = {
-			plan, index, unit, rack, MT_CAPACITY_FREE_OR_RELEASING,
-			NULL};
+	for (uint32_t i = 0; i < run->index->n_racks; i++) {
+		const mt_server_set_t *rack = &run->index->racks[i];
+		mt_scope_t scope = {run->plan,
+				    run->index,
+				    unit,
+				    rack,
+				    MT_CAPACITY_FREE_OR_RELEASING,
+				    NULL};
 		uint32_t fit;
 
-		if (unit->data_rack && rack->name != unit->data_rack)
+		if ((unit->data_rack && rack->name != unit->data_rack) ||
+		    (unit->is_gang && !fits_into_room(run, unit, rack)))
 			continue;
 		fit = mt_scope_fit_count(&scope);
 		if (fit > best_fit) {
@@ -333,12 +405,28 @@
 	return best;
 }
 
+/**
+ * Places tasks of a unit that is restricted to one rack: all of them if they
+ * fit into a rack now. Otherwise those that fit, if the unit is restricted only
+ * by `data_rack` and is not a gang.
+ * @return true if all tasks were placed
+ */
+static bool place_in_rack(const mt_plan_run_t *run, mt_plan_unit_t *unit)
+{
+	const mt_server_set_t *rack = find_rack_with_fewest_gpus(
+		run->plan, run->index, unit, MT_CAPACITY_FREE);
+
+	if (rack)
+		return place_within(run->plan, run->index, unit, rack);
+	rack = mt_plan_index_rack(run->index, unit->data_rack);
+	if (!unit->is_gang && rack && !unit->same_rack)
+		place_within(run->plan, run->index, unit, rack);
+	return false;
+}
+
 /**
  * Schedules a unit that is restricted to one rack:
- * - If all its tasks fit into a rack now, they are placed there.
- * - Otherwise the tasks that fit are placed if the unit is restricted only by
- *   `data_rack` and is not a gang. All other units wait until a rack has room
- *   for all their tasks.
+ * - Places its tasks, see place_in_rack().
  * - If the unit may preempt, and if no rack will have room for all its tasks
  *   once the resources being released are free, it preempts tasks in one rack.
  *   The room required is for unit->count tasks even if some were just placed,
@@ -347,28 +435,23 @@
  *   for all its tasks, or if there is none, in the rack into which the largest
  *   number of them fits.
  */
-static void schedule_in_rack(mt_plan_t *plan, const mt_plan_index_t *index,
-			     mt_plan_unit_t *unit)
+static void schedule_in_rack(mt_plan_run_t *run, mt_plan_unit_t *unit)
 {
-	const mt_server_set_t *rack =
-		find_rack_with_fewest_gpus(plan, index, unit, MT_CAPACITY_FREE);
-	const mt_server_set_t *rack_with_data;
+	const mt_server_set_t *rack;
+	bool soon = true;
 
-	if (rack) {
-		place_within(plan, index, unit, rack);
+	if (place_in_rack(run, unit))
 		return;
-	}
-	rack_with_data = mt_plan_index_rack(index, unit->data_rack);
-	if (!unit->is_gang && rack_with_data && !unit->same_rack)
-		place_within(plan, index, unit, rack_with_data);
-	rack = find_rack_with_fewest_gpus(plan, index, unit,
+	rack = find_rack_with_fewest_gpus(run->plan, run->index, unit,
 					  MT_CAPACITY_FREE_OR_RELEASING);
 	if (!rack && unit->may_preempt)
-		rack = mt_plan_preempt(plan, index, unit, true);
-	if (!rack && unit->reserves)
-		rack = find_rack_fitting_most(plan, index, unit);
-	if (rack && unit->reserves)
-		reserve(plan, index, unit, rack);
+		rack = mt_plan_preempt(run->plan, run->index, unit, true);
+	if (!rack) {
+		soon = false;
+		rack = find_rack_fitting_most(run, unit);
+	}
+	if (rack)
+		reserve(run, unit, rack, soon);
 }
 
 /**
@@ -378,35 +461,130 @@
  * placed, although only the rest needs room: it may therefore stop more tasks
  * than necessary.
  */
-static void schedule_anywhere(mt_plan_t *plan, const mt_plan_index_t *index,
-			      mt_plan_unit_t *unit)
+static void schedule_anywhere(mt_plan_run_t *run, mt_plan_unit_t *unit)
 {
+	const mt_server_set_t *all = &run->index->all;
 	mt_scope_t scope = {
-		plan, index, unit, &index->all, MT_CAPACITY_FREE_OR_RELEASING,
+		run->plan, run->index, unit, all, MT_CAPACITY_FREE_OR_RELEASING,
 		NULL};
+	bool soon;
+
+	if (place_within(run->plan, run->index, unit, all))
+		return;
+	soon = mt_scope_fit_count(&scope) >= unit->count;
+	if (!soon && unit->may_preempt)
+		soon = mt_plan_preempt(run->plan, run->index, unit, false) !=
+		       NULL;
+	reserve(run, unit, all, soon);
+}
+
+static void schedule(mt_plan_run_t *run, mt_plan_unit_t *unit)
+{
+	unit->placed = 0;
+	for (uint32_t i = 0; i < unit->count; i++)
+		unit->chosen[i] = MT_PLAN_NO_SERVER;
+	if (is_restricted_to_rack(unit))
+		schedule_in_rack(run, unit);
+	else
+		schedule_anywhere(run, unit);
+}
+
+/** Returns the resources that are reserved for units that start later. */
+static void release_kept(mt_plan_run_t *run)
+{
+	for (uint32_t i = 0; i < run->plan->n_servers; i++) {
+		mt_plan_server_t *server = &run->plan->servers[i];
+
+		mt_dag_resources_add(&server->free, &run->kept[i].free);
+		mt_dag_resources_add(&server->releasing,
+				     &run->kept[i].releasing);
+	}
+}
+
+/**
+ * Reserves resources, in the second round, for a unit that could otherwise
+ * preempt what is placed there for units behind it.
+ */
+static void reserve_if_soon(mt_plan_run_t *run, const mt_plan_unit_t *unit)
+{
+	const mt_server_set_t *server_set = &run->index->all;
+	mt_scope_t scope = {run->plan,
+			    run->index,
+			    unit,
+			    server_set,
+			    MT_CAPACITY_FREE_OR_RELEASING,
+			    NULL};
+
+	if (is_restricted_to_rack(unit))
+		server_set = find_rack_with_fewest_gpus(
+			run->plan, run->index, unit,
+			MT_CAPACITY_FREE_OR_RELEASING);
+	else if (mt_scope_fit_count(&scope) < unit->count)
+		server_set = NULL;
+	if (server_set)
+		reserve(run, unit, server_set, true);
+}
 
-	if (place_within(plan, index, unit, &index->all))
+/**
+ * Second round, in which the resources that were reserved for units that start
+ * later are free: places the overdue units of which nothing has been placed.
+ */
+static void schedule_overdue(mt_plan_run_t *run, mt_plan_unit_t *unit)
+{
+	if (unit->placed)
 		return;
-	if (mt_scope_fit_count(&scope) < unit->count && unit->may_preempt)
-		mt_plan_preempt(plan, index, unit, false);
-	if (unit->reserves)
-		reserve(plan, index, unit, &index->all);
+	if (unit->overdue && is_restricted_to_rack(unit))
+		place_in_rack(run, unit);
+	else if (unit->overdue)
+		place_within(run->plan, run->index, unit, &run->index->all);
+	if (!unit->placed && unit->may_preempt)
+		reserve_if_soon(run, unit);
 }
 
 void mt_plan_run(mt_plan_t *plan)
 {
 	mt_plan_index_t *index = mt_plan_index_new(plan);
+	mt_plan_run_t run = {plan, index,
+			     g_new0(mt_kept_t, plan->n_servers + 1), 0};
+
+	for (uint32_t i = 0; i < plan->n_units; i++)
+		schedule(&run, &plan->units[i]);
+	release_kept(&run);
+	for (uint32_t i = 0; i < plan->n_units; i++)
+		schedule_overdue(&run, &plan->units[i]);
+	g_free(run.kept);
+	mt_plan_index_free(index);
+}
+
+/** Number of servers that may run the unit's tasks. */
+static uint32_t count_allowed(const mt_scope_t *scope)
+{
+	uint32_t n_allowed = 0;
 
-	for (uint32_t i = 0; i < plan->n_units; i++) {
-		mt_plan_unit_t *unit = &plan->units[i];
+	for (uint32_t i = 0; i < scope->server_set->n_servers; i++)
+		n_allowed +=
+			mt_scope_allows(scope, scope->server_set->servers[i]);
+	return n_allowed;
+}
 
-		unit->placed = 0;
-		for (uint32_t k = 0; k < unit->count; k++)
-			unit->chosen[k] = MT_PLAN_NO_SERVER;
-		if (is_restricted_to_rack(unit))
-			schedule_in_rack(plan, index, unit);
-		else
-			schedule_anywhere(plan, index, unit);
+mt_plan_wait_t mt_plan_explain_wait(const mt_plan_t *plan,
+				    const mt_plan_unit_t *unit)
+{
+	mt_plan_index_t *index = mt_plan_index_new(plan);
+	mt_scope_t scope = {plan, index, unit, &index->all, MT_CAPACITY_ROOM,
+			    NULL};
+	uint32_t wanted = unit->is_gang ? unit->count : 1;
+	mt_plan_wait_t reason = MT_PLAN_WAIT_NO_ROOM;
+
+	if (!count_allowed(&scope)) {
+		reason = MT_PLAN_WAIT_NO_SERVER;
+	} else if (mt_scope_fit_count(&scope) < wanted) {
+		reason = MT_PLAN_WAIT_NEVER_FITS;
+	} else {
+		scope.kind = MT_CAPACITY_FREE;
+		if (mt_scope_fit_count(&scope) >= wanted)
+			reason = MT_PLAN_WAIT_RESERVED;
 	}
 	mt_plan_index_free(index);
+	return reason;
 }
--- a/lib/dag/plan.h
+++ b/lib/dag/plan.h
@@ -38,11 +38,20 @@
 void mt_dag_resources_subtract(mt_dag_resources_t *sum,
 			       const mt_dag_resources_t *part);
 
+/** An accelerator counts as this many cores in sums of resources. */
+#define MT_CORES_PER_GPU 8.0
+
+/** The cores and accelerators as a number of cores; memory does not count. */
+double mt_dag_resources_cores(const mt_dag_resources_t *resources);
+
 typedef struct mt_plan_server_t {
 	mt_dag_resources_t free; /**< not in use */
 	/** Held by tasks that are being stopped or are to be stopped, or that
 	 * still run although their gang is done. */
 	mt_dag_resources_t releasing;
+	/** Free once all tasks on it have ended, except long-running ones,
+	 * which do not end by themselves. */
+	mt_dag_resources_t room;
 	GQuark rack;			   /**< 0: none */
 	GQuark labels[MT_PLAN_LABELS_MAX]; /**< unused elements are 0 */
 	bool latency_critical; /**< runs tasks with a latency target */
@@ -85,8 +94,15 @@
 	bool guaranteed;   /**< the job is within its account's guarantee */
 	bool may_preempt;  /**< placed tasks may be preempted for it */
 	/** If not all tasks of this unit can be placed, resources are reserved
-	 * for the others, so that later units cannot use them. */
+	 * for the others, so that later units cannot use them. No resources
+	 * are reserved for a gang that would not even fit into
+	 * mt_plan_server_t.room. */
 	bool reserves;
+	/** The reservation counts towards reservations_max of the plan. */
+	bool reservation_limited;
+	/** Nothing of the job runs, although most of the service is idle. The
+	 * unit may use what is reserved for a unit that cannot start soon. */
+	bool overdue;
 
 	/** Result: the server of each task, or MT_PLAN_NO_SERVER. */
 	uint32_t *chosen;
@@ -113,8 +129,23 @@
 	uint32_t n_units;
 	mt_plan_victim_t *victims;
 	uint32_t n_victims;
+	/** Maximum number of units with `reservation_limited` for which
+	 * resources are reserved. */
+	uint32_t reservations_max;
 } mt_plan_t;
 
+/** Why no task of a unit was placed. */
+typedef enum mt_plan_wait_t {
+	MT_PLAN_WAIT_NO_SERVER,	 /**< no server may run its tasks */
+	MT_PLAN_WAIT_NEVER_FITS, /**< larger than mt_plan_server_t.room of all
+				    servers that may run its tasks */
+	MT_PLAN_WAIT_RESERVED,	 /**< would fit without the reservations */
+	MT_PLAN_WAIT_NO_ROOM,	 /**< other tasks use the resources */
+} mt_plan_wait_t;
+
+/** True if the server has the label; always true for label 0. */
+bool mt_plan_server_has_label(const mt_plan_server_t *server, GQuark label);
+
 /**
  * Computes the plan: sets the results of the units and victims. Also updates
  * `servers`: deducts the resources that are assigned to units or reserved for
@@ -122,4 +153,11 @@
  */
 void mt_plan_run(mt_plan_t *plan);
 
+/**
+ * Explains why mt_plan_run() has placed no task of the unit, by the state of
+ * the servers afterwards.
+ */
+mt_plan_wait_t mt_plan_explain_wait(const mt_plan_t *plan,
+				    const mt_plan_unit_t *unit);
+
 #endif
--- a/lib/dag/plan_internal.h
+++ b/lib/dag/plan_internal.h
@@ -19,6 +19,7 @@
 	/** mt_plan_server_t.free, mt_plan_server_t.releasing, and the resources
 	 * that the victims selected so far would free (mt_scope_t.freed). */
 	MT_CAPACITY_AFTER_PREEMPTION,
+	MT_CAPACITY_ROOM, /**< mt_plan_server_t.room */
 } mt_capacity_kind_t;
 
 /** The servers of one rack, or all servers. */
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -4,9 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/** An accelerator counts as this many cores in the cost of lost work. */
-#define CORES_PER_GPU 8.0
-
 /**
  * A step of a guaranteed job is no longer restricted to one rack after waiting
  * this long.
@@ -22,7 +19,8 @@
 /**
  * Units that may preempt always reserve resources. Of the other units, only
  * gangs that have waited for RESERVE_AFTER_MS reserve resources, and at most
- * this many gangs of a service do so.
+ * this many gangs of a service do so. See reserve() in plan.c for gangs that
+ * cannot fit at all.
  */
 #define RESERVING_GANGS_MAX 2u
 #define RESERVE_AFTER_MS 2000u
@@ -59,6 +57,21 @@
 	return releasing;
 }
 
+/** Returns mt_plan_server_t.room. */
+static mt_dag_resources_t room_of(const mt_backend_t *backend)
+{
+	mt_dag_resources_t room = backend->info.capacity;
+
+	for (guint i = 0; i < backend->tasks->len; i++) {
+		const mt_dag_task_t *task = backend->tasks->pdata[i];
+		mt_dag_resources_t need = mt_dag_step_need(task->step);
+
+		if (task->step->spec->lasting && !task->stop_wanted)
+			mt_dag_resources_subtract(&room, &need);
+	}
+	return room;
+}
+
 /** Marks whether the server runs fillers or tasks with a latency target. */
 static void mark_workload_kinds(mt_plan_server_t *server,
 				const mt_backend_t *backend)
@@ -102,6 +115,7 @@
 		server->free = backend->info.capacity;
 		mt_dag_resources_subtract(&server->free, &backend->used);
 		server->releasing = resources_releasing(backend);
+		server->room = room_of(backend);
 		server->rack = backend->info.rack;
 		server->penalty = backend->fail_streak;
 		mark_workload_kinds(server, backend);
@@ -114,35 +128,43 @@
 
 /* Units. */
 
-/** Number of the step's tasks that fit on the server when it is empty. */
-static uint32_t server_max_tasks(const mt_backend_t *backend,
+/**
+ * Number of the step's tasks for which the server has room when no other task
+ * runs there, except long-running ones.
+ */
+static uint32_t server_max_tasks(const mt_plan_server_t *server,
 				 const mt_dag_step_t *step)
 {
 	mt_dag_resources_t need = mt_dag_step_need(step);
-
-	return MIN(mt_dag_resources_fit_count(&need, &backend->info.capacity),
-		   step->spec->count);
+	uint32_t max_tasks =
+		MIN(mt_dag_resources_fit_count(&need, &server->room),
+		    step->spec->count);
+
+	if (!mt_plan_server_has_label(server, step->label))
+		return 0;
+	return step->spec->per_server_max
+		       ? MIN(max_tasks, step->spec->per_server_max)
+		       : max_tasks;
 }
 
-/** Number of the step's tasks that fit into the rack when it is empty. */
+/** Number of the step's tasks for which the rack has room. */
 static uint32_t rack_max_tasks(const mt_planner_t *planner,
 			       const mt_dag_step_t *step, GQuark rack)
 {
 	uint32_t max_tasks = 0;
 
-	for (guint i = 0; i < planner->backends->len; i++) {
-		const mt_backend_t *backend = planner->backends->pdata[i];
+	for (uint32_t i = 0; i < planner->plan.n_servers; i++) {
+		const mt_plan_server_t *server = &planner->plan.servers[i];
 
-		if (backend->info.rack == rack)
-			max_tasks += server_max_tasks(backend, step);
+		if (server->rack == rack)
+			max_tasks += server_max_tasks(server, step);
 	}
 	return max_tasks;
 }
 
 /**
- * True if some rack, when empty, has room for all tasks of the step. Servers
- * without a rack are counted together, like one rack, although in the plan they
- * belong to no rack, see is_restricted_to_rack() in plan.c.
+ * True if some rack has room for all tasks of the step. Servers without a rack
+ * form no rack, as in the plan.
  */
 static bool any_rack_fits(const mt_planner_t *planner,
 			  const mt_dag_step_t *step)
@@ -150,13 +172,15 @@
 	GHashTable *max_tasks = g_hash_table_new(NULL, NULL);
 	bool found = false;
 
-	for (guint i = 0; i < planner->backends->len && !found; i++) {
-		const mt_backend_t *backend = planner->backends->pdata[i];
-		gpointer rack = GUINT_TO_POINTER(backend->info.rack);
+	for (uint32_t i = 0; i < planner->plan.n_servers && !found; i++) {
+		const mt_plan_server_t *server = &planner->plan.servers[i];
+		gpointer rack = GUINT_TO_POINTER(server->rack);
 		guint sum =
 			GPOINTER_TO_UINT(g_hash_table_lookup(max_tasks, rack)) +
-			server_max_tasks(backend, step);
+			server_max_tasks(server, step);
 
+		if (!server->rack)
+			continue;
 		g_hash_table_insert(max_tasks, rack, GUINT_TO_POINTER(sum));
 		found = sum >= step->spec->count;
 	}
@@ -170,6 +194,8 @@
  */
 static bool should_spread(const mt_candidate_step_t *candidate)
 {
+	if (candidate->overdue)
+		return true;
 	if (candidate->guaranteed)
 		return candidate->waited_ms > GUARANTEED_SPREAD_MS;
 	return candidate->waited_ms >
@@ -198,6 +224,31 @@
 	return already_placed;
 }
 
+/**
+ * False for a gang that could not be placed with all tickets that the policy
+ * service may still give: each answer would be of no use, while other steps
+ * wait for theirs.
+ */
+static bool may_use_tickets(const mt_planner_t *planner,
+			    const mt_dag_step_t *step)
+{
+	uint32_t max_tasks = 0;
+
+	if (!step->spec->gang)
+		return true;
+	for (guint i = 0; i < planner->backends->len; i++) {
+		const mt_backend_t *backend = planner->backends->pdata[i];
+
+		if (!step->advice ||
+		    mt_advice_state(step->advice, &backend->info.target.id,
+				    backend->born_ms,
+				    planner->now) != MT_ADVICE_DENIED)
+			max_tasks += server_max_tasks(&planner->plan.servers[i],
+						      step);
+	}
+	return max_tasks >= step->spec->count;
+}
+
 /**
  * Returns mt_plan_unit_t.allowed of the step. NULL, that is all servers, unless
  * the queue needs tickets of the policy service (`advised`); then the servers
@@ -212,10 +263,11 @@
 
 	if (!step->job->queue.advised)
 		return NULL;
-	mt_advice_requests_send_if_needed(planner->engine, step, n_waiting,
-					  planner->backends);
+	if (may_use_tickets(planner, step))
+		mt_advice_requests_send_if_needed(planner->engine, step,
+						  n_waiting, planner->backends);
 	allowed = g_new0(bool, planner->backends->len + 1);
-	for (guint i = 0; i < planner->backends->len; i++) {
+	for (guint i = 0; step->advice && i < planner->backends->len; i++) {
 		const mt_backend_t *backend = planner->backends->pdata[i];
 
 		allowed[i] =
@@ -242,13 +294,8 @@
 		       candidate->latest_start_ms + LATEST_START_WINDOW_MS;
 }
 
-/**
- * Fills in the unit of a candidate.
- * @param n_reserving number of gangs counted for RESERVING_GANGS_MAX so far
- */
 static void init_unit(mt_planner_t *planner, mt_plan_unit_t *unit,
-		      const mt_candidate_step_t *candidate,
-		      unsigned *n_reserving)
+		      const mt_candidate_step_t *candidate)
 {
 	mt_dag_step_t *step = candidate->step;
 	bool spread = should_spread(candidate);
@@ -266,7 +313,11 @@
 	unit->guaranteed = candidate->guaranteed;
 	unit->may_preempt =
 		!unit->priority || is_near_latest_start(planner, candidate);
-	unit->reserves = unit->may_preempt;
+	unit->reservation_limited = !unit->may_preempt;
+	unit->reserves =
+		unit->may_preempt ||
+		(unit->is_gang && candidate->waited_ms > RESERVE_AFTER_MS);
+	unit->overdue = candidate->overdue;
 	unit->chosen = g_new(uint32_t, unit->count);
 	if (!spread && step->spec->same_rack && any_rack_fits(planner, step))
 		unit->same_rack = true;
@@ -274,33 +325,25 @@
 	    rack_max_tasks(planner, step, step->data_rack) >=
 		    (unit->is_gang ? step->spec->count : 1))
 		unit->data_rack = step->data_rack;
-	if (!unit->reserves && unit->is_gang &&
-	    *n_reserving < RESERVING_GANGS_MAX &&
-	    candidate->waited_ms > RESERVE_AFTER_MS) {
-		unit->reserves = true;
-		(*n_reserving)++;
-	}
 }
 
 static void build_units(mt_planner_t *planner)
 {
-	unsigned n_reserving = 0; /* gangs counted for RESERVING_GANGS_MAX */
-
 	planner->plan.n_units = planner->candidates->len;
 	planner->plan.units =
 		g_new0(mt_plan_unit_t, planner->candidates->len + 1);
 	for (guint i = 0; i < planner->candidates->len; i++)
 		init_unit(planner, &planner->plan.units[i],
 			  &g_array_index(planner->candidates,
-					 mt_candidate_step_t, i),
-			  &n_reserving);
+					 mt_candidate_step_t, i));
+	planner->plan.reservations_max = RESERVING_GANGS_MAX;
 }
 
 /* Victims. */
 
 /**
  * Cost in core-seconds of stopping the task now: its cores (an accelerator
- * counts as CORES_PER_GPU, and the processor cores of a filler as 0, see
+ * counts as MT_CORES_PER_GPU, and the processor cores of a filler as 0, see
  * mt_dag_step_need()), times the sum of STOP_COST_S and the lost time. The
  * lost time is the time since the placement of the task or, for a task that
  * writes checkpoints, the time to resume from a checkpoint.
@@ -308,7 +351,7 @@
 static double stop_cost(const mt_planner_t *planner, const mt_dag_task_t *task)
 {
 	mt_dag_resources_t need = mt_dag_step_need(task->step);
-	double cores = need.cpu_milli / 1000.0 + need.gpu * CORES_PER_GPU;
+	double cores = mt_dag_resources_cores(&need);
 	double seconds = (double)(planner->now - task->placed_at) / 1000.0;
 
 	if (task->step->spec->checkpointing)
@@ -478,7 +521,7 @@
 }
 
 static void plan_service(mt_engine_t *engine, const mt_name_t *service,
-			 GHashTable *guaranteed)
+			 GHashTable *guaranteed, bool log_waits)
 {
 	mt_planner_t planner = {0};
 
@@ -500,6 +543,8 @@
 		build_units(&planner);
 		collect_victims(&planner);
 		mt_plan_run(&planner.plan);
+		if (log_waits)
+			mt_wait_log_write(&planner);
 		apply_plan(&planner);
 	}
 	free_plan(&planner);
@@ -528,12 +573,13 @@
 {
 	GHashTable *services = list_services(engine);
 	GHashTable *guaranteed = mt_guarantees_find(engine);
+	bool log_waits = mt_wait_log_is_due(engine);
 	GHashTableIter iter;
 	gpointer key;
 
 	g_hash_table_iter_init(&iter, services);
 	while (g_hash_table_iter_next(&iter, &key, NULL))
-		plan_service(engine, key, guaranteed);
+		plan_service(engine, key, guaranteed, log_waits);
 	g_hash_table_destroy(guaranteed);
 	g_hash_table_destroy(services);
 }
--- a/lib/dag/planner_internal.h
+++ b/lib/dag/planner_internal.h
@@ -1,7 +1,8 @@
 /**
  * @file planner_internal.h
  * Internal interface of the planner: candidates.c (lists the steps that wait to
- * start) and planner.c (builds the placement plan and applies it).
+ * start), planner.c (builds the placement plan and applies it) and wait_log.c
+ * (logs why steps still wait).
  */
 #ifndef MT_DAG_PLANNER_INTERNAL_H
 #define MT_DAG_PLANNER_INTERNAL_H
@@ -16,6 +17,9 @@
 	/** Local time; see latest_start() in candidates.c. */
 	int64_t latest_start_ms;
 	mt_ms_t waited_ms; /**< time since step->waiting_since */
+	/** Has waited for OVERDUE_MS (candidates.c) on an underused service
+	 * while nothing of its job ran. */
+	bool overdue;
 } mt_candidate_step_t;
 
 /** The planning of one service in one scheduling pass. */
@@ -29,6 +33,8 @@
 	/** Most cores or accelerators of the service are in use, see
 	 * CONTENDED_SHARE in candidates.c. */
 	bool contended;
+	/** Most of the service is idle, see UNDERUSED_SHARE in candidates.c. */
+	bool underused;
 	GPtrArray *backends; /**< mt_backend_t, in the order of plan.servers */
 	/** Maps mt_backend_t to its index in `backends` plus one. */
 	GHashTable *backend_index;
@@ -47,4 +53,13 @@
 /** Fills `candidates` with the steps that may start, in scheduling order. */
 void mt_candidates_collect(mt_planner_t *planner);
 
+/** True if the waiting steps are to be logged in this pass; notes the time. */
+bool mt_wait_log_is_due(mt_engine_t *engine);
+
+/**
+ * Logs the first steps, in scheduling order, that have waited for long and of
+ * which the plan has placed no task. Nothing is logged if there are none.
+ */
+void mt_wait_log_write(const mt_planner_t *planner);
+
 #endif
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -72,6 +72,7 @@
 	add_suite("kernel", mt_kernel_tests);
 	add_suite("follower", mt_follower_tests);
 	add_suite("engine", mt_engine_tests);
+	add_suite("planner", mt_planner_tests);
 	add_suite("front", mt_front_tests);
 	add_suite("runner", mt_runner_tests);
 	add_suite("survival", mt_survival_tests);
--- a/tests/unit/script_dag.c
+++ b/tests/unit/script_dag.c
@@ -85,13 +85,16 @@
  * its own. The victims of a group are stopped together. Each server has 1000
  * MB free and each task needs 1 MB, so memory never limits a plan.
  *
+ * A server has room for 64 cores and `room` accelerators, 8 by default, when no
+ * other task runs there.
  * `coming` is the number of accelerators that tasks being stopped will release
  * (`releasing`), each with 8 cores and 1 MB. "serves" (`latency_critical`)
  * marks the tasks of a unit as having a latency target, or a server as running
  * such tasks. "fills" marks the tasks of a unit as fillers, which use only
  * resources that other tasks leave, or a server as running fillers. Units of
  * priority 0 may preempt victims and reserve resources; "reserves" lets other
- * units reserve as well.
+ * units reserve as well, and "limited" lets one such unit of the plan.
+ * "overdue" marks a unit that may use what others have reserved.
  */
 
 static void add_servers(mt_dag_fixture_t *fixture, char **words)
@@ -108,6 +111,8 @@
 		server->releasing.gpu = number(words, "coming", 0);
 		server->releasing.cpu_milli = server->releasing.gpu * 8000;
 		server->releasing.mem_mb = server->releasing.gpu;
+		server->room = (mt_dag_resources_t){64000, 1000,
+						    number(words, "room", 8)};
 		server->rack = quark(words, "rack");
 		server->labels[0] = quark(words, "label");
 		server->penalty = number(words, "penalty", 0);
@@ -133,7 +138,10 @@
 	unit->priority = number(words, "priority", 2);
 	unit->guaranteed = mt_script_flag(words, "guaranteed");
 	unit->may_preempt = !unit->priority;
-	unit->reserves = unit->may_preempt || mt_script_flag(words, "reserves");
+	unit->reservation_limited = mt_script_flag(words, "limited");
+	unit->reserves = unit->may_preempt || unit->reservation_limited ||
+			 mt_script_flag(words, "reserves");
+	unit->overdue = mt_script_flag(words, "overdue");
 }
 
 static void add_victim(mt_dag_fixture_t *fixture, char **words)
@@ -160,6 +168,7 @@
 	plan->servers = fixture->servers;
 	plan->units = fixture->units;
 	plan->victims = fixture->victims;
+	plan->reservations_max = 1;
 	mt_plan_run(plan);
 	for (uint32_t i = 0; i < plan->n_units; i++) {
 		g_string_append_printf(out, "unit %u:", i);
--- a/tests/unit/tests.h
+++ b/tests/unit/tests.h
@@ -11,6 +11,7 @@
 extern const mt_test_t mt_kernel_tests[];
 extern const mt_test_t mt_follower_tests[];
 extern const mt_test_t mt_engine_tests[];
+extern const mt_test_t mt_planner_tests[];
 extern const mt_test_t mt_front_tests[];
 extern const mt_test_t mt_runner_tests[];
 extern const mt_test_t mt_survival_tests[];
