--- a/lib/dag/backend_port.h
+++ b/lib/dag/backend_port.h
@@ -97,6 +97,8 @@
 	size_t n_active_runs;
 	const mt_ended_run_t *ended;
 	size_t n_ended;
+	/** The server may have further runs that the answer does not list. */
+	bool runs_missing;
 } mt_backend_answer_t;
 
 typedef void (*mt_backend_cb)(void *ctx, const mt_backend_answer_t *answer);
--- a/lib/dag/follower.c
+++ b/lib/dag/follower.c
@@ -249,6 +249,34 @@
 		follower->handler.on_snapshot(follower->handler.ctx, true);
 }
 
+/** Last key of the page; empty if no key of it is known. */
+static mt_str_t last_key_of(const mt_store_page_t *page)
+{
+	if (page->last_key.len || !page->count)
+		return page->last_key;
+	return page->records[page->count - 1].key;
+}
+
+/**
+ * Reads the page after `last_key`. Reads the present page again if this key
+ * does not lead any further; the snapshot is not complete then.
+ */
+static void continue_snapshot(mt_follower_t *follower, mt_str_t last_key)
+{
+	if (!last_key.len ||
+	    mt_str_equal(last_key, mt_str_from(follower->last_snapshot_key))) {
+		mt_log(follower->kernel, MT_LOG_ERR, "follower",
+		       "%s: a page of the snapshot has no key from which to "
+		       "read on; reading it again",
+		       follower->topic);
+		retry(follower, MT_STORE_REFUSED, read_snapshot_page);
+		return;
+	}
+	g_free(follower->last_snapshot_key);
+	follower->last_snapshot_key = g_strndup(last_key.data, last_key.len);
+	read_snapshot_page(follower);
+}
+
 /** Delivers a page of the snapshot and reads the next page, if any. */
 static void on_snapshot_page(void *ctx, const mt_store_page_t *page)
 {
@@ -267,15 +295,10 @@
 	for (size_t i = 0; i < page->count; i++)
 		follower->handler.on_record(follower->handler.ctx,
 					    &page->records[i]);
-	if (!page->more || !page->count) {
+	if (page->more)
+		continue_snapshot(follower, last_key_of(page));
+	else
 		end_snapshot(follower);
-		return;
-	}
-	g_free(follower->last_snapshot_key);
-	follower->last_snapshot_key =
-		g_strndup(page->records[page->count - 1].key.data,
-			  page->records[page->count - 1].key.len);
-	read_snapshot_page(follower);
 }
 
 /** Reads the page of the snapshot after `last_snapshot_key`. */
--- a/lib/dag/reports.c
+++ b/lib/dag/reports.c
@@ -247,12 +247,15 @@
 /**
  * Gives up as lost each run on this server for which report_must_list() is true
  * and which the report does not list. The ended runs in the report have been
- * applied before, so that only active runs are looked up.
+ * applied before, so that only active runs are looked up. A report that does
+ * not list all runs says nothing about those that are missing.
  */
 static void mark_missing_lost(mt_engine_t *engine, mt_backend_t *backend,
 			      const mt_backend_answer_t *answer,
 			      mt_ms_t sent_at)
 {
+	if (answer->runs_missing)
+		return;
 	for (guint i = backend->tasks->len; i-- > 0;) {
 		mt_dag_task_t *task;
 
--- a/lib/dag/store_port.h
+++ b/lib/dag/store_port.h
@@ -62,6 +62,9 @@
 	uint64_t end;  /**< offset after the last record of the topic */
 	uint64_t next; /**< offset after the page's last record; read nowhere */
 	bool more;     /**< in answers to `newest`: further keys follow */
+	/** In answers to `newest`: last key of the page, also if its record is
+	 * malformed and not among `records`. Empty: the last of `records`. */
+	mt_str_t last_key;
 	/** The page shows the topic as it was this long before the call; 0 in
 	 * answers of the store itself. */
 	mt_ms_t age_ms;
--- a/programs/entryd/main.c
+++ b/programs/entryd/main.c
@@ -21,6 +21,7 @@
 #include "platform/config_json.h"
 #include "platform/wire_names.h"
 #include "platform/backend_http.h"
+#include "platform/backend_json.h"
 #include "platform/store_http.h"
 #include "settings.h"
 
--- a/tests/unit/script_adapter.c
+++ b/tests/unit/script_adapter.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 #include "platform/config_json.h"
-#include "platform/backend_http.h"
+#include "platform/backend_json.h"
 #include "platform/store_http.h"
 #include "unit/script.h"
 
--- a/tests/unit/test_engine.c
+++ b/tests/unit/test_engine.c
@@ -393,6 +393,28 @@
 	mt_engine_fixture_close(&fixture);
 }
 
+/**
+ * Guards against: over 500 ends wait on a server while the store is down, its
+ * lists are cut short, and a run that is in neither is started again (TWICE).
+ */
+static void a_run_missing_from_a_cut_list_is_not_lost(void)
+{
+	mt_engine_fixture_t fixture;
+	mt_dag_task_t *task;
+	mt_backend_answer_t answer = {.result = MT_COMMAND_DONE,
+				      .runs_missing = true};
+
+	mt_engine_fixture_open(&fixture);
+	task = mt_engine_fixture_add_running_task(&fixture);
+	mt_commands_hold(fixture.engine, fixture.servers[0]);
+	mt_engine_fixture_answer_hold(&fixture, &answer);
+	CU_ASSERT_EQUAL_FATAL(task->phase, MT_TASK_PHASE_RUNNING);
+	answer.runs_missing = false;
+	mt_engine_fixture_answer_hold(&fixture, &answer);
+	CU_ASSERT_EQUAL(task->phase, MT_TASK_PHASE_WAITING);
+	mt_engine_fixture_close(&fixture);
+}
+
 /**
  * A server is silent, but the platform lists it as alive. Its run may have
  * ended successfully, so that it is kept for a while after its lease.
@@ -496,6 +518,8 @@
 	{"a late answer to a hold counts", a_late_answer_to_a_hold_counts},
 	{"an overtaken report gives no run up",
 	 an_overtaken_report_gives_no_run_up},
+	{"a run missing from a cut list is not lost",
+	 a_run_missing_from_a_cut_list_is_not_lost},
 	{"a listed server keeps its runs longer",
 	 a_listed_server_keeps_its_runs_longer},
 	{"a hold after a failed one deletes no ends",
--- a/tests/unit/test_follower.c
+++ b/tests/unit/test_follower.c
@@ -119,8 +119,8 @@
 		fixture->failed_catch_ups++;
 }
 
-/** Makes a follower that has read the empty topic and long-polls it. */
-static void set_up(mt_follower_fixture_t *fixture)
+/** Makes a follower whose first call, for a snapshot, is not answered yet. */
+static void set_up_unanswered(mt_follower_fixture_t *fixture)
 {
 	mt_follower_handler_t handler = {fixture, count_record, NULL, NULL};
 
@@ -133,6 +133,12 @@
 						on_read_call, on_newest_call};
 	fixture->follower = mt_follower_new(
 		fixture->kernel, &fixture->store.port, "topic", 1000, &handler);
+}
+
+/** Makes a follower that has read the empty topic and long-polls it. */
+static void set_up(mt_follower_fixture_t *fixture)
+{
+	set_up_unanswered(fixture);
 	answer(&fixture->store, 0);
 	mt_timers_advance(fixture->timers, 2000);
 }
@@ -323,7 +329,44 @@
 	tear_down(&fixture);
 }
 
+/** Answers the oldest call, one for a snapshot, with a page of no records. */
+static void answer_empty_page(mt_paged_store_t *store, const char *last_key,
+			      bool more)
+{
+	mt_paged_call_t call = g_array_index(store->calls, mt_paged_call_t, 0);
+	mt_store_page_t page = {.more = more,
+				.last_key = mt_str_from(last_key)};
+
+	CU_ASSERT_TRUE(call.newest);
+	g_array_remove_index(store->calls, 0);
+	call.cb(call.ctx, &page);
+}
+
+/**
+ * Guards against: a page whose items are all malformed counts as the end of a
+ * list, so that servers or jobs after it are taken as gone (LOST).
+ */
+static void a_page_without_records_does_not_end_a_snapshot(void)
+{
+	mt_follower_fixture_t fixture;
+
+	set_up_unanswered(&fixture);
+	answer_empty_page(&fixture.store, "odd", true);
+	CU_ASSERT_FALSE(mt_follower_has_snapshot(fixture.follower));
+	CU_ASSERT_EQUAL_FATAL(fixture.store.calls->len, 1);
+	/* The key does not lead any further: the page is read again later. */
+	answer_empty_page(&fixture.store, "odd", true);
+	CU_ASSERT_FALSE(mt_follower_has_snapshot(fixture.follower));
+	mt_timers_advance(fixture.timers, mt_timers_now(fixture.timers) + 1000);
+	CU_ASSERT_EQUAL_FATAL(fixture.store.calls->len, 1);
+	answer_empty_page(&fixture.store, NULL, false);
+	CU_ASSERT_TRUE(mt_follower_has_snapshot(fixture.follower));
+	tear_down(&fixture);
+}
+
 const mt_test_t mt_follower_tests[] = {
+	{"a page without records does not end a snapshot",
+	 a_page_without_records_does_not_end_a_snapshot},
 	{"replaced records are skipped", replaced_records_are_skipped},
 	{"a read that timed out is repeated with more time",
 	 a_read_that_timed_out_is_repeated_with_more_time},
--- a/tests/unit/test_mutated_input.c
+++ b/tests/unit/test_mutated_input.c
@@ -10,7 +10,7 @@
 
 #include "dag/table.h"
 #include "platform/config_json.h"
-#include "platform/backend_http.h"
+#include "platform/backend_json.h"
 #include "platform/store_http.h"
 #include "unit/tests.h"
 
--- a/tests/unit/tests.h
+++ b/tests/unit/tests.h
@@ -19,6 +19,7 @@
 extern const mt_test_t mt_pace_tests[];
 extern const mt_test_t mt_config_relay_tests[];
 extern const mt_test_t mt_leadership_tests[];
+extern const mt_test_t mt_backend_json_tests[];
 extern const mt_test_t mt_mutated_input_tests[];
 
 #endif
