--- a/lib/dag/duty.c
+++ b/lib/dag/duty.c
@@ -131,7 +131,7 @@
 	duty->slots.renewal_sent_at = now_of(duty);
 	mt_writer_add(duty->deps.writer, mt_str_from(key.text),
 		      mt_bytes_view(bytes));
-	mt_writer_commit(duty->deps.writer, false, cb, ctx);
+	mt_writer_commit(duty->deps.writer, MT_WRITER_REPORTS_REFUSAL, cb, ctx);
 	g_bytes_unref(bytes);
 }
 
--- a/lib/dag/flush.c
+++ b/lib/dag/flush.c
@@ -227,5 +227,6 @@
 		return;
 	}
 	collect_ends(engine, flush);
-	mt_writer_commit(engine->writer, true, on_flushed, flush);
+	mt_writer_commit(engine->writer, MT_WRITER_ALWAYS_RETRIES, on_flushed,
+			 flush);
 }
--- a/lib/dag/follower.c
+++ b/lib/dag/follower.c
@@ -18,6 +18,18 @@
 #define READ_TIMEOUT_MIN_MS 1500u
 #define READ_TIMEOUT_MAX_MS 12000u
 
+/**
+ * Minimum time between the first reads of two rounds of catching up. Calls of
+ * mt_follower_catch_up() within this time share the next round.
+ */
+#define CATCH_UP_INTERVAL_MS 20u
+
+/** A call of mt_follower_catch_up(). */
+typedef struct mt_catch_up_waiter_t {
+	mt_follower_catch_up_cb cb;
+	void *ctx;
+} mt_catch_up_waiter_t;
+
 struct mt_follower_t {
 	mt_kernel_t *kernel;
 	const mt_store_port_t *store;
@@ -52,16 +64,19 @@
 	/** Local time at which the read of the snapshot's first page was
 	 * sent. */
 	mt_ms_t snapshot_sent_at;
+	/** mt_catch_up_waiter_t of the next round of catching up. */
+	GArray *catch_up_waiters;
+	uint64_t catch_up_timer;     /**< begins the next round; 0: not set */
+	mt_ms_t catch_up_started_at; /**< local time of the last round */
 };
 
-/** A pending call of mt_follower_catch_up(). */
+/** A round of catching up, for one or more calls. */
 typedef struct mt_catch_up_t {
 	mt_follower_t *follower;
-	mt_ms_t sent_at; /**< local time of the call */
+	mt_ms_t sent_at; /**< local time at which the first read was sent */
 	uint64_t until;	 /**< end of the topic, as in the first answer */
 	bool answered;	 /**< `until` is set */
-	mt_follower_catch_up_cb cb;
-	void *ctx;
+	GArray *waiters; /**< mt_catch_up_waiter_t */
 } mt_catch_up_t;
 
 static void read_next(void *ctx);
@@ -87,6 +102,8 @@
 	follower->poll_wait_ms = poll_wait_ms;
 	follower->handler = *handler;
 	follower->round_trip = MT_NEVER_MS;
+	follower->catch_up_waiters =
+		g_array_new(FALSE, FALSE, sizeof(mt_catch_up_waiter_t));
 	mark_answered(follower);
 	read_snapshot_page(follower);
 	return follower;
@@ -104,6 +121,7 @@
 
 static void free_follower(mt_follower_t *follower)
 {
+	g_array_unref(follower->catch_up_waiters);
 	g_free(follower->last_snapshot_key);
 	g_free(follower->topic);
 	g_free(follower);
@@ -327,12 +345,29 @@
 			      on_catch_up_read, catch_up);
 }
 
+/** Calls back all waiters and frees them. */
+static void finish_waiters(GArray *waiters, bool current)
+{
+	for (guint i = 0; i < waiters->len; i++) {
+		const mt_catch_up_waiter_t *waiter =
+			&g_array_index(waiters, mt_catch_up_waiter_t, i);
+
+		waiter->cb(waiter->ctx, current);
+	}
+	g_array_unref(waiters);
+}
+
+static void free_catch_up(mt_catch_up_t *catch_up, bool current)
+{
+	finish_waiters(catch_up->waiters, current);
+	g_free(catch_up);
+}
+
 static void end_catch_up(mt_catch_up_t *catch_up, bool current)
 {
 	if (current)
 		mark_current(catch_up->follower, catch_up->sent_at);
-	catch_up->cb(catch_up->ctx, current);
-	g_free(catch_up);
+	free_catch_up(catch_up, current);
 }
 
 static void on_catch_up_read(void *ctx, const mt_store_page_t *page)
@@ -341,8 +376,7 @@
 	mt_follower_t *follower = catch_up->follower;
 
 	if (!finish_call(follower)) {
-		catch_up->cb(catch_up->ctx, false);
-		g_free(catch_up);
+		free_catch_up(catch_up, false);
 		return;
 	}
 	if (page->result != MT_STORE_DONE || !follower->has_snapshot) {
@@ -359,18 +393,47 @@
 		read_to_catch_up(catch_up);
 }
 
-void mt_follower_catch_up(mt_follower_t *follower, mt_follower_catch_up_cb cb,
-			  void *ctx)
+/** Empties the list of waiters; the caller frees the returned array. */
+static GArray *take_waiters(mt_follower_t *follower)
 {
+	GArray *waiters = follower->catch_up_waiters;
+
+	follower->catch_up_waiters =
+		g_array_new(FALSE, FALSE, sizeof(mt_catch_up_waiter_t));
+	return waiters;
+}
+
+static void begin_catch_up(void *ctx)
+{
+	mt_follower_t *follower = ctx;
 	mt_catch_up_t *catch_up = g_new0(mt_catch_up_t, 1);
 
+	follower->catch_up_timer = 0;
+	follower->catch_up_started_at = mt_kernel_now(follower->kernel);
 	catch_up->follower = follower;
-	catch_up->sent_at = mt_kernel_now(follower->kernel);
-	catch_up->cb = cb;
-	catch_up->ctx = ctx;
+	catch_up->sent_at = follower->catch_up_started_at;
+	catch_up->waiters = take_waiters(follower);
 	read_to_catch_up(catch_up);
 }
 
+void mt_follower_catch_up(mt_follower_t *follower, mt_follower_catch_up_cb cb,
+			  void *ctx)
+{
+	mt_catch_up_waiter_t waiter = {cb, ctx};
+	mt_ms_t due = follower->catch_up_started_at + CATCH_UP_INTERVAL_MS;
+	mt_ms_t now = mt_kernel_now(follower->kernel);
+
+	g_array_append_val(follower->catch_up_waiters, waiter);
+	if (follower->catch_up_timer)
+		return;
+	if (due <= now || !follower->catch_up_started_at)
+		begin_catch_up(follower);
+	else
+		follower->catch_up_timer =
+			mt_timers_after(mt_kernel_timers(follower->kernel),
+					due - now, begin_catch_up, follower);
+}
+
 void mt_follower_set_read_delay(mt_follower_t *follower, mt_ms_t read_delay_ms)
 {
 	follower->read_delay_ms = read_delay_ms;
@@ -409,8 +472,13 @@
 
 void mt_follower_stop(mt_follower_t *follower)
 {
-	mt_timers_cancel(mt_kernel_timers(follower->kernel), follower->timer);
+	mt_timers_t *timers = mt_kernel_timers(follower->kernel);
+	GArray *waiters = take_waiters(follower);
+
+	mt_timers_cancel(timers, follower->timer);
+	mt_timers_cancel(timers, follower->catch_up_timer);
 	follower->stopped = true;
 	if (!follower->pending_calls)
 		free_follower(follower);
+	finish_waiters(waiters, false);
 }
--- a/lib/dag/follower.h
+++ b/lib/dag/follower.h
@@ -53,7 +53,7 @@
  * - When the last read was sent whose answer reached the end of the topic. The
  *   age therefore includes the time that a long poll waited for its answer.
  * - When the read of the first page of the last complete snapshot was sent.
- * - When the last completed mt_follower_catch_up() was called.
+ * - When the first read for the last completed mt_follower_catch_up() was sent.
  * MT_NEVER_MS before the first complete snapshot.
  */
 mt_ms_t mt_follower_age(const mt_follower_t *follower);
@@ -73,8 +73,9 @@
 typedef void (*mt_follower_catch_up_cb)(void *ctx, bool current);
 
 /**
- * Reads up to the present end of the topic at once, in addition to the long
- * polls. Calls `cb` even if the follower is stopped meanwhile.
+ * Reads up to the present end of the topic, in addition to the long polls: at
+ * once, or together with other calls that come within a short time. Calls `cb`
+ * even if the follower is stopped meanwhile.
  */
 void mt_follower_catch_up(mt_follower_t *follower, mt_follower_catch_up_cb cb,
 			  void *ctx);
--- a/lib/dag/front.c
+++ b/lib/dag/front.c
@@ -1,6 +1,8 @@
 /** @file front.c Handles the calls that submit, show and cancel jobs. */
 #include "dag/front.h"
 
+#include "dag/absent_cancels.h"
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -54,6 +56,7 @@
 	mt_follower_t *records_follower;
 	const mt_catalog_t *catalog;
 	unsigned open_calls; /**< number of calls not replied to yet */
+	mt_absent_cancels_t *absent_cancels;
 };
 
 /** An operation: a call that waits for the store or for another host. */
@@ -81,9 +84,17 @@
 	mt_dag_front_t *front = g_new0(mt_dag_front_t, 1);
 
 	front->deps = *deps;
+	front->absent_cancels =
+		mt_absent_cancels_new(deps->kernel, deps->table, deps->writer);
 	return front;
 }
 
+void mt_dag_front_free(mt_dag_front_t *front)
+{
+	mt_absent_cancels_free(front->absent_cancels);
+	g_free(front);
+}
+
 void mt_dag_front_set_catalog(mt_dag_front_t *front,
 			      const mt_catalog_t *catalog)
 {
@@ -270,7 +281,7 @@
 	mt_writer_add(front->deps.writer, mt_str_from(key.text),
 		      mt_bytes_view(bytes));
 	g_bytes_unref(bytes);
-	mt_writer_commit(front->deps.writer, false, on_written, op);
+	mt_writer_commit(front->deps.writer, MT_WRITER_EXPIRES, on_written, op);
 }
 
 static void write_cancel(mt_dag_front_t *front, uint64_t id, mt_front_op_t *op)
@@ -278,7 +289,8 @@
 	mt_record_key_t key = mt_record_key(MT_RECORD_CANCEL, id);
 
 	mt_writer_add(front->deps.writer, mt_str_from(key.text), MT_STR("1"));
-	mt_writer_commit(front->deps.writer, false, on_written, op);
+	mt_writer_commit(front->deps.writer, MT_WRITER_REPORTS_REFUSAL,
+			 on_written, op);
 }
 
 /* Submissions. */
@@ -363,16 +375,61 @@
 	g_free(op);
 }
 
+static void on_absent_cancel_written(void *ctx, mt_store_result_t result)
+{
+	mt_front_op_t *op = ctx;
+
+	if (result == MT_STORE_DONE)
+		reply_op(op, MT_FRONT_OUTCOME_NO_JOB);
+	else if (result == MT_STORE_REFUSED)
+		reply_op(op, MT_FRONT_OUTCOME_NOT_DONE);
+	else
+		reply_op(op, MT_FRONT_OUTCOME_UNKNOWN);
+	g_free(op);
+}
+
+/**
+ * Cancels a job that is not stored. The client is told that there is no such
+ * job only once the cancellation is stored: another host may still be trying to
+ * store the job, which would run otherwise.
+ */
+static void cancel_absent_job(mt_front_op_t *op)
+{
+	mt_dag_front_t *front = op->front;
+
+	if (!op->cb ||
+	    mt_table_is_absent_cancelled(front->deps.table, op->job)) {
+		reply_op(op, MT_FRONT_OUTCOME_NO_JOB);
+		g_free(op);
+		return;
+	}
+	if (mt_absent_cancels_add(front->absent_cancels, op->job,
+				  on_absent_cancel_written, op))
+		return;
+	mt_kernel_event(front->deps.kernel, "cancel_refused",
+			"\"job\":\"%016" G_GINT64_MODIFIER
+			"x\",\"reason\":\"too many of unknown jobs\"",
+			op->job);
+	reply_op(op, MT_FRONT_OUTCOME_NOT_DONE);
+	g_free(op);
+}
+
 static void on_caught_up(void *ctx, bool current)
 {
 	mt_front_op_t *op = ctx;
 	const mt_table_job_t *job =
 		mt_table_find(op->front->deps.table, op->job);
 
+	/* The table may have been cleared meanwhile. */
+	current = current && has_records(op->front);
 	if (job && (current || !op->exact)) {
 		finish_known_job(op, job);
 		return;
 	}
+	if (current && op->verb == MT_VERB_CANCEL) {
+		cancel_absent_job(op);
+		return;
+	}
 	reply_op(op,
 		 current ? MT_FRONT_OUTCOME_NO_JOB : MT_FRONT_OUTCOME_NOT_DONE);
 	g_free(op);
--- a/lib/dag/front.h
+++ b/lib/dag/front.h
@@ -91,6 +91,9 @@
 
 mt_dag_front_t *mt_dag_front_new(const mt_dag_front_deps_t *deps);
 
+/** No call may be open. */
+void mt_dag_front_free(mt_dag_front_t *front);
+
 /**
  * Sets the present catalog (decoded configuration). It must stay valid until
  * the next call of this function.
--- a/lib/dag/host.c
+++ b/lib/dag/host.c
@@ -163,7 +163,8 @@
 	host->fence_writer = mt_writer_new(&deps);
 	mt_writer_add(host->fence_writer, mt_str_from(key.text),
 		      mt_bytes_view(bytes));
-	mt_writer_commit(host->fence_writer, true, on_fence_stored, host);
+	mt_writer_commit(host->fence_writer, MT_WRITER_ALWAYS_RETRIES,
+			 on_fence_stored, host);
 	g_bytes_unref(bytes);
 }
 
--- a/lib/dag/leadership.c
+++ b/lib/dag/leadership.c
@@ -139,8 +139,8 @@
 	leadership->heartbeat_at = now_of(leadership);
 	add_record(leadership->leader_writer,
 		   mt_record_key(MT_RECORD_LEADER, 0), &leader.base);
-	mt_writer_commit(leadership->leader_writer, true, on_heartbeat_stored,
-			 leadership);
+	mt_writer_commit(leadership->leader_writer, MT_WRITER_ALWAYS_RETRIES,
+			 on_heartbeat_stored, leadership);
 }
 
 static void report_drained(mt_leadership_t *leadership)
@@ -175,8 +175,8 @@
 	leader.released = true;
 	add_record(leadership->leader_writer,
 		   mt_record_key(MT_RECORD_LEADER, 0), &leader.base);
-	mt_writer_commit(leadership->leader_writer, true, on_released,
-			 leadership);
+	mt_writer_commit(leadership->leader_writer, MT_WRITER_ALWAYS_RETRIES,
+			 on_released, leadership);
 }
 
 /* Records that were read. */
@@ -330,7 +330,8 @@
 	host.cores_milli = leadership->deps.cores_milli;
 	add_record(leadership->writer,
 		   mt_record_host_key(&leadership->deps.host), &host.base);
-	mt_writer_commit(leadership->writer, true, NULL, NULL);
+	mt_writer_commit(leadership->writer, MT_WRITER_ALWAYS_RETRIES, NULL,
+			 NULL);
 }
 
 /* Ticks. */
--- a/lib/dag/sweep.c
+++ b/lib/dag/sweep.c
@@ -1,4 +1,7 @@
-/** @file sweep.c Deletes the records of jobs that ended long ago. */
+/**
+ * @file sweep.c Deletes the records of jobs that ended long ago, and old
+ * cancellations of jobs that were never stored.
+ */
 #include "dag/engine_internal.h"
 
 /** Minimum interval between sweeps. */
@@ -7,10 +10,17 @@
 /** Maximum number of jobs whose records one sweep deletes. */
 #define SWEEP_MAX_JOBS 50u
 
+/**
+ * Maximum number of cancellations of jobs without a job record that one sweep
+ * deletes.
+ */
+#define SWEEP_MAX_ABSENT_CANCELS 1000u
+
 /** A sweep in progress. */
 typedef struct mt_sweep_t {
 	mt_engine_t *engine;
 	unsigned n_swept; /**< number of jobs whose records are deleted */
+	unsigned n_absent_cancels; /**< number of cancellations deleted */
 } mt_sweep_t;
 
 /** Adds the deletion of a record to the writer's current group. */
@@ -45,14 +55,31 @@
 	delete_record(engine, MT_RECORD_JOB, job->id);
 }
 
+/** Deletes the cancellation if it was read at least `keep_ended_ms` ago. */
+static void sweep_absent_cancel(void *ctx, const mt_table_job_t *job)
+{
+	mt_sweep_t *sweep = ctx;
+	mt_engine_t *engine = sweep->engine;
+
+	if (sweep->n_absent_cancels >= SWEEP_MAX_ABSENT_CANCELS ||
+	    mt_engine_now(engine) - job->cancelled_at <
+		    engine->deps.timings.keep_ended_ms)
+		return;
+	sweep->n_absent_cancels++;
+	delete_record(engine, MT_RECORD_CANCEL, job->id);
+}
+
 void mt_sweep_ended(mt_engine_t *engine)
 {
-	mt_sweep_t sweep = {engine, 0};
+	mt_sweep_t sweep = {engine, 0, 0};
 
 	if (mt_engine_now(engine) - engine->last_sweep_at < SWEEP_INTERVAL_MS)
 		return;
 	engine->last_sweep_at = mt_engine_now(engine);
 	mt_table_each(engine->deps.table, sweep_job, &sweep);
-	if (sweep.n_swept)
-		mt_writer_commit(engine->writer, true, NULL, NULL);
+	mt_table_each_absent_cancel(engine->deps.table, sweep_absent_cancel,
+				    &sweep);
+	if (sweep.n_swept || sweep.n_absent_cancels)
+		mt_writer_commit(engine->writer, MT_WRITER_ALWAYS_RETRIES, NULL,
+				 NULL);
 }
--- a/lib/dag/table.c
+++ b/lib/dag/table.c
@@ -5,6 +5,7 @@
 	mt_kernel_t *kernel;
 	GHashTable *jobs; /**< id to mt_table_job_t */
 	mt_table_watcher_t watcher;
+	unsigned n_absent_cancels; /**< see mt_table_n_absent_cancels() */
 };
 
 static void free_job(gpointer data)
@@ -35,6 +36,7 @@
 void mt_table_clear(mt_table_t *table)
 {
 	g_hash_table_remove_all(table->jobs);
+	table->n_absent_cancels = 0;
 }
 
 void mt_table_watch(mt_table_t *table, const mt_table_watcher_t *watcher)
@@ -116,6 +118,7 @@
 		return;
 	job->cancelled = true;
 	job->cancel_offset = offset;
+	job->cancelled_at = MAX(1, mt_kernel_now(table->kernel));
 	if (job->queue.len && table->watcher.on_cancelled)
 		table->watcher.on_cancelled(table->watcher.ctx, job);
 }
@@ -153,19 +156,24 @@
 	mark_ended_if_final(table, job);
 }
 
-void mt_table_apply(mt_table_t *table, const mt_store_record_t *record)
+bool mt_table_is_absent_cancelled(const mt_table_t *table, uint64_t id)
 {
-	mt_record_kind_t kind;
-	uint64_t id;
+	const mt_table_job_t *job = g_hash_table_lookup(table->jobs, &id);
 
-	if (!mt_record_parse_key(record->key, &kind, &id) ||
-	    !mt_record_is_of_job(kind))
-		return;
-	if (!record->value.len) {
+	return job && job->cancelled && !job->queue.len;
+}
+
+unsigned mt_table_n_absent_cancels(const mt_table_t *table)
+{
+	return table->n_absent_cancels;
+}
+
+static void apply_record_of_job(mt_table_t *table, mt_record_kind_t kind,
+				uint64_t id, const mt_store_record_t *record)
+{
+	if (!record->value.len)
 		g_hash_table_remove(table->jobs, &id);
-		return;
-	}
-	if (kind == MT_RECORD_JOB)
+	else if (kind == MT_RECORD_JOB)
 		apply_job(table, id, record->value);
 	else if (kind == MT_RECORD_CANCEL)
 		apply_cancel(table, id, record->offset);
@@ -173,6 +181,19 @@
 		apply_progress(table, id, record->value, record->offset);
 }
 
+void mt_table_apply(mt_table_t *table, const mt_store_record_t *record)
+{
+	mt_record_kind_t kind;
+	uint64_t id;
+
+	if (!mt_record_parse_key(record->key, &kind, &id) ||
+	    !mt_record_is_of_job(kind))
+		return;
+	table->n_absent_cancels -= mt_table_is_absent_cancelled(table, id);
+	apply_record_of_job(table, kind, id, record);
+	table->n_absent_cancels += mt_table_is_absent_cancelled(table, id);
+}
+
 const mt_table_job_t *mt_table_find(const mt_table_t *table, uint64_t id)
 {
 	const mt_table_job_t *job = g_hash_table_lookup(table->jobs, &id);
@@ -207,7 +228,12 @@
 	return g_hash_table_size(table->jobs);
 }
 
-void mt_table_each(const mt_table_t *table, mt_table_cb cb, void *ctx)
+/**
+ * Calls `cb` for each job whose job record has been read, or for each other
+ * job that is cancelled.
+ */
+static void each_job(const mt_table_t *table, bool has_record, mt_table_cb cb,
+		     void *ctx)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -216,7 +242,19 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const mt_table_job_t *job = value;
 
-		if (job->queue.len)
+		if (has_record ? job->queue.len > 0
+			       : job->cancelled && !job->queue.len)
 			cb(ctx, job);
 	}
 }
+
+void mt_table_each(const mt_table_t *table, mt_table_cb cb, void *ctx)
+{
+	each_job(table, true, cb, ctx);
+}
+
+void mt_table_each_absent_cancel(const mt_table_t *table, mt_table_cb cb,
+				 void *ctx)
+{
+	each_job(table, false, cb, ctx);
+}
--- a/lib/dag/table.h
+++ b/lib/dag/table.h
@@ -26,6 +26,8 @@
 	mt_name_t account;
 	uint64_t progress_offset; /**< offset of the newest progress record */
 	uint64_t cancel_offset;	  /**< offset of the cancel record */
+	/** Local time at which the cancel record was read; 0: none was. */
+	mt_ms_t cancelled_at;
 	/** Local time at which this host read that the job has ended; 0: not
 	 * ended. */
 	mt_ms_t ended_at;
@@ -59,6 +61,12 @@
  */
 void mt_table_apply(mt_table_t *table, const mt_store_record_t *record);
 
+/** True if a cancel record has been read of a job without a job record. */
+bool mt_table_is_absent_cancelled(const mt_table_t *table, uint64_t id);
+
+/** Number of jobs without a job record of which a cancel record was read. */
+unsigned mt_table_n_absent_cancels(const mt_table_t *table);
+
 /** Finds a job whose job record has been read; NULL otherwise. */
 const mt_table_job_t *mt_table_find(const mt_table_t *table, uint64_t id);
 
@@ -85,4 +93,8 @@
 /** Calls `cb` for each job whose job record has been read. */
 void mt_table_each(const mt_table_t *table, mt_table_cb cb, void *ctx);
 
+/** Calls `cb` for each job for which mt_table_is_absent_cancelled() is true. */
+void mt_table_each_absent_cancel(const mt_table_t *table, mt_table_cb cb,
+				 void *ctx);
+
 #endif
--- a/lib/dag/writer.c
+++ b/lib/dag/writer.c
@@ -17,16 +17,20 @@
 #define BATCH_MAX_RECORDS 400u
 
 /**
- * A group without `retry_refused` is sent again after each of its first
+ * A group that does not always retry is sent again after each of its first
  * REFUSALS_MAX refusals. After the next refusal it is reported as refused.
  */
 #define REFUSALS_MAX 2u
 
+/** Time after which a group with MT_WRITER_EXPIRES is given up. */
+#define EXPIRY_MS 30000u
+
 /** Records that are written in the same append, see writer.h. */
 typedef struct mt_group_t {
 	GPtrArray *keys_and_values; /**< GBytes, alternately key and value */
-	bool retry_refused;	    /**< see mt_writer_commit() */
-	unsigned n_refusals;	    /**< number of times it was refused */
+	mt_writer_policy_t policy;
+	mt_ms_t committed_at;
+	unsigned n_refusals; /**< number of times it was refused */
 	mt_writer_cb cb;
 	void *ctx;
 } mt_group_t;
@@ -157,7 +161,7 @@
 	while (n_batch_groups--) {
 		mt_group_t *group = g_queue_peek_head(writer->groups);
 
-		if (group->retry_refused ||
+		if (group->policy == MT_WRITER_ALWAYS_RETRIES ||
 		    ++group->n_refusals <= REFUSALS_MAX) {
 			g_queue_push_tail(kept,
 					  g_queue_pop_head(writer->groups));
@@ -179,6 +183,56 @@
 		finish_group(writer, MT_STORE_FENCED);
 }
 
+static bool is_expired(const mt_writer_t *writer, const mt_group_t *group)
+{
+	return group->policy == MT_WRITER_EXPIRES &&
+	       mt_kernel_now(writer->deps.kernel) - group->committed_at >=
+		       EXPIRY_MS;
+}
+
+/** Removes the expired groups and reports them. */
+static void finish_expired(mt_writer_t *writer, mt_store_result_t result)
+{
+	GQueue *kept = g_queue_new();
+
+	while (!writer->closed && !g_queue_is_empty(writer->groups)) {
+		if (is_expired(writer, g_queue_peek_head(writer->groups)))
+			finish_group(writer, result);
+		else
+			g_queue_push_tail(kept,
+					  g_queue_pop_head(writer->groups));
+	}
+	while (!g_queue_is_empty(kept))
+		g_queue_push_head(writer->groups, g_queue_pop_tail(kept));
+	g_queue_free(kept);
+}
+
+/**
+ * Gives up expired groups. Groups are committed in the order of their age, so
+ * that there is one if the oldest that can expire has expired. If the present
+ * batch may have been written, its other groups are written again under the
+ * next epoch; from its first append on, the store rejects the old batch.
+ */
+static void give_up_expired(mt_writer_t *writer)
+{
+	bool any = false;
+
+	for (const GList *at = writer->groups->head; at && !any; at = at->next)
+		any = is_expired(writer, at->data);
+	if (!any)
+		return;
+	mt_log(writer->deps.kernel, MT_LOG_WARNING, "writer",
+	       "producer %s: giving up writes without an outcome for %u s",
+	       writer->producer, EXPIRY_MS / 1000);
+	if (writer->maybe_written) {
+		writer->deps.epoch++;
+		writer->sequence = writer->deps.first_sequence;
+		writer->maybe_written = false;
+	}
+	writer->n_batch_groups = 0;
+	finish_expired(writer, MT_STORE_UNKNOWN);
+}
+
 static void on_answer(void *ctx, mt_store_result_t result, uint64_t offset)
 {
 	mt_writer_t *writer = ctx;
@@ -217,6 +271,8 @@
 						APPEND_TIMEOUT_MAX_MS);
 		break;
 	}
+	if (!writer->closed)
+		give_up_expired(writer);
 	writer->in_flight = false;
 	if (writer->closed)
 		free_writer(writer);
@@ -304,14 +360,15 @@
 			g_bytes_new(value.data, value.len));
 }
 
-void mt_writer_commit(mt_writer_t *writer, bool retry_refused, mt_writer_cb cb,
-		      void *ctx)
+void mt_writer_commit(mt_writer_t *writer, mt_writer_policy_t policy,
+		      mt_writer_cb cb, void *ctx)
 {
 	mt_group_t *group = writer->current_group;
 
 	g_assert(group);
 	writer->current_group = NULL;
-	group->retry_refused = retry_refused;
+	group->policy = policy;
+	group->committed_at = mt_kernel_now(writer->deps.kernel);
 	group->cb = cb;
 	group->ctx = ctx;
 	g_queue_push_tail(writer->groups, group);
--- a/lib/dag/writer.h
+++ b/lib/dag/writer.h
@@ -5,7 +5,9 @@
  * of one append, called a batch, are those of one or more committed groups.
  * Only one batch is in flight at a time. Each batch has its own sequence
  * number. A batch without an answer is sent again with the same number, so that
- * the store does not write it twice.
+ * the store does not write it twice. When a group of such a batch expires, the
+ * other groups are written anew under the next epoch, from which on the store
+ * rejects the old batch.
  */
 #ifndef MT_DAG_WRITER_H
 #define MT_DAG_WRITER_H
@@ -15,10 +17,25 @@
 
 typedef struct mt_writer_t mt_writer_t;
 
+/** What becomes of a group that is not written at once. */
+typedef enum mt_writer_policy_t {
+	/** A refused group is sent again until the store accepts it. */
+	MT_WRITER_ALWAYS_RETRIES,
+	/** A refused group is sent again at most REFUSALS_MAX times (writer.c)
+	 * and then reported as refused. */
+	MT_WRITER_REPORTS_REFUSAL,
+	/** As before; also, the group is given up when its outcome is still
+	 * unknown after EXPIRY_MS (writer.c), and is not written later. Only
+	 * for a writer whose other groups may be written twice. */
+	MT_WRITER_EXPIRES,
+} mt_writer_policy_t;
+
 /**
  * Receives the outcome of a group. A batch without an answer is sent again
  * until its outcome is known.
- * @param result MT_STORE_DONE, MT_STORE_REFUSED (not written), or
+ * @param result MT_STORE_DONE, MT_STORE_REFUSED (not written),
+ * MT_STORE_UNKNOWN (given up, see MT_WRITER_EXPIRES; the group may have been
+ * written), or
  * MT_STORE_FENCED (the store rejected a batch as fenced, out of sequence or at
  * a wrong offset, and all pending groups are given up; the group may have been
  * written). After MT_STORE_FENCED, the owner should close the writer, which
@@ -51,13 +68,10 @@
 
 /**
  * Commits the current group: queues it to be written.
- * @param retry_refused true: a group that the store refuses is sent again until
- * the store accepts it; false: it is sent again at most REFUSALS_MAX times
- * (writer.c) and then reported as refused
  * @param cb may be NULL
  */
-void mt_writer_commit(mt_writer_t *writer, bool retry_refused, mt_writer_cb cb,
-		      void *ctx);
+void mt_writer_commit(mt_writer_t *writer, mt_writer_policy_t policy,
+		      mt_writer_cb cb, void *ctx);
 
 /** Number of committed groups that have no outcome yet. */
 unsigned mt_writer_n_pending(const mt_writer_t *writer);
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -74,6 +74,7 @@
 	add_suite("engine", mt_engine_tests);
 	add_suite("planner", mt_planner_tests);
 	add_suite("front", mt_front_tests);
+	add_suite("writer", mt_writer_tests);
 	add_suite("runner", mt_runner_tests);
 	add_suite("survival", mt_survival_tests);
 	add_suite("job model", mt_job_model_tests);
--- a/tests/unit/test_engine.c
+++ b/tests/unit/test_engine.c
@@ -288,22 +288,38 @@
 	mt_table_apply(table, &record);
 }
 
+/** Makes the engine the leader, with a table of jobs and the given store. */
+static void lead(mt_engine_fixture_t *fixture, mt_capturing_store_t *store)
+{
+	static const mt_directory_format_t format = {"servers", NULL};
+
+	fixture->engine->deps.store = &store->port;
+	fixture->engine->deps.table = mt_table_new(fixture->kernel);
+	fixture->engine->deps.directory =
+		mt_directory_new(fixture->kernel, &store->port, &format);
+	mt_engine_become_leader(fixture->engine, 7);
+}
+
+static void stop_leading(mt_engine_fixture_t *fixture,
+			 mt_capturing_store_t *store)
+{
+	mt_engine_step_down(fixture->engine);
+	close_store(store);
+	mt_table_free(fixture->engine->deps.table);
+	mt_directory_free(fixture->engine->deps.directory);
+}
+
 /** A cancel record stops the tasks without waiting for a server's report. */
 static void a_cancelled_job_is_stopped_at_once(void)
 {
 	mt_engine_fixture_t fixture;
 	mt_capturing_store_t store;
-	mt_directory_format_t format = {"servers", NULL};
 	mt_dag_job_t *job;
 	GBytes *bytes;
 
 	mt_engine_fixture_open(&fixture);
 	open_store(&store);
-	fixture.engine->deps.store = &store.port;
-	fixture.engine->deps.table = mt_table_new(fixture.kernel);
-	fixture.engine->deps.directory =
-		mt_directory_new(fixture.kernel, &store.port, &format);
-	mt_engine_become_leader(fixture.engine, 7);
+	lead(&fixture, &store);
 	job = mt_engine_fixture_add_job(&fixture, 1, 2, 1);
 	bytes = mt_dag_pack(&job->spec->base);
 	mt_dag_task_place(&job->steps[0].tasks[0], fixture.servers[0], 1, 9000);
@@ -314,11 +330,65 @@
 		     MT_STR("1"), 2);
 	CU_ASSERT_TRUE(job->cancelled);
 	CU_ASSERT_EQUAL(fixture.stops, 1);
-	mt_engine_step_down(fixture.engine);
-	close_store(&store);
 	g_bytes_unref(bytes);
-	mt_table_free(fixture.engine->deps.table);
-	mt_directory_free(fixture.engine->deps.directory);
+	stop_leading(&fixture, &store);
+	mt_engine_fixture_close(&fixture);
+}
+
+/**
+ * Guards against: a job runs that was stored after its cancelling was answered
+ * with "no such job" (UNASKED).
+ */
+static void a_job_stored_after_its_cancellation_does_not_start(void)
+{
+	mt_engine_fixture_t fixture;
+	mt_capturing_store_t store;
+	mt_dag_job_t *job;
+	GBytes *bytes;
+
+	mt_engine_fixture_open(&fixture);
+	open_store(&store);
+	lead(&fixture, &store);
+	job = mt_engine_fixture_add_job(&fixture, 1, 2, 1);
+	bytes = mt_dag_pack(&job->spec->base);
+	g_hash_table_remove_all(fixture.engine->jobs);
+	apply_record(fixture.engine->deps.table, MT_RECORD_CANCEL, 1,
+		     MT_STR("1"), 1);
+	apply_record(fixture.engine->deps.table, MT_RECORD_JOB, 1,
+		     mt_bytes_view(bytes), 2);
+	job = mt_engine_job(fixture.engine, 1);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(job);
+	mt_planner_run(fixture.engine);
+	CU_ASSERT_EQUAL(job->state, MT_DAG__STATE__CANCELLED);
+	CU_ASSERT_EQUAL(job->steps[0].tasks[0].phase, MT_TASK_PHASE_WAITING);
+	g_bytes_unref(bytes);
+	stop_leading(&fixture, &store);
+	mt_engine_fixture_close(&fixture);
+}
+
+/** Cancellations of jobs that never existed do not stay in the store. */
+static void a_cancellation_without_a_job_is_deleted_later(void)
+{
+	mt_engine_fixture_t fixture;
+	mt_capturing_store_t store;
+
+	mt_engine_fixture_open(&fixture);
+	open_store(&store);
+	lead(&fixture, &store);
+	fixture.engine->deps.timings.keep_ended_ms = 120000;
+	apply_record(fixture.engine->deps.table, MT_RECORD_CANCEL, 1,
+		     MT_STR("1"), 1);
+	CU_ASSERT_EQUAL(mt_table_n_absent_cancels(fixture.engine->deps.table),
+			1);
+	mt_engine_fixture_advance(&fixture, 119000);
+	CU_ASSERT_STRING_EQUAL(store.written->str, "");
+	mt_engine_fixture_advance(&fixture, 7000);
+	CU_ASSERT_STRING_EQUAL(store.written->str, "c:short ");
+	apply_record(fixture.engine->deps.table, MT_RECORD_CANCEL, 1,
+		     (mt_str_t){0}, 2);
+	CU_ASSERT_EQUAL(mt_table_n_absent_cancels(fixture.engine->deps.table),
+			0);
+	stop_leading(&fixture, &store);
 	mt_engine_fixture_close(&fixture);
 }
 
@@ -535,6 +605,10 @@
 	 batch_starts_on_an_uncontended_service},
 	{"batch waits on a contended service",
 	 batch_waits_on_a_contended_service},
+	{"a job stored after its cancellation does not start",
+	 a_job_stored_after_its_cancellation_does_not_start},
+	{"a cancellation without a job is deleted later",
+	 a_cancellation_without_a_job_is_deleted_later},
 	{"a cancelled job is stopped at once",
 	 a_cancelled_job_is_stopped_at_once},
 	{"the record of an ended job has no payload",
--- a/tests/unit/test_front.c
+++ b/tests/unit/test_front.c
@@ -14,6 +14,11 @@
 typedef struct mt_unresponsive_store_t {
 	mt_store_port_t port;
 	GArray *calls; /**< mt_pending_call_t, oldest first */
+	/** The pending append: its records, as the keys with a space each. */
+	GString *append_keys;
+	unsigned n_appends; /**< number of appends so far */
+	mt_store_append_cb append_cb;
+	void *append_ctx;
 } mt_unresponsive_store_t;
 
 typedef struct mt_pending_call_t {
@@ -42,6 +47,30 @@
 	add_call(self, cb, ctx);
 }
 
+static void defer_append(void *self, const mt_store_append_t *append,
+			 mt_store_append_cb cb, void *ctx)
+{
+	mt_unresponsive_store_t *store = self;
+
+	store->n_appends++;
+	store->append_cb = cb;
+	store->append_ctx = ctx;
+	g_string_truncate(store->append_keys, 0);
+	for (size_t i = 0; i < append->count; i++)
+		g_string_append_printf(store->append_keys, "%.*s ",
+				       (int)append->records[i].key.len,
+				       append->records[i].key.data);
+}
+
+static void answer_append(mt_unresponsive_store_t *store,
+			  mt_store_result_t result)
+{
+	mt_store_append_cb cb = store->append_cb;
+
+	store->append_cb = NULL;
+	cb(store->append_ctx, result, 0);
+}
+
 static void answer_oldest(mt_unresponsive_store_t *store,
 			  mt_store_result_t result)
 {
@@ -90,6 +119,18 @@
 			       1000, &handler);
 }
 
+static mt_writer_t *new_writer(mt_front_fixture_t *fixture)
+{
+	mt_writer_deps_t deps = {0};
+
+	deps.kernel = fixture->kernel;
+	deps.store = &fixture->store.port;
+	deps.topic = "topic";
+	deps.producer = "test";
+	deps.epoch = 1;
+	return mt_writer_new(&deps);
+}
+
 /** The leader has port 1, standbys have the next ones. */
 static unsigned list_informed(void *ctx, mt_endpoint_t *endpoints)
 {
@@ -150,10 +191,12 @@
 	fixture->kernel = mt_kernel_new("test", fixture->timers, 1);
 	fixture->store.calls =
 		g_array_new(FALSE, FALSE, sizeof(mt_pending_call_t));
-	fixture->store.port = (mt_store_port_t){&fixture->store, NULL,
+	fixture->store.append_keys = g_string_new(NULL);
+	fixture->store.port = (mt_store_port_t){&fixture->store, defer_append,
 						defer_read, defer_newest};
 	fixture->deps.kernel = fixture->kernel;
 	fixture->deps.table = mt_table_new(fixture->kernel);
+	fixture->deps.writer = new_writer(fixture);
 	fixture->records_follower = new_follower(fixture);
 	fixture->deps.config_follower = new_follower(fixture);
 	fixture->deps.config_age_max_ms = 2500;
@@ -182,13 +225,17 @@
 {
 	mt_follower_stop(fixture->records_follower);
 	mt_follower_stop(fixture->deps.config_follower);
+	mt_writer_close(fixture->deps.writer);
+	if (fixture->store.append_cb)
+		answer_append(&fixture->store, MT_STORE_REFUSED);
 	while (fixture->store.calls->len)
 		answer_oldest(&fixture->store, MT_STORE_REFUSED);
 	g_array_unref(fixture->store.calls);
+	g_string_free(fixture->store.append_keys, TRUE);
 	g_array_unref(fixture->peer_calls);
 	mt_table_free(fixture->deps.table);
 	mt_catalog_free(fixture->catalog);
-	g_free(fixture->front);
+	mt_dag_front_free(fixture->front);
 	mt_kernel_free(fixture->kernel);
 	mt_timers_free(fixture->timers);
 }
@@ -401,7 +448,145 @@
 	tear_down(&fixture);
 }
 
+/** Cancels the job with this id, at a host with the records of all jobs. */
+static void cancel(mt_front_fixture_t *fixture, uint64_t id)
+{
+	MtDag__PeerCall call = MT_DAG__PEER_CALL__INIT;
+
+	call.verb = MT_VERB_CANCEL;
+	call.job = id;
+	mt_dag_front_peer_call(fixture->front, &call, keep_reply, fixture);
+}
+
+/** Answers the last read, so that the host's copy is up to date. */
+static void catch_up(mt_front_fixture_t *fixture)
+{
+	guint last = fixture->store.calls->len - 1;
+	mt_pending_call_t call =
+		g_array_index(fixture->store.calls, mt_pending_call_t, last);
+	mt_store_page_t page = {.result = MT_STORE_DONE};
+
+	g_array_remove_index(fixture->store.calls, last);
+	call.cb(call.ctx, &page);
+}
+
+static void run_timers(mt_front_fixture_t *fixture, mt_ms_t ms)
+{
+	mt_timers_advance(fixture->timers, mt_timers_now(fixture->timers) + ms);
+}
+
+/**
+ * Guards against: a job runs after its cancelling was answered with "no such
+ * job", since another host was still trying to store it (UNASKED).
+ */
+static void a_cancellation_of_an_unknown_job_is_stored_first(void)
+{
+	mt_front_fixture_t fixture;
+
+	set_up(&fixture);
+	cancel(&fixture, 0xb2);
+	catch_up(&fixture);
+	run_timers(&fixture, 0);
+	CU_ASSERT_EQUAL(fixture.replies, 0);
+	CU_ASSERT_STRING_EQUAL_FATAL(fixture.store.append_keys->str,
+				     "c00000000000000b2 ");
+	answer_append(&fixture.store, MT_STORE_DONE);
+	CU_ASSERT_EQUAL(fixture.replies, 1);
+	CU_ASSERT_EQUAL(fixture.reply.outcome, MT_FRONT_OUTCOME_NO_JOB);
+	tear_down(&fixture);
+}
+
+/** The cancellation may have been stored: the client is not told that it was,
+ * nor that there is no such job. */
+static void a_cancellation_with_a_lost_write_is_unknown(void)
+{
+	mt_front_fixture_t fixture;
+
+	set_up(&fixture);
+	cancel(&fixture, 0xb2);
+	catch_up(&fixture);
+	run_timers(&fixture, 0);
+	answer_append(&fixture.store, MT_STORE_UNKNOWN);
+	run_timers(&fixture, 1000);
+	CU_ASSERT_EQUAL(fixture.replies, 1);
+	CU_ASSERT_EQUAL(fixture.reply.outcome, MT_FRONT_OUTCOME_UNKNOWN);
+	tear_down(&fixture);
+}
+
+/** Cancellations of jobs that never existed cost few calls to the store. */
+static void cancellations_of_unknown_jobs_share_calls(void)
+{
+	mt_front_fixture_t fixture;
+	guint reads;
+
+	set_up(&fixture);
+	reads = fixture.store.calls->len;
+	for (uint64_t id = 0x100; id < 0x200; id++)
+		cancel(&fixture, id);
+	CU_ASSERT_EQUAL(fixture.store.calls->len - reads, 1);
+	catch_up(&fixture);
+	run_timers(&fixture, 20);
+	CU_ASSERT_EQUAL(fixture.store.calls->len - reads, 1);
+	catch_up(&fixture);
+	CU_ASSERT_EQUAL(fixture.store.n_appends, 1);
+	answer_append(&fixture.store, MT_STORE_DONE);
+	run_timers(&fixture, 100);
+	CU_ASSERT_EQUAL(fixture.store.n_appends, 2);
+	answer_append(&fixture.store, MT_STORE_DONE);
+	CU_ASSERT_EQUAL(fixture.replies, 0x100);
+	tear_down(&fixture);
+}
+
+/** Applies the record of a cancellation, as if it had been read back. */
+static void apply_cancel(mt_front_fixture_t *fixture, uint64_t id)
+{
+	mt_record_key_t key = mt_record_key(MT_RECORD_CANCEL, id);
+	mt_store_record_t record = {mt_str_from(key.text), MT_STR("1"), 2};
+
+	mt_table_apply(fixture->deps.table, &record);
+}
+
+/** A cancellation that is stored already is not stored again. */
+static void a_stored_cancellation_is_answered_at_once(void)
+{
+	mt_front_fixture_t fixture;
+
+	set_up(&fixture);
+	apply_cancel(&fixture, 0xb2);
+	cancel(&fixture, 0xb2);
+	catch_up(&fixture);
+	CU_ASSERT_EQUAL(fixture.reply.outcome, MT_FRONT_OUTCOME_NO_JOB);
+	run_timers(&fixture, 200);
+	CU_ASSERT_EQUAL(fixture.store.n_appends, 0);
+	tear_down(&fixture);
+}
+
+/** The memory for cancellations of jobs that never existed is limited. */
+static void too_many_cancellations_of_unknown_jobs_are_refused(void)
+{
+	mt_front_fixture_t fixture;
+
+	set_up(&fixture);
+	for (uint64_t id = 1; id <= 10000; id++)
+		apply_cancel(&fixture, id << 16);
+	cancel(&fixture, 0xb2);
+	catch_up(&fixture);
+	CU_ASSERT_EQUAL(fixture.reply.outcome, MT_FRONT_OUTCOME_NOT_DONE);
+	CU_ASSERT_TRUE(fixture.reply.retry_after_s > 0);
+	tear_down(&fixture);
+}
+
 const mt_test_t mt_front_tests[] = {
+	{"a cancellation of an unknown job is stored first",
+	 a_cancellation_of_an_unknown_job_is_stored_first},
+	{"a cancellation with a lost write is unknown",
+	 a_cancellation_with_a_lost_write_is_unknown},
+	{"cancellations of unknown jobs share calls",
+	 cancellations_of_unknown_jobs_share_calls},
+	{"a stored cancellation is answered at once",
+	 a_stored_cancellation_is_answered_at_once},
+	{"too many cancellations of unknown jobs are refused",
+	 too_many_cancellations_of_unknown_jobs_are_refused},
 	{"a malformed reply of another host is ignored",
 	 a_malformed_reply_of_another_host_is_ignored},
 	{"a call is passed on to the next host",
