planner: jobs that stand still may use suspect servers

Cause: after failures, stalls or slow runs no task was placed on a server for some time, even if there was no other server.

Change: such a server is suspect. It comes last, and only steps that are overdue are placed there: nothing of their job runs, most of the service is idle, and they have waited for 1.5 s. A run that succeeds clears the suspicion that failures have raised.

Evidence: test_planner.c, an overdue job may use suspect servers.

--- a/lib/dag/backend.h
+++ b/lib/dag/backend.h
@@ -96,6 +96,10 @@
 	 * run of a task placed here. */
 	unsigned n_stray_runs;
 	mt_ms_t avoid_until; /**< no placement before this local time */
+	/** Runs have failed, stalled or been slow there. Before this local
+	 * time, only overdue steps are placed there, see OVERDUE_MS in
+	 * candidates.c. */
+	mt_ms_t suspect_until;
 	/* Rates of progress of the tasks placed here, see pace.h. */
 	double ratio_sum;     /**< sum over the tasks compared last */
 	unsigned n_ratios;    /**< number of the tasks compared last */
--- a/lib/dag/candidates.c
+++ b/lib/dag/candidates.c
@@ -18,7 +18,8 @@
 /**
  * On an underused service, a step of a job of which nothing runs is overdue
  * after waiting this long. It must not wait any longer for room that is
- * reserved for others, or for room in a preferred rack.
+ * reserved for others, for room in a preferred rack, or until servers are no
+ * longer suspect.
  */
 #define OVERDUE_MS 1500u
 
@@ -37,8 +38,14 @@
 	       mt_name_equal(&backend->info.service, planner->service);
 }
 
+bool mt_planner_is_suspect(const mt_planner_t *planner,
+			   const mt_backend_t *backend)
+{
+	return planner->now < backend->suspect_until;
+}
+
 /**
- * True if the service is contended. Only the servers on which tasks may be
+ * True if the service is contended. Only the servers on which any task may be
  * placed now are counted.
  */
 static bool is_contended(const mt_planner_t *planner)
@@ -54,7 +61,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const mt_backend_t *backend = value;
 
-		if (!mt_planner_may_use(planner, backend))
+		if (!mt_planner_may_use(planner, backend) ||
+		    mt_planner_is_suspect(planner, backend))
 			continue;
 		cpu_used += backend->used.cpu_milli;
 		cpu_all += backend->info.capacity.cpu_milli;
--- a/lib/dag/plan.c
+++ b/lib/dag/plan.c
@@ -90,6 +90,8 @@
 
 	if (scope->unit->allowed && !scope->unit->allowed[server])
 		return false;
+	if (plan_server->suspect && !scope->unit->overdue)
+		return false;
 	if (conflicts(scope->unit, plan_server))
 		return false;
 	return mt_plan_server_has_label(plan_server, scope->unit->label);
--- a/lib/dag/plan.h
+++ b/lib/dag/plan.h
@@ -56,8 +56,10 @@
 	GQuark labels[MT_PLAN_LABELS_MAX]; /**< unused elements are 0 */
 	bool latency_critical; /**< runs tasks with a latency target */
 	bool runs_fillers;     /**< see mt_plan_unit_t.is_filler */
+	bool suspect;	       /**< only for units that are overdue */
 	/** Servers with a lower penalty are preferred. The planner sets this to
-	 * the server's number of consecutive failed runs. */
+	 * the server's number of consecutive failed runs, and higher for a
+	 * suspect server. */
 	uint32_t penalty;
 } mt_plan_server_t;
 
@@ -101,7 +103,8 @@
 	/** The reservation counts towards reservations_max of the plan. */
 	bool reservation_limited;
 	/** Nothing of the job runs, although most of the service is idle. The
-	 * unit may use what is reserved for a unit that cannot start soon. */
+	 * unit may use suspect servers, and what is reserved for a unit that
+	 * cannot start soon. */
 	bool overdue;
 
 	/** Result: the server of each task, or MT_PLAN_NO_SERVER. */
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -37,6 +37,9 @@
  */
 #define STOP_COST_S 0.3
 
+/** Penalty of a suspect server, above that of all others. */
+#define SUSPECT_PENALTY 1000000u
+
 /* Servers. */
 
 /**
@@ -117,7 +120,9 @@
 		server->releasing = resources_releasing(backend);
 		server->room = room_of(backend);
 		server->rack = backend->info.rack;
-		server->penalty = backend->fail_streak;
+		server->suspect = mt_planner_is_suspect(planner, backend);
+		server->penalty = backend->fail_streak +
+				  (server->suspect ? SUSPECT_PENALTY : 0);
 		mark_workload_kinds(server, backend);
 		memcpy(server->labels, backend->info.labels,
 		       sizeof(server->labels));
@@ -130,7 +135,7 @@
 
 /**
  * Number of the step's tasks for which the server has room when no other task
- * runs there, except long-running ones.
+ * runs there, except long-running ones; 0 for a suspect server.
  */
 static uint32_t server_max_tasks(const mt_plan_server_t *server,
 				 const mt_dag_step_t *step)
@@ -140,7 +145,7 @@
 		MIN(mt_dag_resources_fit_count(&need, &server->room),
 		    step->spec->count);
 
-	if (!mt_plan_server_has_label(server, step->label))
+	if (server->suspect || !mt_plan_server_has_label(server, step->label))
 		return 0;
 	return step->spec->per_server_max
 		       ? MIN(max_tasks, step->spec->per_server_max)
--- a/lib/dag/planner_internal.h
+++ b/lib/dag/planner_internal.h
@@ -50,6 +50,10 @@
 bool mt_planner_may_use(const mt_planner_t *planner,
 			const mt_backend_t *backend);
 
+/** See mt_backend_t.suspect_until. */
+bool mt_planner_is_suspect(const mt_planner_t *planner,
+			   const mt_backend_t *backend);
+
 /** Fills `candidates` with the steps that may start, in scheduling order. */
 void mt_candidates_collect(mt_planner_t *planner);
 
--- a/lib/dag/relocation.c
+++ b/lib/dag/relocation.c
@@ -16,7 +16,7 @@
  */
 #define STALL_ESTIMATE_PERCENT 6u
 
-/** How long no task is placed on a server after a run has stalled there. */
+/** How long a server is suspect after a run has stalled there. */
 #define AVOID_STALLED_MS 6000u
 
 /**
@@ -42,7 +42,7 @@
 /** Interval of the search for slow servers. */
 #define SLOW_SEARCH_INTERVAL_MS 500u
 
-/** How long no task is placed on a server after it was found slow. */
+/** How long a server is suspect after it was found slow. */
 #define AVOID_SLOW_MS 4000u
 
 /** A server counts as slow for this long after it was found slow. */
@@ -167,7 +167,8 @@
 				(unsigned)(ratio * PERCENT_MAX));
 	backend->slow_ratio = ratio;
 	backend->slow_at = now;
-	backend->avoid_until = MAX(backend->avoid_until, now + AVOID_SLOW_MS);
+	backend->suspect_until =
+		MAX(backend->suspect_until, now + AVOID_SLOW_MS);
 }
 
 void mt_relocation_find_slow_servers(mt_engine_t *engine)
@@ -252,8 +253,8 @@
 			continue;
 		task = backend->tasks->pdata[i];
 		if (is_stalled(task, now)) {
-			backend->avoid_until = MAX(backend->avoid_until,
-						   now + AVOID_STALLED_MS);
+			backend->suspect_until = MAX(backend->suspect_until,
+						     now + AVOID_STALLED_MS);
 			relocate(engine, task, "stands still");
 		} else if (crawls(task, now)) {
 			relocate(engine, task, "its server is slow");
--- a/lib/dag/reports.c
+++ b/lib/dag/reports.c
@@ -4,15 +4,15 @@
 #include "dag/engine_internal.h"
 
 /**
- * After this many consecutive failed runs on a server, no task is placed there
- * for some time.
+ * After this many consecutive failed runs on a server, it is suspect for some
+ * time.
  */
 #define AVOID_FAIL_STREAK 2u
 
 /**
- * How long no task is placed on a server after AVOID_FAIL_STREAK consecutive
- * failed runs. This time starts at the minimum and doubles with each further
- * failed run, up to the maximum.
+ * How long a server is suspect after AVOID_FAIL_STREAK consecutive failed runs,
+ * unless a run succeeds. This time starts at the minimum and doubles with each
+ * further failed run, up to the maximum.
  */
 #define AVOID_FAILING_MIN_MS 4000u
 #define AVOID_FAILING_MAX_MS 32000u
@@ -28,13 +28,21 @@
 	for (unsigned i = AVOID_FAIL_STREAK;
 	     i < backend->fail_streak && avoid_ms < AVOID_FAILING_MAX_MS; i++)
 		avoid_ms *= 2;
-	backend->avoid_until = mt_engine_now(engine) + avoid_ms;
+	backend->suspect_until = mt_engine_now(engine) + avoid_ms;
 	mt_kernel_event(engine->deps.kernel, "server_avoided",
 			"\"server\":\"%s\",\"failures\":%u,\"for_ms\":%u",
 			backend->info.target.id.text, backend->fail_streak,
 			(unsigned)avoid_ms);
 }
 
+/** Counts a successful run on the server. */
+static void note_success(mt_backend_t *backend)
+{
+	if (backend->fail_streak >= AVOID_FAIL_STREAK)
+		backend->suspect_until = 0;
+	backend->fail_streak = 0;
+}
+
 static void fail_job(mt_engine_t *engine, mt_dag_job_t *job)
 {
 	job->state = MT_DAG__STATE__FAILED;
@@ -119,7 +127,7 @@
 
 	job->begun = true;
 	if (reason == MT_END_DONE) {
-		backend->fail_streak = 0;
+		note_success(backend);
 		mt_dag_task_finish(task);
 	} else if (reason == MT_END_FAILED) {
 		record_failure(engine, backend);
--- a/lib/dag/wait_log.c
+++ b/lib/dag/wait_log.c
@@ -20,6 +20,7 @@
 	unsigned draining;
 	unsigned silent;  /**< no recent answer to a hold, or clock unknown */
 	unsigned avoided; /**< see mt_backend_t.avoid_until */
+	unsigned suspect; /**< of the usable ones, see suspect_until there */
 	double cores;	  /**< see mt_dag_resources_cores() */
 	double cores_used;
 } mt_server_counts_t;
@@ -31,9 +32,12 @@
 	counts->listed++;
 	counts->cores += mt_dag_resources_cores(&backend->info.capacity);
 	counts->cores_used += mt_dag_resources_cores(&backend->used);
-	if (mt_planner_may_use(planner, backend))
+	if (mt_planner_may_use(planner, backend)) {
 		counts->usable++;
-	else if (backend->info.draining)
+		counts->suspect += mt_planner_is_suspect(planner, backend);
+		return;
+	}
+	if (backend->info.draining)
 		counts->draining++;
 	else if (!backend->hold_answered || backend->n_failed_holds ||
 		 !backend->clock_known)
@@ -56,16 +60,16 @@
 		    mt_name_equal(&backend->info.service, planner->service))
 			count_server(planner, backend, &counts);
 	}
-	mt_kernel_event(planner->engine->deps.kernel, "service_waits",
-			"\"service\":\"%s\",\"candidates\":%u,\"listed\":%u,"
-			"\"usable\":%u,\"draining\":%u,\"silent\":%u,"
-			"\"avoided\":%u,\"cores\":%.0f,\"used\":%.0f,"
-			"\"contended\":%s",
-			planner->service->text, planner->candidates->len,
-			counts.listed, counts.usable, counts.draining,
-			counts.silent, counts.avoided, counts.cores,
-			counts.cores_used,
-			planner->contended ? "true" : "false");
+	mt_kernel_event(
+		planner->engine->deps.kernel, "service_waits",
+		"\"service\":\"%s\",\"candidates\":%u,\"listed\":%u,"
+		"\"usable\":%u,\"draining\":%u,\"silent\":%u,"
+		"\"avoided\":%u,\"suspect\":%u,\"cores\":%.0f,\"used\":%.0f,"
+		"\"contended\":%s",
+		planner->service->text, planner->candidates->len, counts.listed,
+		counts.usable, counts.draining, counts.silent, counts.avoided,
+		counts.suspect, counts.cores, counts.cores_used,
+		planner->contended ? "true" : "false");
 }
 
 static const char *reason_text(mt_plan_wait_t reason)
--- a/tests/unit/test_planner.c
+++ b/tests/unit/test_planner.c
@@ -123,6 +123,42 @@
 	mt_engine_fixture_close(&fixture);
 }
 
+/**
+ * Guards against: all servers are avoided since one job failed on them, or
+ * stood still there, and other jobs do not start on idle servers (LOST).
+ */
+static void an_overdue_job_may_use_suspect_servers(void)
+{
+	mt_engine_fixture_t fixture;
+	mt_dag_job_t *job;
+
+	mt_engine_fixture_open(&fixture);
+	for (unsigned i = 0; i < MT_ENGINE_FIXTURE_SERVERS; i++)
+		fixture.servers[i]->suspect_until = 99999; /* after the test */
+	job = mt_engine_fixture_add_job(&fixture, 2, 2, 1);
+	CU_ASSERT_FALSE(is_placed_next(&fixture, job));
+	job->steps[0].waiting_since = 10000 - LONG_WAIT_MS;
+	CU_ASSERT_TRUE(is_placed_next(&fixture, job));
+	mt_engine_fixture_close(&fixture);
+}
+
+/** Even an overdue job is placed on a server without suspicion, if there is
+ * one.
+ */
+static void a_suspect_server_comes_last(void)
+{
+	mt_engine_fixture_t fixture;
+	mt_dag_job_t *job;
+
+	mt_engine_fixture_open(&fixture);
+	fixture.servers[0]->suspect_until = 99999; /* after the test */
+	job = mt_engine_fixture_add_job(&fixture, 2, 2, 1);
+	job->steps[0].waiting_since = 10000 - LONG_WAIT_MS;
+	CU_ASSERT_TRUE(is_placed_next(&fixture, job));
+	CU_ASSERT_PTR_EQUAL(job->steps[0].tasks[0].server, fixture.servers[1]);
+	mt_engine_fixture_close(&fixture);
+}
+
 /** Keeps the requests for tickets that the engine sends. */
 static void count_request(void *self, const mt_advice_request_t *request,
 			  mt_advice_cb cb, void *ctx)
@@ -168,6 +204,9 @@
 	 a_gang_keeps_no_server_beside_a_long_running_task},
 	{"an idle server is not kept for long",
 	 an_idle_server_is_not_kept_for_long},
+	{"an overdue job may use suspect servers",
+	 an_overdue_job_may_use_suspect_servers},
+	{"a suspect server comes last", a_suspect_server_comes_last},
 	{"a job does not wait long for a full data rack",
 	 a_job_does_not_wait_long_for_a_full_data_rack},
 	{NULL, NULL},
