relocation: waiting and slow runs are not stalled

Cause: a run counts as stalled when its progress has not changed for 3.5 s, or 6% of its estimated run time.

Change: a member of a gang at 100% is not stalled. The limit doubles each time that runs of a step have stalled, and is at least three times the mean time for one percent of the run's work so far.

--- a/lib/dag/relocation.c
+++ b/lib/dag/relocation.c
@@ -27,6 +27,15 @@
 
 #define PERCENT_MAX 100u
 
+/**
+ * A run that has made progress counts as stalled only after this many times the
+ * mean time for one percent of its work so far.
+ */
+#define STALL_MEAN_PERCENTS 3u
+
+/** The time without progress is doubled at most this often. */
+#define STALL_DOUBLINGS_MAX 10u
+
 /** Time over which the rate of progress of a run is measured, at least. */
 #define PACE_WINDOW_MS 1000u
 
@@ -48,15 +57,43 @@
 /** A server counts as slow for this long after it was found slow. */
 #define SLOW_AGE_MAX_MS 1000u
 
+/** Mean time for one percent of the work of the run so far; 0: not known. */
+static mt_ms_t mean_percent_ms(const mt_dag_task_t *task)
+{
+	if (!task->percent || task->progressed_at <= task->start_settled_at)
+		return 0;
+	return (task->progressed_at - task->start_settled_at) / task->percent;
+}
+
 /**
  * Time without a change of its progress after which the run is stalled: the
- * longer of STALL_MS and STALL_ESTIMATE_PERCENT of its estimated run time.
+ * longest of STALL_MS, STALL_ESTIMATE_PERCENT of its estimated run time, and
+ * STALL_MEAN_PERCENTS times the mean time for one percent. The first two are
+ * doubled each time that runs of the step have stalled: its tasks may take much
+ * longer than estimated.
  */
 static mt_ms_t stall_limit(const mt_dag_task_t *task)
 {
-	mt_ms_t percent_ms = task->step->spec->estimate_ms / PERCENT_MAX;
+	const mt_dag_step_t *step = task->step;
+	mt_ms_t percent_ms = step->spec->estimate_ms / PERCENT_MAX;
+	mt_ms_t limit = MAX(STALL_MS, STALL_ESTIMATE_PERCENT * percent_ms);
 
-	return MAX(STALL_MS, STALL_ESTIMATE_PERCENT * percent_ms);
+	limit <<= MIN(step->n_stalls, STALL_DOUBLINGS_MAX);
+	return MAX(limit, STALL_MEAN_PERCENTS * mean_percent_ms(task));
+}
+
+/** Counts runs of a step that stall at about the same time once. */
+static void count_stall(mt_dag_step_t *step, mt_ms_t now)
+{
+	if (!step->n_stalls || now - step->stalled_at >= STALL_MS)
+		step->n_stalls++;
+	step->stalled_at = now;
+}
+
+/** True for a member of a gang that has done its work and waits for others. */
+static bool waits_for_gang(const mt_dag_task_t *task)
+{
+	return task->step->spec->gang && task->percent >= PERCENT_MAX;
 }
 
 static bool is_running(const mt_dag_task_t *task)
@@ -74,7 +111,7 @@
 	mt_ms_t since = MAX(task->start_settled_at, task->progressed_at);
 
 	return is_running(task) && !task->step->spec->lasting &&
-	       task->server->answered_at > since &&
+	       !waits_for_gang(task) && task->server->answered_at > since &&
 	       task->server->answered_at - since >= stall_limit(task) &&
 	       mt_backend_is_responsive(task->server, now, STALL_MS);
 }
@@ -255,6 +292,7 @@
 		if (is_stalled(task, now)) {
 			backend->suspect_until = MAX(backend->suspect_until,
 						     now + AVOID_STALLED_MS);
+			count_stall(task->step, now);
 			relocate(engine, task, "stands still");
 		} else if (crawls(task, now)) {
 			relocate(engine, task, "its server is slow");
