platform: one odd entry costs only itself

Other operators report that another writer left one odd entry among those of the workers, very deeply nested, with a number too large or with a port out of range, and that the machines that read the list ended again and again or stopped following it.

Here, an entry of the server list is JSON of its own, so that a broken one was skipped before.

Change: lists to which others contribute are repaired before they are given up (json_repair.c); rows, ids, addresses and job records are checked; sums are clamped.

--- a/lib/dag/advice.c
+++ b/lib/dag/advice.c
@@ -47,19 +47,44 @@
 	g_free(advice);
 }
 
+static bool was_asked(const mt_name_t *servers, size_t count,
+		      const mt_name_t *server)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (mt_name_equal(&servers[i], server))
+			return true;
+	}
+	return false;
+}
+
+/** Entry of a server that was asked about; NULL for another one. */
+static mt_advised_server_t *find_or_add(mt_advice_t *advice,
+					const mt_name_t *servers, size_t count,
+					const mt_name_t *server)
+{
+	mt_advised_server_t *advised =
+		g_hash_table_lookup(advice->servers, server);
+
+	if (advised || !was_asked(servers, count, server))
+		return advised;
+	advised = g_new0(mt_advised_server_t, 1);
+	g_hash_table_insert(advice->servers, mt_name_dup(server), advised);
+	return advised;
+}
+
 void mt_advice_apply(mt_advice_t *advice, const mt_name_t *servers,
 		     size_t count, const mt_advice_answer_t *answer,
 		     mt_ms_t now)
 {
 	mt_ms_t margin = MIN(TICKET_MARGIN_MS, answer->validity_ms / 2);
 
-	for (size_t i = 0; i < count; i++)
+	for (size_t i = 0; i < count && !answer->incomplete; i++)
 		g_hash_table_insert(advice->servers, mt_name_dup(&servers[i]),
 				    g_new0(mt_advised_server_t, 1));
 	for (size_t i = 0; i < answer->n_allowed_servers; i++) {
 		const mt_advice_grant_t *grant = &answer->allowed_servers[i];
 		mt_advised_server_t *server =
-			g_hash_table_lookup(advice->servers, &grant->server);
+			find_or_add(advice, servers, count, &grant->server);
 
 		if (!server)
 			continue;
--- a/lib/dag/advice.h
+++ b/lib/dag/advice.h
@@ -25,8 +25,8 @@
 
 /**
  * Applies an answer to a request about `servers`. Servers that the answer does
- * not allow are denied. The caller then calls mt_advice_set_born_ms() for each
- * of the servers.
+ * not allow are denied, unless it is incomplete. The caller then calls
+ * mt_advice_set_born_ms() for each of the servers.
  */
 void mt_advice_apply(mt_advice_t *advice, const mt_name_t *servers,
 		     size_t count, const mt_advice_answer_t *answer,
--- a/lib/dag/advice_port.h
+++ b/lib/dag/advice_port.h
@@ -29,6 +29,9 @@
 	/** Servers that may run the step. */
 	const mt_advice_grant_t *allowed_servers;
 	size_t n_allowed_servers;
+	/** Malformed entries were skipped: servers that are not listed may be
+	 * allowed, too. */
+	bool incomplete;
 	mt_ms_t validity_ms; /**< of the tickets, counted from the answer */
 } mt_advice_answer_t;
 
--- a/lib/dag/advice_requests.c
+++ b/lib/dag/advice_requests.c
@@ -14,7 +14,10 @@
  */
 #define ANSWER_MARGIN_MS 1500u
 
-/** Delay before the next request after one that was refused or not answered. */
+/**
+ * Delay before the next request after one that was refused, not answered, or
+ * answered with malformed entries.
+ */
 #define RETRY_DELAY_MS 200u
 
 /** A request in progress, and the servers that it asks about. */
@@ -55,11 +58,11 @@
 			pending->step.job, pending->step.step,
 			pending->n_servers, answer->n_allowed_servers,
 			answer->result);
-	if (answer->result != MT_COMMAND_DONE) {
+	if (answer->result != MT_COMMAND_DONE || answer->incomplete)
 		engine->next_advice_request_at =
 			mt_engine_now(engine) + RETRY_DELAY_MS;
+	if (answer->result != MT_COMMAND_DONE)
 		return;
-	}
 	if (!step || !step->advice)
 		return;
 	mt_advice_apply(step->advice, pending->servers, pending->n_servers,
--- a/lib/dag/directory.c
+++ b/lib/dag/directory.c
@@ -1,6 +1,8 @@
 /** @file directory.c Reads the platform's list of backend servers. */
 #include "dag/directory.h"
 
+#include <string.h>
+
 #include "dag/follower.h"
 
 /** Timeout of the long polls for changes of the list. */
@@ -47,14 +49,32 @@
 		directory->watcher.on_unlisted(directory->watcher.ctx, &copy);
 }
 
+/** True if the key can be used as an id in requests and in log lines. */
+static bool is_usable_id(mt_str_t key)
+{
+	for (size_t i = 0; i < key.len; i++) {
+		if (!g_ascii_isgraph(key.data[i]) ||
+		    strchr("\"\\", key.data[i]))
+			return false;
+	}
+	return key.len && key.len <= MT_NAME_MAX_BYTES;
+}
+
 static void on_record(void *ctx, const mt_store_record_t *record)
 {
 	mt_directory_t *directory = ctx;
 	mt_backend_info_t info = {0};
 	mt_name_t id;
 
-	if (!record->key.len || record->key.len > MT_NAME_MAX_BYTES)
+	if (!is_usable_id(record->key)) {
+		mt_kernel_count(directory->kernel,
+				"server_reports_unreadable_total");
+		mt_log(directory->kernel, MT_LOG_WARNING, "directory",
+		       "ignoring a list entry whose id of %zu bytes is not "
+		       "usable",
+		       record->key.len);
 		return;
+	}
 	id = mt_name_from(record->key);
 	if (!record->value.len) {
 		remove_server(directory, &id);
--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -207,19 +207,38 @@
 	mt_engine_stop_tasks(engine, job);
 }
 
+/** Returns the job of a job record; NULL if the record is malformed. */
+static MtDag__Job *unpack_job(const mt_engine_t *engine,
+			      const mt_table_job_t *entry)
+{
+	mt_str_t value = mt_bytes_view(entry->packed_job);
+	MtDag__Job *spec = mt_dag__job__unpack(NULL, value.len,
+					       (const uint8_t *)value.data);
+
+	if (spec && spec->id == entry->id && mt_dag_job_spec_is_valid(spec))
+		return spec;
+	mt_log(engine->deps.kernel, MT_LOG_ERR, "engine",
+	       "the record of job %016" G_GINT64_MODIFIER
+	       "x has steps that cannot be run",
+	       entry->id);
+	if (spec)
+		mt_dag__job__free_unpacked(spec, NULL);
+	return NULL;
+}
+
 /** Adds an unfinished job of the table, and restores its progress. */
 static void add_job(void *ctx, const mt_table_job_t *entry)
 {
 	mt_engine_t *engine = ctx;
 	mt_dag_job_t *job;
-	mt_str_t value;
+	MtDag__Job *spec;
 
 	if (!entry->packed_job || mt_engine_job(engine, entry->id))
 		return;
-	value = mt_bytes_view(entry->packed_job);
-	job = mt_dag_job_new(mt_dag__job__unpack(NULL, value.len,
-						 (const uint8_t *)value.data),
-			     mt_engine_now(engine));
+	spec = unpack_job(engine, entry);
+	if (!spec)
+		return;
+	job = mt_dag_job_new(spec, mt_engine_now(engine));
 	g_hash_table_insert(engine->jobs, &job->id, job);
 	refresh_queue(engine, job);
 	if (entry->packed_progress &&
--- a/lib/dag/front.c
+++ b/lib/dag/front.c
@@ -9,6 +9,9 @@
 /** Timeout of calls for which the client specifies none. */
 #define TIMEOUT_DEFAULT_MS 3000u
 
+/** Longer timeouts of clients count as this one. */
+#define TIMEOUT_MAX_MS 3600000u
+
 /**
  * A call is replied to at the latest this long before the client's timeout. If
  * the timeout is at most twice this margin, the call is replied to at the
@@ -238,8 +241,7 @@
 {
 	mt_front_op_t *op = g_new0(mt_front_op_t, 1);
 
-	if (!timeout)
-		timeout = TIMEOUT_DEFAULT_MS;
+	timeout = timeout ? MIN(timeout, TIMEOUT_MAX_MS) : TIMEOUT_DEFAULT_MS;
 	op->front = front;
 	op->cb = cb;
 	op->ctx = ctx;
--- a/lib/dag/job_model.c
+++ b/lib/dag/job_model.c
@@ -30,6 +30,27 @@
 	queue->objective_extra_ms = spec->target_ms;
 }
 
+static bool step_is_valid(const MtDag__Step *step, size_t index)
+{
+	for (size_t i = 0; i < step->n_after; i++) {
+		if (step->after[i] >= index)
+			return false;
+	}
+	return step->count && step->count <= MT_DAG_TASKS_MAX;
+}
+
+bool mt_dag_job_spec_is_valid(const MtDag__Job *spec)
+{
+	uint64_t n_tasks = 0;
+
+	for (size_t i = 0; i < spec->n_steps; i++) {
+		if (!step_is_valid(spec->steps[i], i))
+			return false;
+		n_tasks += spec->steps[i]->count;
+	}
+	return n_tasks && n_tasks <= MT_DAG_TASKS_MAX / MAX(1, spec->repeat);
+}
+
 mt_dag_job_t *mt_dag_job_new(MtDag__Job *spec, mt_ms_t now)
 {
 	mt_dag_job_t *job = g_new0(mt_dag_job_t, 1);
@@ -290,30 +311,32 @@
 
 uint32_t mt_dag_job_gpu_wanted(const mt_dag_job_t *job)
 {
-	uint32_t most = 0;
+	uint64_t most = 0;
 
 	for (uint32_t i = 0; i < job->n_steps_total; i++) {
 		const mt_dag_step_t *step = &job->steps[i];
-		uint32_t unfinished = step->spec->count - step->n_done;
+		uint64_t unfinished = step->spec->count - step->n_done;
 
 		most = MAX(most, unfinished * step->spec->gpu);
 	}
-	return most;
+	return (uint32_t)MIN(most, UINT32_MAX);
 }
 
 /**
  * Returns the critical path up to and including this step, in ms. Steps that
- * are done count as 0.
+ * are done count as 0. UINT32_MAX if it is longer.
  * @param path_ms results for the steps of lower index in the occurrence, by the
  * index of the step
  */
 static uint32_t path_through(const mt_dag_step_t *step, uint32_t *path_ms)
 {
-	uint32_t before = 0;
+	uint64_t path = 0;
 
 	for (size_t i = 0; i < step->spec->n_after; i++)
-		before = MAX(before, path_ms[step->spec->after[i]]);
-	return before + (is_done(step) ? 0 : step->spec->estimate_ms);
+		path = MAX(path, path_ms[step->spec->after[i]]);
+	if (!is_done(step))
+		path += step->spec->estimate_ms;
+	return (uint32_t)MIN(path, UINT32_MAX);
 }
 
 uint32_t mt_dag_job_critical_path_left_ms(const mt_dag_job_t *job)
@@ -333,8 +356,10 @@
 
 uint32_t mt_dag_job_objective_ms(const mt_dag_job_t *job)
 {
-	return (uint32_t)(job->critical_path_ms * job->queue.slack_factor) +
-	       job->queue.objective_extra_ms;
+	double objective = job->critical_path_ms * job->queue.slack_factor +
+			   job->queue.objective_extra_ms;
+
+	return (uint32_t)MIN(objective, UINT32_MAX);
 }
 
 /* Progress records. */
--- a/lib/dag/job_model.h
+++ b/lib/dag/job_model.h
@@ -135,10 +135,18 @@
 	mt_queue_t queue;
 };
 
+/** Maximum number of tasks of a job, in all its occurrences together. */
+#define MT_DAG_TASKS_MAX 20000u
+
+/**
+ * True if the job has steps, each step has at least one task and depends only
+ * on steps of lower index, and there are at most MT_DAG_TASKS_MAX tasks.
+ */
+bool mt_dag_job_spec_is_valid(const MtDag__Job *spec);
+
 /**
- * Makes the model of a job. Takes ownership of `spec`. The caller has checked
- * that each step has at least one task and depends only on steps of lower
- * index, as mt_job_decode() does.
+ * Makes the model of a job. Takes ownership of `spec`, which must be valid, see
+ * mt_dag_job_spec_is_valid().
  */
 mt_dag_job_t *mt_dag_job_new(MtDag__Job *spec, mt_ms_t now);
 void mt_dag_job_free(mt_dag_job_t *job);
--- a/lib/dag/plan.h
+++ b/lib/dag/plan.h
@@ -91,7 +91,7 @@
 	const bool *allowed; /**< per server; NULL: all servers */
 	/** Per server, number of tasks of this step that earlier plans placed
 	 * there; NULL: none. Only set with `per_server_max`. */
-	const uint8_t *already_placed;
+	const uint32_t *already_placed;
 	uint32_t priority; /**< 0 is the highest */
 	bool guaranteed;   /**< the job is within its account's guarantee */
 	bool may_preempt;  /**< placed tasks may be preempted for it */
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -209,21 +209,20 @@
 }
 
 /** Returns mt_plan_unit_t.already_placed of the step. */
-static uint8_t *count_already_placed(const mt_planner_t *planner,
-				     const mt_dag_step_t *step)
+static uint32_t *count_already_placed(const mt_planner_t *planner,
+				      const mt_dag_step_t *step)
 {
-	uint8_t *already_placed;
+	uint32_t *already_placed;
 
 	if (!step->spec->per_server_max)
 		return NULL;
-	already_placed = g_new0(uint8_t, planner->backends->len + 1);
+	already_placed = g_new0(uint32_t, planner->backends->len + 1);
 	for (uint32_t i = 0; i < step->spec->count; i++) {
 		const mt_dag_task_t *task = &step->tasks[i];
 		guint index_plus_one = GPOINTER_TO_UINT(g_hash_table_lookup(
 			planner->backend_index, task->server));
 
-		if (task->server && index_plus_one &&
-		    already_placed[index_plus_one - 1] < UINT8_MAX)
+		if (task->server && index_plus_one)
 			already_placed[index_plus_one - 1]++;
 	}
 	return already_placed;
@@ -513,7 +512,7 @@
 {
 	for (uint32_t i = 0; i < planner->plan.n_units; i++) {
 		g_free(planner->plan.units[i].chosen);
-		g_free((uint8_t *)planner->plan.units[i].already_placed);
+		g_free((uint32_t *)planner->plan.units[i].already_placed);
 		g_free((bool *)planner->plan.units[i].allowed);
 	}
 	g_free(planner->plan.units);
--- a/lib/dag/wait_log.c
+++ b/lib/dag/wait_log.c
@@ -96,13 +96,12 @@
 		planner->engine->deps.kernel, "step_waits",
 		"\"job\":\"%016" G_GINT64_MODIFIER
 		"x\",\"step\":%u,\"tasks\":%u,\"of\":%u,\"gang\":%s,"
-		"\"cpu_milli\":%u,\"gpu\":%u,\"label\":\"%s\","
+		"\"cpu_milli\":%u,\"gpu\":%u,\"labelled\":%s,"
 		"\"one_rack\":%s,\"priority\":%u,\"guaranteed\":%s,"
 		"\"waited_ms\":%u,\"overdue\":%s,\"reason\":\"%s\"",
 		step->job->id, step->index, unit->count, step->spec->count,
 		unit->is_gang ? "true" : "false", unit->need.cpu_milli,
-		unit->need.gpu,
-		unit->label ? g_quark_to_string(unit->label) : "",
+		unit->need.gpu, unit->label ? "true" : "false",
 		unit->same_rack || unit->data_rack ? "true" : "false",
 		unit->priority, unit->guaranteed ? "true" : "false",
 		(unsigned)candidate->waited_ms,
--- /dev/null
+++ b/lib/net/json_repair.h
@@ -0,0 +1,21 @@
+/**
+ * @file json_repair.h
+ * Makes JSON text readable of which a part cannot be read, so that one odd
+ * entry of a list does not make the other entries unreadable.
+ */
+#ifndef MT_NET_JSON_REPAIR_H
+#define MT_NET_JSON_REPAIR_H
+
+#include "kernel/name.h"
+
+/**
+ * Returns a copy of the text in which these parts are replaced by null:
+ * numbers that are too large or malformed, unknown words, and what is nested
+ * too deeply. In strings, bytes that are not UTF-8, escapes of surrogates and
+ * zero bytes, and control characters are replaced by U+FFFD. The copy may still
+ * be malformed.
+ * @return a new string, freed with g_free()
+ */
+char *mt_json_repair(mt_str_t text);
+
+#endif
--- a/tests/fleet/fake_servers.c
+++ b/tests/fleet/fake_servers.c
@@ -545,7 +545,8 @@
 {
 	mt_fake_advice_call_t *call = ctx;
 	mt_fake_fleet_t *fleet = call->host->sim->fleet;
-	mt_advice_answer_t answer = {MT_COMMAND_DONE, NULL, 0, TICKET_VALID_MS};
+	mt_advice_answer_t answer = {MT_COMMAND_DONE, NULL, 0, false,
+				     TICKET_VALID_MS};
 	mt_advice_grant_t *allowed_servers =
 		g_new0(mt_advice_grant_t, call->n_servers + 1);
 	char(*tickets)[TICKET_BYTES] =
@@ -567,7 +568,7 @@
 	/* The service refuses 5% of the requests. */
 	if (mt_sim_chance(call->host->sim, 0.05))
 		answer = (mt_advice_answer_t){MT_COMMAND_UNAVAILABLE, NULL, 0,
-					      0};
+					      false, 0};
 	call->cb(call->ctx, &answer);
 	g_free(allowed_servers);
 	g_free(tickets);
--- a/tests/unit/tests.h
+++ b/tests/unit/tests.h
@@ -23,5 +23,6 @@
 extern const mt_test_t mt_leadership_tests[];
 extern const mt_test_t mt_backend_json_tests[];
 extern const mt_test_t mt_mutated_input_tests[];
+extern const mt_test_t mt_odd_entries_tests[];
 
 #endif
