tests: soak with hopeless gangs, series of configurations, odd entries

The users saw jobs that stand still on real processes (grown Workshop, LOST), after the store was away and hosts were restarted, and after several configurations in seconds. Our soak had neither configurations that change nor jobs that can never start, and did not audit cancellations.

Change: 3% of the jobs are gangs wider than all servers; the configuration changes up to eight times in a row; another writer leaves odd entries in the list of servers; 30% of the clients that get no answer cancel the job, and platformd's audit then forbids starts of it.

That the users saw the same is likely, not shown: their record does not say what was queued beside those jobs.

--- a/tests/chaos/clients.c
+++ b/tests/chaos/clients.c
@@ -36,6 +36,13 @@
 #define CANCEL_SHARE 0.12
 #define URGENT_SHARE 0.5
 
+/** Share of the jobs that are gangs wider than all servers together. */
+#define HOPELESS_SHARE 0.03
+#define HOPELESS_TASKS (CHAOS_SERVERS * 8 + 1)
+
+/** Share of the jobs that are cancelled after an attempt without an answer. */
+#define ABANDON_SHARE 0.3
+
 /** State of a job as shown by a host; final from MT_SHOWN_COMPLETED on. */
 typedef enum mt_shown_state_t {
 	MT_SHOWN_NOTHING, /**< no answer yet, or an unknown state */
@@ -53,6 +60,11 @@
 	bool maybe_stored; /**< some attempt without an answer may be stored */
 	bool refused;	   /**< all attempts were definitely refused */
 	mt_ms_t accepted_at; /**< 0: not accepted */
+	bool hopeless; /**< it never ends, as it does not fit on the servers */
+	/** The client gives up after an attempt without an answer, and cancels
+	 * the job. */
+	bool will_abandon;
+	bool abandoned;
 	bool will_cancel;
 	bool cancel_sent;
 	mt_shown_state_t shown[CHAOS_HOSTS]; /**< last state, by host */
@@ -111,9 +123,24 @@
 
 static void submit_job(void *ctx);
 
+/** Tells platformd that no task of the job may start any more. */
+static void forbid_starts(const mt_client_job_t *job)
+{
+	const char *id = strrchr(job->path, '/') + 1;
+	char *path = g_strdup_printf("/test/forbid?job=%s", id);
+
+	mt_cluster_call_platform(job->clients->cluster, path, (mt_str_t){0});
+	g_free(path);
+}
+
 static void on_cancelled(void *ctx, const mt_http_response_t *response)
 {
-	g_free(ctx);
+	mt_client_call_t *call = ctx;
+
+	if (response->result == MT_HTTP_RESPONSE &&
+	    (response->status == 200 || response->status == 410))
+		forbid_starts(call->job);
+	g_free(call);
 }
 
 static void cancel(void *ctx)
@@ -157,6 +184,12 @@
 	g_free(call);
 	if (job->accepted_at)
 		return;
+	if (job->maybe_stored && job->will_abandon) {
+		job->abandoned = true;
+		mt_timers_after(mt_cluster_timers(cluster), NEXT_CALL_DELAY_MS,
+				cancel, job);
+		return;
+	}
 	if (job->attempts < SUBMIT_ATTEMPTS_MAX)
 		mt_timers_after(mt_cluster_timers(cluster), NEXT_CALL_DELAY_MS,
 				submit_job, job);
@@ -194,6 +227,15 @@
 	return g_string_free(text, FALSE);
 }
 
+/** A gang that can never start. */
+static char *make_hopeless_body(void)
+{
+	return g_strdup_printf("{\"spec\":\"scan\",\"steps\":[{\"count\":%u,"
+			       "\"cpu\":100,\"mem_mb\":100,\"gpu\":1,"
+			       "\"estimate_ms\":500,\"gang\":true}]}",
+			       HOPELESS_TASKS);
+}
+
 static void submit_next_job(void *ctx)
 {
 	mt_clients_t *clients = ctx;
@@ -205,7 +247,9 @@
 	job = g_new0(mt_client_job_t, 1);
 	job->clients = clients;
 	job->will_cancel = g_rand_double(rand) < CANCEL_SHARE;
-	job->body = make_job_body(rand);
+	job->will_abandon = g_rand_double(rand) < ABANDON_SHARE;
+	job->hopeless = g_rand_double(rand) < HOPELESS_SHARE;
+	job->body = job->hopeless ? make_hopeless_body() : make_job_body(rand);
 	snprintf(job->path, sizeof(job->path), "/%s/%016" G_GINT64_MODIFIER "x",
 		 g_rand_double(rand) < URGENT_SHARE ? "urgent" : "batch",
 		 ++clients->next_id);
@@ -408,10 +452,16 @@
 /** True when no further attempt to submit the job will be made. */
 static bool is_settled(const mt_client_job_t *job)
 {
-	return job->accepted_at || job->refused ||
+	return job->accepted_at || job->refused || job->abandoned ||
 	       job->attempts >= SUBMIT_ATTEMPTS_MAX;
 }
 
+/** True if all hosts must show the job as ended some time. */
+static bool must_end(const mt_client_job_t *job)
+{
+	return job->accepted_at && !job->hopeless;
+}
+
 bool mt_clients_all_ended(const mt_clients_t *clients)
 {
 	for (guint i = 0; i < clients->jobs->len; i++) {
@@ -419,7 +469,7 @@
 
 		if (!is_settled(job))
 			return false;
-		for (unsigned k = 0; job->accepted_at && k < CHAOS_HOSTS; k++) {
+		for (unsigned k = 0; must_end(job) && k < CHAOS_HOSTS; k++) {
 			if (!is_shown_ended(job, k))
 				return false;
 		}
@@ -432,7 +482,7 @@
 	for (guint i = 0; i < clients->jobs->len; i++) {
 		const mt_client_job_t *job = clients->jobs->pdata[i];
 
-		for (unsigned k = 0; job->accepted_at && k < CHAOS_HOSTS; k++) {
+		for (unsigned k = 0; must_end(job) && k < CHAOS_HOSTS; k++) {
 			if (!is_shown_ended(job, k))
 				mt_cluster_breach(
 					clients->cluster,
--- a/tests/chaos/cluster.c
+++ b/tests/chaos/cluster.c
@@ -26,6 +26,9 @@
 #define STOP_GRACE_S 6
 #define HOST_STOP_MAX_MS 7000u
 
+/** Time to wait for platformd's answer to a call of the test. */
+#define PLATFORM_TIMEOUT_MS 1000u
+
 static const char config_text[] =
 	"{\"version\":3,\"routes\":["
 	"{\"name\":\"urgent\",\"host\":\"jobs.example\","
@@ -38,6 +41,24 @@
 	"\"tenants\":[{\"name\":\"shop\",\"api_keys\":[\"good\"],"
 	"\"guaranteed\":{\"gpu\":16}}]}";
 
+static void on_platform_answer(void *ctx, const mt_http_response_t *response)
+{
+}
+
+void mt_cluster_call_platform(mt_cluster_t *cluster, const char *path,
+			      mt_str_t body)
+{
+	mt_http_request_t request = {0};
+
+	request.address = mt_name("127.0.0.1");
+	request.port = cluster->store_port;
+	request.method = "POST";
+	request.path = path;
+	request.body = body;
+	request.timeout_ms = PLATFORM_TIMEOUT_MS;
+	mt_http_send(cluster->http, &request, on_platform_answer, NULL);
+}
+
 mt_ms_t mt_cluster_now(const mt_cluster_t *cluster)
 {
 	return mt_timers_now(mt_loop_timers(cluster->loop));
--- a/tests/chaos/cluster.h
+++ b/tests/chaos/cluster.h
@@ -72,6 +72,13 @@
 mt_ms_t mt_cluster_now(const mt_cluster_t *cluster);
 mt_timers_t *mt_cluster_timers(const mt_cluster_t *cluster);
 
+/**
+ * Sends a call to platformd and does not wait for the response.
+ * @param body kept by the caller until the call has ended
+ */
+void mt_cluster_call_platform(mt_cluster_t *cluster, const char *path,
+			      mt_str_t body);
+
 /** Writes to the log of faults, which helps to explain a breach. */
 void mt_cluster_log(mt_cluster_t *cluster, const char *format, ...)
 	G_GNUC_PRINTF(2, 3);
--- a/tests/chaos/faults.c
+++ b/tests/chaos/faults.c
@@ -8,8 +8,9 @@
 #define FAULT_INTERVAL_MIN_MS 200
 #define FAULT_INTERVAL_MAX_MS 1500
 
-/** Time to wait for platformd's answer to a change of its faults. */
-#define SET_FAULTS_TIMEOUT_MS 1000u
+/** Longest series of configurations, and the time between two of them. */
+#define CONFIGS_MAX 8
+#define CONFIG_INTERVAL_MAX_MS 600
 
 struct mt_faults_t {
 	mt_cluster_t *cluster;
@@ -143,23 +144,13 @@
 
 /* Platform. */
 
-static void on_faults_set(void *ctx, const mt_http_response_t *response)
-{
-}
-
 static void set_platform_faults(mt_faults_t *faults, const char *query)
 {
 	char *path = g_strdup_printf("/test/faults?%s", query);
-	mt_http_request_t request = {0};
 
 	record_disturbance(faults);
 	mt_cluster_log(faults->cluster, "platformd faults: %s", query);
-	request.address = mt_name("127.0.0.1");
-	request.port = faults->cluster->store_port;
-	request.method = "POST";
-	request.path = path;
-	request.timeout_ms = SET_FAULTS_TIMEOUT_MS;
-	mt_http_send(faults->cluster->http, &request, on_faults_set, NULL);
+	mt_cluster_call_platform(faults->cluster, path, (mt_str_t){0});
 	g_free(path);
 }
 
@@ -188,6 +179,54 @@
 		 clear_platform_faults);
 }
 
+/* Configurations and entries of other writers. */
+
+static void store_next_config(void *ctx)
+{
+	mt_delayed_action_t *action = ctx;
+
+	mt_cluster_log(action->faults->cluster, "next configuration");
+	mt_cluster_call_platform(action->faults->cluster, "/test/config",
+				 (mt_str_t){0});
+	g_free(action);
+}
+
+/** Stores several configurations, one after the other. */
+static void change_configuration(mt_faults_t *faults)
+{
+	int n_configs = random_between(faults, 1, CONFIGS_MAX + 1);
+	int delay_ms = 0;
+
+	for (int i = 0; i < n_configs; i++) {
+		schedule(faults, NULL, NULL, delay_ms, store_next_config);
+		delay_ms += random_between(faults, 1, CONFIG_INTERVAL_MAX_MS);
+	}
+}
+
+static void leave_odd_entry(const mt_faults_t *faults)
+{
+	static const char *const entries[] = {
+		"",
+		"{",
+		"[[[[[[[[[[[[[[[[",
+		"null",
+		"\xff\xfe",
+		"{\"service\":\"service\",\"address\":\"127.0.0.1:99999\"}",
+		"{\"service\":\"service\",\"address\":\"127.0.0.1:1\","
+		"\"state\":\"ready\",\"capacity\":"
+		"{\"cpu\":1e999,\"mem_mb\":1}}",
+		"{\"service\":\"service\",\"address\":\"127.0.0.1:1\","
+		"\"state\":\"ready\",\"capacity\":{\"cpu\":4294967295,"
+		"\"mem_mb\":4294967295,\"gpu\":4294967295},"
+		"\"born\":9223372036854775807}",
+	};
+	int index = random_between(faults, 0, G_N_ELEMENTS(entries));
+
+	mt_cluster_log(faults->cluster, "odd entry %d", index);
+	mt_cluster_call_platform(faults->cluster, "/test/entry",
+				 mt_str_from(entries[index]));
+}
+
 static void crash_server(mt_faults_t *faults)
 {
 	char query[64];
@@ -210,7 +249,7 @@
 	if (!faults->active)
 		return;
 	faults->count++;
-	switch (random_between(faults, 0, 16)) {
+	switch (random_between(faults, 0, 19)) {
 	case 0:
 	case 1:
 	case 2:
@@ -242,6 +281,13 @@
 	case 13:
 		crash_server(faults);
 		break;
+	case 14:
+	case 15:
+		change_configuration(faults);
+		break;
+	case 16:
+		leave_odd_entry(faults);
+		break;
 	default:
 		inject_platform_fault(faults);
 		break;
--- a/tests/platformd/main.c
+++ b/tests/platformd/main.c
@@ -27,6 +27,7 @@
 	mt_sim_t *sim;
 	mt_sim_host_t *external_host; /**< origin of all hosts' calls */
 	GPtrArray *servers;	      /**< mt_server_endpoint_t */
+	json_t *config;		      /**< the operators' configuration */
 } mt_platformd_t;
 
 typedef struct mt_server_endpoint_t {
@@ -270,6 +271,70 @@
 	mt_http_respond(http->exchange, 200, "text/plain", (mt_str_t){0}, NULL);
 }
 
+static void store_config(const mt_platformd_t *platform)
+{
+	char *text = mt_json_dump_decref(json_incref(platform->config));
+
+	mt_fake_store_put(platform->sim->store, "keyed.op", "config",
+			  mt_str_from(text));
+	g_free(text);
+}
+
+/**
+ * Stores the next version of the configuration, with one route more, or without
+ * one of those added before. The first two routes stay.
+ */
+static void on_config_call(mt_platformd_t *platform,
+			   const mt_http_incoming_request_t *http)
+{
+	json_t *routes = json_object_get(platform->config, "routes");
+	uint64_t version = 0;
+
+	mt_json_get_u64(platform->config, "version", &version);
+	mt_json_set_u64(platform->config, "version", version + 1);
+	if (json_array_size(routes) > 2 + version % 4) {
+		json_array_remove(routes, 2);
+	} else {
+		json_t *route = json_deep_copy(json_array_get(routes, 1));
+		char *name = g_strdup_printf("extra-%u", (unsigned)version);
+		char *prefix = g_strdup_printf("/%s/", name);
+
+		json_object_set_new(route, "name", json_string(name));
+		json_object_set_new(route, "path_prefix", json_string(prefix));
+		json_array_append_new(routes, route);
+		g_free(name);
+		g_free(prefix);
+	}
+	store_config(platform);
+	mt_http_respond(http->exchange, 200, "text/plain", (mt_str_t){0}, NULL);
+}
+
+/** Leaves an entry of another writer, the request's body, in the server list.
+ */
+static void on_entry_call(const mt_platformd_t *platform,
+			  const mt_http_incoming_request_t *http)
+{
+	mt_fake_store_put(platform->sim->store, "keyed.servers", "odd-1",
+			  http->body);
+	mt_http_respond(http->exchange, 200, "text/plain", (mt_str_t){0}, NULL);
+}
+
+/** The tasks of a job must not start from now on: its client has cancelled it.
+ */
+static void on_forbid_call(const mt_platformd_t *platform,
+			   const mt_http_incoming_request_t *http)
+{
+	char *text = query_text(http, "job");
+	uint64_t job;
+
+	if (mt_record_parse_job_id(mt_str_from(text), &job))
+		mt_fake_fleet_forbid_starts(
+			platform->sim->fleet, job,
+			mt_timers_now(platform->sim->timers));
+	g_free(text);
+	mt_http_respond(http->exchange, 200, "text/plain", (mt_str_t){0}, NULL);
+}
+
 /** Responds with the number of invariant breaches that were detected. */
 static void on_audit_call(const mt_platformd_t *platform,
 			  const mt_http_incoming_request_t *http)
@@ -305,6 +370,12 @@
 			      READ_TIMEOUT_MS, on_page, call);
 	} else if (mt_str_equal(http->path, MT_STR("/test/faults"))) {
 		on_faults_call(platform, http);
+	} else if (mt_str_equal(http->path, MT_STR("/test/config"))) {
+		on_config_call(platform, http);
+	} else if (mt_str_equal(http->path, MT_STR("/test/entry"))) {
+		on_entry_call(platform, http);
+	} else if (mt_str_equal(http->path, MT_STR("/test/forbid"))) {
+		on_forbid_call(platform, http);
 	} else if (mt_str_equal(http->path, MT_STR("/test/audit"))) {
 		on_audit_call(platform, http);
 	} else {
@@ -531,8 +602,13 @@
 		(uint16_t)port->ival[0], (uint16_t)reported->ival[0],
 		mt_timers_now(mt_loop_timers(platform.loop)));
 	platform.external_host = mt_sim_new_external_host(platform.sim);
-	mt_fake_store_put(platform.sim->store, "keyed.op", "config",
-			  (mt_str_t){text, len});
+	platform.config = json_loadb(text, len, 0, NULL);
+	g_free(text);
+	if (!platform.config) {
+		fprintf(stderr, "%s is not JSON\n", config->sval[0]);
+		return 2;
+	}
+	store_config(&platform);
 	mt_timers_every(mt_loop_timers(platform.loop), 1, advance_simulation,
 			&platform);
 	if (!start_http_servers(&platform, (uint16_t)port->ival[0])) {
