--- a/lib/dag/reports.c
+++ b/lib/dag/reports.c
@@ -119,6 +119,15 @@
 	mt_engine_request_pass(engine);
 }
 
+/**
+ * True if the task needs no further run. A long-running task (`lasting`) is
+ * started again however its run ended.
+ */
+static bool finishes_task(const mt_dag_task_t *task, mt_end_reason_t reason)
+{
+	return reason == MT_END_DONE && !task->step->spec->lasting;
+}
+
 /** Applies the end of the task's last run. */
 static void apply_end(mt_engine_t *engine, mt_backend_t *backend,
 		      mt_dag_task_t *task, mt_end_reason_t reason)
@@ -126,8 +135,9 @@
 	mt_dag_job_t *job = task->step->job;
 
 	job->begun = true;
-	if (reason == MT_END_DONE) {
+	if (reason == MT_END_DONE)
 		note_success(backend);
+	if (finishes_task(task, reason)) {
 		mt_dag_task_finish(task);
 	} else if (reason == MT_END_FAILED) {
 		record_failure(engine, backend);
@@ -169,7 +179,7 @@
 	}
 	/* The task has no server if its last run was given up as lost. That run
 	 * still counts if it succeeded. */
-	if (!task->server && ended->reason != MT_END_DONE)
+	if (!task->server && !finishes_task(task, ended->reason))
 		return;
 	apply_end(engine, backend, task, ended->reason);
 }
--- a/lib/dag/sweep.c
+++ b/lib/dag/sweep.c
@@ -16,6 +16,13 @@
  */
 #define SWEEP_MAX_ABSENT_CANCELS 1000u
 
+/**
+ * Such a cancellation is kept for at least this long: a host gives up a
+ * submission after MT_WRITER_EXPIRY_MS, and the store may carry out its last
+ * append seconds later.
+ */
+#define ABSENT_CANCEL_KEEP_MIN_MS (2 * MT_WRITER_EXPIRY_MS)
+
 /** A sweep in progress. */
 typedef struct mt_sweep_t {
 	mt_engine_t *engine;
@@ -55,7 +62,7 @@
 	delete_record(engine, MT_RECORD_JOB, job->id);
 }
 
-/** Deletes the cancellation if it was read at least `keep_ended_ms` ago. */
+/** Deletes the cancellation if it was read long ago. */
 static void sweep_absent_cancel(void *ctx, const mt_table_job_t *job)
 {
 	mt_sweep_t *sweep = ctx;
@@ -63,7 +70,8 @@
 
 	if (sweep->n_absent_cancels >= SWEEP_MAX_ABSENT_CANCELS ||
 	    mt_engine_now(engine) - job->cancelled_at <
-		    engine->deps.timings.keep_ended_ms)
+		    MAX(engine->deps.timings.keep_ended_ms,
+			ABSENT_CANCEL_KEEP_MIN_MS))
 		return;
 	sweep->n_absent_cancels++;
 	delete_record(engine, MT_RECORD_CANCEL, job->id);
--- a/lib/dag/writer.c
+++ b/lib/dag/writer.c
@@ -22,9 +22,6 @@
  */
 #define REFUSALS_MAX 2u
 
-/** Time after which a group with MT_WRITER_EXPIRES is given up. */
-#define EXPIRY_MS 30000u
-
 /** Records that are written in the same append, see writer.h. */
 typedef struct mt_group_t {
 	GPtrArray *keys_and_values; /**< GBytes, alternately key and value */
@@ -187,7 +184,7 @@
 {
 	return group->policy == MT_WRITER_EXPIRES &&
 	       mt_kernel_now(writer->deps.kernel) - group->committed_at >=
-		       EXPIRY_MS;
+		       MT_WRITER_EXPIRY_MS;
 }
 
 /** Removes the expired groups and reports them. */
@@ -223,7 +220,7 @@
 		return;
 	mt_log(writer->deps.kernel, MT_LOG_WARNING, "writer",
 	       "producer %s: giving up writes without an outcome for %u s",
-	       writer->producer, EXPIRY_MS / 1000);
+	       writer->producer, MT_WRITER_EXPIRY_MS / 1000);
 	if (writer->maybe_written) {
 		writer->deps.epoch++;
 		writer->sequence = writer->deps.first_sequence;
--- a/lib/dag/writer.h
+++ b/lib/dag/writer.h
@@ -17,6 +17,9 @@
 
 typedef struct mt_writer_t mt_writer_t;
 
+/** Time after which a group with MT_WRITER_EXPIRES is given up. */
+#define MT_WRITER_EXPIRY_MS 30000u
+
 /** What becomes of a group that is not written at once. */
 typedef enum mt_writer_policy_t {
 	/** A refused group is sent again until the store accepts it. */
@@ -25,7 +28,7 @@
 	 * and then reported as refused. */
 	MT_WRITER_REPORTS_REFUSAL,
 	/** As before; also, the group is given up when its outcome is still
-	 * unknown after EXPIRY_MS (writer.c), and is not written later. Only
+	 * unknown after MT_WRITER_EXPIRY_MS, and is not written later. Only
 	 * for a writer whose other groups may be written twice. */
 	MT_WRITER_EXPIRES,
 } mt_writer_policy_t;
--- a/tests/unit/test_engine.c
+++ b/tests/unit/test_engine.c
@@ -484,6 +484,28 @@
 	mt_engine_fixture_close(&fixture);
 }
 
+/**
+ * Guards against: a long-running task ends `done`, is not started again, and
+ * its job is shown as completed (LOST).
+ */
+static void a_long_running_task_that_ends_waits_again(void)
+{
+	mt_engine_fixture_t fixture;
+	mt_dag_task_t *task;
+	mt_ended_run_t ended;
+	mt_backend_answer_t answer;
+
+	mt_engine_fixture_open(&fixture);
+	task = mt_engine_fixture_add_running_task(&fixture);
+	((MtDag__Step *)task->step->spec)->lasting = true;
+	mt_commands_hold(fixture.engine, fixture.servers[0]);
+	answer = success_of(task, &ended);
+	mt_engine_fixture_answer_hold(&fixture, &answer);
+	CU_ASSERT_EQUAL(task->phase, MT_TASK_PHASE_WAITING);
+	CU_ASSERT_EQUAL(task->step->job->state, MT_DAG__STATE__ACTIVE);
+	mt_engine_fixture_close(&fixture);
+}
+
 /**
  * A server is silent, but the platform lists it as alive. Its run may have
  * ended successfully, so that it is kept for a while after its lease.
@@ -589,6 +611,8 @@
 	 an_overtaken_report_gives_no_run_up},
 	{"a run missing from a cut list is not lost",
 	 a_run_missing_from_a_cut_list_is_not_lost},
+	{"a long-running task that ends waits again",
+	 a_long_running_task_that_ends_waits_again},
 	{"a listed server keeps its runs longer",
 	 a_listed_server_keeps_its_runs_longer},
 	{"a hold after a failed one deletes no ends",
