--- a/lib/dag/config_relay.c
+++ b/lib/dag/config_relay.c
@@ -196,7 +196,7 @@
 	source->deps = *deps;
 	source->started_at = mt_kernel_now(deps->kernel);
 	source->store_port =
-		(mt_store_port_t){source, NULL, read_topic, newest};
+		(mt_store_port_t){source, NULL, read_topic, newest, 0, 0};
 	return source;
 }
 
--- a/lib/dag/flush.c
+++ b/lib/dag/flush.c
@@ -4,6 +4,12 @@
  */
 #include "dag/engine_internal.h"
 
+/**
+ * Maximum number of writes in progress. Jobs that change meanwhile are written
+ * later, so that writes do not pile up while the store is away.
+ */
+#define FLUSHES_MAX 8u
+
 /**
  * A write in progress, with the actions that follow once the write is stored:
  * the starts to send, and the ended runs that servers may delete. If the
@@ -199,12 +205,20 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	if (engine->flushes->len >= FLUSHES_MAX)
+		return;
 	g_hash_table_iter_init(&iter, engine->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		mt_dag_job_t *job = value;
 
 		if (job->dirty) {
-			if (!flush)
+			/* Each job is a group of its own, so that the writer
+			 * can put them into several appends. */
+			if (flush)
+				mt_writer_commit(engine->writer,
+						 MT_WRITER_ALWAYS_RETRIES, NULL,
+						 NULL);
+			else
 				flush = new_flush(engine);
 			collect_placements(flush, job);
 			add_progress(engine, job);
@@ -227,6 +241,7 @@
 		return;
 	}
 	collect_ends(engine, flush);
+	/* Groups are stored in order: with this last one, all are. */
 	mt_writer_commit(engine->writer, MT_WRITER_ALWAYS_RETRIES, on_flushed,
 			 flush);
 }
--- a/lib/dag/front.c
+++ b/lib/dag/front.c
@@ -275,14 +275,13 @@
 	g_free(op);
 }
 
-static void write_job(mt_dag_front_t *front, MtDag__Job *job, mt_front_op_t *op)
+/** @param bytes the packed job */
+static void write_job(mt_dag_front_t *front, GBytes *bytes, mt_front_op_t *op)
 {
-	mt_record_key_t key = mt_record_key(MT_RECORD_JOB, job->id);
-	GBytes *bytes = mt_dag_pack(&job->base);
+	mt_record_key_t key = mt_record_key(MT_RECORD_JOB, op->job);
 
 	mt_writer_add(front->deps.writer, mt_str_from(key.text),
 		      mt_bytes_view(bytes));
-	g_bytes_unref(bytes);
 	mt_writer_commit(front->deps.writer, MT_WRITER_EXPIRES, on_written, op);
 }
 
@@ -323,6 +322,17 @@
 	job->target_ms = queue->objective_extra_ms;
 }
 
+/** True if the store takes a record with this value, and a key of ours. */
+static bool fits_into_record(const mt_dag_front_t *front, GBytes *value)
+{
+	mt_record_key_t key = mt_record_key(MT_RECORD_JOB, 0);
+
+	return !front->deps.record_max_bytes ||
+	       mt_store_record_size(mt_str_from(key.text),
+				    mt_bytes_view(value)) <=
+		       front->deps.record_max_bytes;
+}
+
 /**
  * Handles a submission. It is accepted even while the records are still being
  * read. The store may then already have a record of the job that this host has
@@ -334,6 +344,7 @@
 		   void *ctx)
 {
 	MtDag__Job *job;
+	GBytes *bytes;
 
 	if (has_records(front) && mt_table_find(front->deps.table, id)) {
 		reply_now(cb, ctx, MT_FRONT_OUTCOME_ACCEPTED);
@@ -349,9 +360,15 @@
 		return;
 	}
 	copy_queue_settings(job, id, queue, account);
-	write_job(front, job,
-		  new_op(front, call->verb, call->timeout_ms, id, cb, ctx));
+	bytes = mt_dag_pack(&job->base);
 	mt_dag__job__free_unpacked(job, NULL);
+	if (fits_into_record(front, bytes))
+		write_job(front, bytes,
+			  new_op(front, call->verb, call->timeout_ms, id, cb,
+				 ctx));
+	else
+		reply_now(cb, ctx, MT_FRONT_OUTCOME_BAD_REQUEST);
+	g_bytes_unref(bytes);
 }
 
 /* Queries and cancellations. */
--- a/lib/dag/front.h
+++ b/lib/dag/front.h
@@ -72,6 +72,8 @@
 	mt_kernel_t *kernel;
 	mt_table_t *table;
 	mt_writer_t *writer; /**< for accepted jobs and cancellations */
+	/** Jobs with a larger record are refused, see mt_store_port_t. */
+	size_t record_max_bytes;
 	/** Passes on calls to other hosts. */
 	const mt_peer_port_t *peers;
 	/** Lists the hosts that have the records of all jobs, see
--- a/lib/dag/host.c
+++ b/lib/dag/host.c
@@ -383,6 +383,7 @@
 	deps.kernel = host->deps.kernel;
 	deps.table = host->table;
 	deps.writer = host->writer;
+	deps.record_max_bytes = host->deps.store->record_max_bytes;
 	deps.config_follower = host->config_follower;
 	deps.peers = host->deps.peers;
 	deps.list_informed = list_informed;
--- a/lib/dag/store_port.h
+++ b/lib/dag/store_port.h
@@ -28,6 +28,15 @@
 	uint64_t offset; /**< set by reads, ignored by appends */
 } mt_store_record_t;
 
+/** Bytes that the store adds to a record, at most. */
+#define MT_STORE_RECORD_OVERHEAD_BYTES 8u
+
+/** Size of a record by which the limits of the store count, in bytes. */
+static inline size_t mt_store_record_size(mt_str_t key, mt_str_t value)
+{
+	return key.len + value.len + MT_STORE_RECORD_OVERHEAD_BYTES;
+}
+
 /** Value of mt_store_append_t.expected_end for an append without a condition.
  */
 #define MT_STORE_ANY_OFFSET UINT64_MAX
@@ -88,6 +97,10 @@
 	 * keys, from the first key after `after_key` on. */
 	void (*newest)(void *self, const char *topic, mt_str_t after_key,
 		       mt_ms_t timeout_ms, mt_store_page_cb cb, void *ctx);
+	/** Largest size of an append and of one record, in bytes, see
+	 * mt_store_record_size(); 0: no limit. */
+	size_t append_max_bytes;
+	size_t record_max_bytes;
 } mt_store_port_t;
 
 #endif
--- a/lib/dag/writer.c
+++ b/lib/dag/writer.c
@@ -25,6 +25,7 @@
 /** Records that are written in the same append, see writer.h. */
 typedef struct mt_group_t {
 	GPtrArray *keys_and_values; /**< GBytes, alternately key and value */
+	size_t size; /**< sum of mt_store_record_size() of its records */
 	mt_writer_policy_t policy;
 	mt_ms_t committed_at;
 	unsigned n_refusals; /**< number of times it was refused */
@@ -283,8 +284,10 @@
  */
 static unsigned choose_n_batch_groups(const mt_writer_t *writer)
 {
+	size_t max_bytes = writer->deps.store->append_max_bytes;
 	unsigned n_groups = 0;
 	unsigned n_records = 0;
+	size_t size = 0;
 
 	if (writer->maybe_written)
 		return writer->n_batch_groups;
@@ -292,7 +295,9 @@
 		const mt_group_t *group = at->data;
 
 		n_records += group->keys_and_values->len / 2;
-		if (n_groups && n_records > BATCH_MAX_RECORDS)
+		size += group->size;
+		if (n_groups && (n_records > BATCH_MAX_RECORDS ||
+				 (max_bytes && size > max_bytes)))
 			break;
 		n_groups++;
 	}
@@ -351,6 +356,7 @@
 			g_ptr_array_new_with_free_func(
 				(GDestroyNotify)g_bytes_unref);
 	}
+	writer->current_group->size += mt_store_record_size(key, value);
 	g_ptr_array_add(writer->current_group->keys_and_values,
 			g_bytes_new(key.data, key.len));
 	g_ptr_array_add(writer->current_group->keys_and_values,
--- a/lib/dag/writer.h
+++ b/lib/dag/writer.h
@@ -2,7 +2,8 @@
  * @file writer.h
  * Appends records to one topic, in order and exactly once. Records are added to
  * a group; all records of a group are written in the same append. The records
- * of one append, called a batch, are those of one or more committed groups.
+ * of one append, called a batch, are those of one or more committed groups, as
+ * many as the store takes at once; no group may be larger than that.
  * Only one batch is in flight at a time. Each batch has its own sequence
  * number. A batch without an answer is sent again with the same number, so that
  * the store does not write it twice. When a group of such a batch expires, the
--- a/programs/entryd/main.c
+++ b/programs/entryd/main.c
@@ -188,9 +188,9 @@
 	mt_dag_host_deps_t deps = {0};
 
 	deps.kernel = entryd->kernel;
-	deps.store = mt_store_http_port(mt_store_http_new(
-		entryd->kernel, entryd->http_client, &settings->store.address,
-		settings->store.port));
+	deps.store = mt_store_http_port(
+		mt_store_http_new(entryd->kernel, entryd->http_client,
+				  &settings->store, &settings->store_limits));
 	deps.backends = mt_backend_http_port(
 		mt_backend_http_new(entryd->kernel, entryd->http_client));
 	if (settings->advice.port)
--- a/programs/entryd/settings.c
+++ b/programs/entryd/settings.c
@@ -5,6 +5,16 @@
 
 #include "net/json_util.h"
 
+/** Smallest limit of the store that the records of a host need, in bytes. */
+#define STORE_BYTES_MIN 4096u
+
+/**
+ * Limits of the store, in bytes, where the settings have none. Appends are
+ * never larger than the first, as they would take long.
+ */
+#define STORE_APPEND_DEFAULT_BYTES 1048576u
+#define STORE_RECORD_DEFAULT_BYTES 262144u
+
 /**
  * Maximum duration of a task lease. The platform's own maximum, the setting
  * lease_max_ms, may be larger.
@@ -121,6 +131,35 @@
 	return true;
 }
 
+/** Reads an optional size; `bytes` keeps its value if the field is missing. */
+static bool get_size(const json_t *json, const char *field, size_t *bytes,
+		     GError **error)
+{
+	uint32_t value;
+
+	if (!json_object_get(json, field))
+		return true;
+	if (!mt_json_get_u32(json, field, &value) || value < STORE_BYTES_MIN)
+		return fail(error, field,
+			    "not a number of at least 4096 bytes");
+	*bytes = value;
+	return true;
+}
+
+static bool get_store_limits(const json_t *json, mt_store_limits_t *limits,
+			     GError **error)
+{
+	limits->append_bytes = STORE_APPEND_DEFAULT_BYTES;
+	limits->record_bytes = STORE_RECORD_DEFAULT_BYTES;
+	if (!get_size(json, "store_append_bytes", &limits->append_bytes,
+		      error) ||
+	    !get_size(json, "store_record_bytes", &limits->record_bytes, error))
+		return false;
+	limits->append_bytes =
+		MIN(limits->append_bytes, STORE_APPEND_DEFAULT_BYTES);
+	return true;
+}
+
 static bool get_fields(const json_t *json, mt_entry_settings_t *settings,
 		       GError **error)
 {
@@ -134,6 +173,7 @@
 	       get_endpoint(json, "store", &settings->store, error) &&
 	       get_optional_endpoint(json, "advice", &settings->advice,
 				     error) &&
+	       get_store_limits(json, &settings->store_limits, error) &&
 	       get_durations(json, settings, error);
 }
 
--- a/programs/entryd/settings.h
+++ b/programs/entryd/settings.h
@@ -8,6 +8,7 @@
 
 #include "dag/engine.h"
 #include "kernel/name.h"
+#include "platform/store_http.h"
 
 typedef enum mt_entry_error_t {
 	MT_ENTRY_ERROR_UNREADABLE, /**< the file cannot be read */
@@ -23,10 +24,11 @@
 	mt_name_t dc;
 	uint32_t cores_milli;  /**< thousandths of a core that this host has */
 	mt_endpoint_t callers; /**< listens here for requests of clients */
-	mt_endpoint_t readiness;   /**< listens here for readiness checks */
-	mt_endpoint_t metrics;	   /**< listens here for requests of metrics */
-	mt_endpoint_t peers;	   /**< listens here for calls of other hosts */
-	mt_endpoint_t store;	   /**< see platform/store_http.h */
+	mt_endpoint_t readiness; /**< listens here for readiness checks */
+	mt_endpoint_t metrics;	 /**< listens here for requests of metrics */
+	mt_endpoint_t peers;	 /**< listens here for calls of other hosts */
+	mt_endpoint_t store;	 /**< see platform/store_http.h */
+	mt_store_limits_t store_limits;
 	mt_endpoint_t advice;	   /**< the policy service; port 0: none */
 	mt_ms_t config_age_max_ms; /**< API keys are trusted this long
 				     after the last update of the
--- a/tests/fleet/fake_store.c
+++ b/tests/fleet/fake_store.c
@@ -518,7 +518,8 @@
 void mt_fake_store_bind(mt_fake_store_t *store, mt_sim_host_t *host)
 {
 	(void)store;
-	host->store_port = (mt_store_port_t){host, append, read_topic, newest};
+	host->store_port =
+		(mt_store_port_t){host, append, read_topic, newest, 0, 0};
 }
 
 /* Simple text formats in place of the platform's JSON. */
--- a/tests/unit/test_config_relay.c
+++ b/tests/unit/test_config_relay.c
@@ -77,8 +77,8 @@
 	*fixture = (mt_relay_fixture_t){0};
 	fixture->timers = mt_timers_new(1000);
 	fixture->kernel = mt_kernel_new("test", fixture->timers, 1);
-	fixture->store =
-		(mt_store_port_t){fixture, NULL, count_read, count_newest};
+	fixture->store = (mt_store_port_t){fixture,	 NULL, count_read,
+					   count_newest, 0,    0};
 	fixture->peers = (mt_peer_port_t){fixture, NULL, keep_config_call};
 	deps.kernel = fixture->kernel;
 	deps.store = &fixture->store;
--- a/tests/unit/test_engine.c
+++ b/tests/unit/test_engine.c
@@ -227,8 +227,8 @@
 static void open_store(mt_capturing_store_t *store)
 {
 	*store = (mt_capturing_store_t){0};
-	store->port =
-		(mt_store_port_t){store, capture_append, NULL, defer_newest};
+	store->port = (mt_store_port_t){
+		store, capture_append, NULL, defer_newest, 0, 0};
 	store->written = g_string_new(NULL);
 }
 
@@ -279,6 +279,37 @@
 	mt_engine_fixture_close(&fixture);
 }
 
+/**
+ * Guards against: while the store is away, each pass adds the records of all
+ * changed jobs, without a limit (memory, LOST).
+ */
+static void writes_do_not_pile_up_while_the_store_is_away(void)
+{
+	mt_engine_fixture_t fixture;
+	mt_capturing_store_t store;
+	mt_writer_deps_t deps = {0};
+	mt_dag_job_t *job;
+
+	mt_engine_fixture_open(&fixture);
+	open_store(&store);
+	deps.kernel = fixture.kernel;
+	deps.store = &store.port;
+	deps.topic = MT_RECORDS_TOPIC;
+	deps.producer = "test";
+	fixture.engine->writer = mt_writer_new(&deps);
+	job = mt_engine_fixture_add_job(&fixture, 1, 2, 1);
+	for (unsigned i = 0; i < 100; i++) {
+		job->dirty = true;
+		mt_flush_changes(fixture.engine);
+	}
+	CU_ASSERT_TRUE(mt_writer_n_pending(fixture.engine->writer) < 10);
+	CU_ASSERT_TRUE(job->dirty);
+	mt_writer_close(fixture.engine->writer);
+	close_store(&store);
+	g_ptr_array_set_size(fixture.engine->flushes, 0);
+	mt_engine_fixture_close(&fixture);
+}
+
 static void apply_record(mt_table_t *table, mt_record_kind_t kind, uint64_t id,
 			 mt_str_t value, uint64_t offset)
 {
@@ -634,6 +665,8 @@
 	 a_cancellation_without_a_job_is_deleted_later},
 	{"a cancelled job is stopped at once",
 	 a_cancelled_job_is_stopped_at_once},
+	{"writes do not pile up while the store is away",
+	 writes_do_not_pile_up_while_the_store_is_away},
 	{"the record of an ended job has no payload",
 	 the_record_of_an_ended_job_has_no_payload},
 	{NULL, NULL},
--- a/tests/unit/test_follower.c
+++ b/tests/unit/test_follower.c
@@ -129,8 +129,8 @@
 	fixture->kernel = mt_kernel_new("test", fixture->timers, 1);
 	fixture->store.calls =
 		g_array_new(FALSE, FALSE, sizeof(mt_paged_call_t));
-	fixture->store.port = (mt_store_port_t){&fixture->store, NULL,
-						on_read_call, on_newest_call};
+	fixture->store.port = (mt_store_port_t){
+		&fixture->store, NULL, on_read_call, on_newest_call, 0, 0};
 	fixture->follower = mt_follower_new(
 		fixture->kernel, &fixture->store.port, "topic", 1000, &handler);
 }
--- a/tests/unit/test_front.c
+++ b/tests/unit/test_front.c
@@ -192,8 +192,8 @@
 	fixture->store.calls =
 		g_array_new(FALSE, FALSE, sizeof(mt_pending_call_t));
 	fixture->store.append_keys = g_string_new(NULL);
-	fixture->store.port = (mt_store_port_t){&fixture->store, defer_append,
-						defer_read, defer_newest};
+	fixture->store.port = (mt_store_port_t){
+		&fixture->store, defer_append, defer_read, defer_newest, 0, 0};
 	fixture->deps.kernel = fixture->kernel;
 	fixture->deps.table = mt_table_new(fixture->kernel);
 	fixture->deps.writer = new_writer(fixture);
@@ -576,7 +576,50 @@
 	tear_down(&fixture);
 }
 
+/** Decodes each body to the same job, with one step. */
+static MtDag__Job *decode_any_job(mt_str_t body)
+{
+	MtDag__Job job = MT_DAG__JOB__INIT;
+	MtDag__Step step = MT_DAG__STEP__INIT;
+	MtDag__Step *steps[] = {&step};
+	GBytes *bytes;
+	mt_str_t view;
+	MtDag__Job *copy;
+
+	(void)body;
+	step.count = 1;
+	job.n_steps = 1;
+	job.steps = steps;
+	bytes = mt_dag_pack(&job.base);
+	view = mt_bytes_view(bytes);
+	copy = mt_dag__job__unpack(NULL, view.len, (const uint8_t *)view.data);
+	g_bytes_unref(bytes);
+	return copy;
+}
+
+/**
+ * Guards against: a host accepts a job whose record the store does not take,
+ * repeats the append for ever, and answers no later call (UNASKED).
+ */
+static void a_job_that_cannot_be_stored_is_refused_at_once(void)
+{
+	mt_front_fixture_t fixture;
+
+	set_up_without_records(&fixture, 0);
+	fixture.deps.decode_job = decode_any_job;
+	fixture.deps.record_max_bytes = 20;
+	mt_dag_front_free(fixture.front);
+	fixture.front = mt_dag_front_new(&fixture.deps);
+	mt_dag_front_set_catalog(fixture.front, fixture.catalog);
+	send_call(&fixture, MT_VERB_SUBMIT);
+	CU_ASSERT_EQUAL(fixture.reply.outcome, MT_FRONT_OUTCOME_BAD_REQUEST);
+	CU_ASSERT_EQUAL(fixture.store.n_appends, 0);
+	tear_down(&fixture);
+}
+
 const mt_test_t mt_front_tests[] = {
+	{"a job that cannot be stored is refused at once",
+	 a_job_that_cannot_be_stored_is_refused_at_once},
 	{"a cancellation of an unknown job is stored first",
 	 a_cancellation_of_an_unknown_job_is_stored_first},
 	{"a cancellation with a lost write is unknown",
--- a/tests/unit/test_leadership.c
+++ b/tests/unit/test_leadership.c
@@ -141,8 +141,8 @@
 	fixture->kernel = mt_kernel_new("test", fixture->timers, 1);
 	fixture->appends =
 		g_array_new(FALSE, FALSE, sizeof(mt_pending_append_t));
-	fixture->store =
-		(mt_store_port_t){fixture, keep_append, keep_read, keep_newest};
+	fixture->store = (mt_store_port_t){fixture,	keep_append, keep_read,
+					   keep_newest, 0,	     0};
 	deps.kernel = fixture->kernel;
 	deps.store = &fixture->store;
 	deps.host = mt_name("host");
--- a/tests/unit/test_odd_entries.c
+++ b/tests/unit/test_odd_entries.c
@@ -114,7 +114,8 @@
 	mt_directory_t *directory;
 
 	mt_kernel_set_sink(kernel, ignore_line, NULL);
-	store.port = (mt_store_port_t){&store, NULL, keep_read, keep_newest};
+	store.port =
+		(mt_store_port_t){&store, NULL, keep_read, keep_newest, 0, 0};
 	store.servers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	directory =
--- a/tests/unit/test_writer.c
+++ b/tests/unit/test_writer.c
@@ -51,7 +51,8 @@
 	fixture->timers = mt_timers_new(1000);
 	fixture->kernel = mt_kernel_new("test", fixture->timers, 1);
 	fixture->keys = g_string_new(NULL);
-	fixture->port = (mt_store_port_t){fixture, keep_append, NULL, NULL};
+	fixture->port =
+		(mt_store_port_t){fixture, keep_append, NULL, NULL, 0, 0};
 	deps.kernel = fixture->kernel;
 	deps.store = &fixture->port;
 	deps.topic = "topic";
@@ -151,7 +152,31 @@
 	tear_down(&fixture);
 }
 
+/**
+ * Guards against: after an outage all that waits is written in one append,
+ * which is larger than the store accepts and is repeated for ever (LOST).
+ */
+static void a_batch_is_not_larger_than_the_store_takes(void)
+{
+	mt_writer_fixture_t fixture;
+
+	set_up(&fixture);
+	fixture.port.append_max_bytes =
+		2 * mt_store_record_size(MT_STR("job-1"), MT_STR("1"));
+	add(&fixture, "first", MT_WRITER_ALWAYS_RETRIES, NULL);
+	add(&fixture, "job-1", MT_WRITER_ALWAYS_RETRIES, NULL);
+	add(&fixture, "job-2", MT_WRITER_ALWAYS_RETRIES, NULL);
+	add(&fixture, "job-3", MT_WRITER_ALWAYS_RETRIES, NULL);
+	answer(&fixture, MT_STORE_DONE);
+	CU_ASSERT_STRING_EQUAL(fixture.keys->str, "job-1 job-2 ");
+	answer(&fixture, MT_STORE_DONE);
+	CU_ASSERT_STRING_EQUAL(fixture.keys->str, "job-3 ");
+	tear_down(&fixture);
+}
+
 const mt_test_t mt_writer_tests[] = {
+	{"a batch is not larger than the store takes",
+	 a_batch_is_not_larger_than_the_store_takes},
 	{"a submission without an outcome is given up",
 	 a_submission_without_an_outcome_is_given_up},
 	{"a cancellation beside an expired submission is kept",
