reports: a restarted server may have granted the longest lease

Cause: a start that reaches a server which has just restarted under its id carries an end of its lease by the clock of the former process, which is ahead. The server grants the longest lease it may (10 s); the leader counted 6 s, and started the task elsewhere when the server was cut off.

Change: when a restart is noticed and commands were sent by the former clock, the leases on the server count as over only after the longest one.

--- a/lib/dag/reports.c
+++ b/lib/dag/reports.c
@@ -111,6 +111,11 @@
 			"\"server\":\"%s\",\"tasks\":%u",
 			backend->info.target.id.text, backend->tasks->len);
 	backend->born_ms = born_ms;
+	/* The new process may have received a command with a lease by the old
+	 * process's clock, which is ahead. It grants the longest lease then. */
+	if (backend->clock_known)
+		mt_backend_note_lease(backend, mt_engine_now(engine),
+				      engine->deps.timings.lease_max_ms);
 	backend->clock_known = false;
 	backend->hold_answered = false;
 	backend->last_end_handled = 0;
--- a/programs/entryd/settings.c
+++ b/programs/entryd/settings.c
@@ -124,6 +124,7 @@
 	if (grace <= STOP_MARGIN_MS)
 		return fail(error, "stop_grace_s",
 			    "too short for a graceful stop");
+	timings->lease_max_ms = timings->lease_ms;
 	timings->lease_ms = MIN(timings->lease_ms, TASK_LEASE_MAX_MS);
 	timings->keep_ended_ms += KEEP_ENDED_MARGIN_MS;
 	settings->drain_ms = grace - STOP_MARGIN_MS;
--- a/tests/fleet/sim.c
+++ b/tests/fleet/sim.c
@@ -138,7 +138,7 @@
 	deps.cores_milli = index % 2 ? 500 : 120;
 	deps.config_age_max_ms = 2500;
 	/* lease_ms, stop_ms, restore_ms, keep_ended_ms, start_early_ms */
-	deps.timings = (mt_engine_timing_t){6000, 400, 100, 200000, 0};
+	deps.timings = (mt_engine_timing_t){6000, 10000, 400, 100, 200000, 0};
 	deps.wall_ms = wall_ms;
 	host->host = mt_dag_host_new(&deps);
 }
--- a/tests/unit/test_engine.c
+++ b/tests/unit/test_engine.c
@@ -537,6 +537,32 @@
 	mt_engine_fixture_close(&fixture);
 }
 
+/**
+ * Guards against: a start reaches a server that has just restarted, with a
+ * lease by the clock of its former process; the server is cut off, and the task
+ * is started elsewhere before that lease is over (TWICE).
+ */
+static void a_restarted_server_may_have_granted_a_longer_lease(void)
+{
+	mt_engine_fixture_t fixture;
+	mt_dag_task_t *task;
+
+	mt_engine_fixture_open(&fixture);
+	fixture.engine->deps.timings.lease_max_ms = 10000;
+	task = mt_engine_fixture_add_running_task(&fixture);
+	fixture.servers[0]->listed = false;
+	fixture.servers[0]->drift_start = 10000;
+	fixture.servers[0]->leases_expire_at = 16000;
+	mt_reports_server_restarted(fixture.engine, fixture.servers[0], 17);
+	mt_timers_advance(fixture.timers, 19900);
+	mt_commands_tick(fixture.engine, fixture.servers[0]);
+	CU_ASSERT_EQUAL(task->phase, MT_TASK_PHASE_RUNNING);
+	mt_timers_advance(fixture.timers, 21000);
+	mt_commands_tick(fixture.engine, fixture.servers[0]);
+	CU_ASSERT_EQUAL(task->phase, MT_TASK_PHASE_WAITING);
+	mt_engine_fixture_close(&fixture);
+}
+
 /**
  * A server is silent, but the platform lists it as alive. Its run may have
  * ended successfully, so that it is kept for a while after its lease.
@@ -644,6 +670,8 @@
 	 a_run_missing_from_a_cut_list_is_not_lost},
 	{"a long-running task that ends waits again",
 	 a_long_running_task_that_ends_waits_again},
+	{"a restarted server may have granted a longer lease",
+	 a_restarted_server_may_have_granted_a_longer_lease},
 	{"a listed server keeps its runs longer",
 	 a_listed_server_keeps_its_runs_longer},
 	{"a hold after a failed one deletes no ends",
