--- a/lib/dag/engine.h
+++ b/lib/dag/engine.h
@@ -18,7 +18,7 @@
 
 /** Durations, which come from the settings except where noted. */
 typedef struct mt_engine_timing_t {
-	mt_ms_t lease_ms;   /**< length of the leases of runs */
+	mt_ms_t lease_ms; /**< length of the leases of runs */
 	/** Longest lease that a server grants, whatever is requested. */
 	mt_ms_t lease_max_ms;
 	mt_ms_t stop_ms;    /**< time a server takes to stop a run; not used */
