runner: no run is recovered from a report older than its end

Cause: after a reclaim the run of a gang is dropped at once. Reports that were asked for before still list its ended tasks. Each made a run of one part, which could not be recovered and doubled the back-off of the job: eight times within 2 ms.

Change: the label of the last run that was unwound is remembered for each job; a reported task with this label is removed, not recovered. At most 10,000 labels.

Evidence: test_runner.c, an ended task of a dropped run is not recovered, fails without the change of recover.c (1 of 144).

--- a/lib/node/recover.c
+++ b/lib/node/recover.c
@@ -44,7 +44,20 @@
 	mt_run_part_apply_report(part, server, report);
 }
 
-/** Adds a task of an idempotent job to the job's run, created if needed. */
+/** True for the label of a run of the job that was unwound and dropped. */
+static bool was_unwound(const mt_runner_t *runner, const mt_job_t *job,
+			const mt_name_t *run_label)
+{
+	const mt_name_t *label = g_hash_table_lookup(runner->unwound, &job->id);
+
+	return label && mt_name_equal(label, run_label);
+}
+
+/**
+ * Adds a task of an idempotent job to the job's run, created if needed. A task
+ * of a run that this host has unwound is removed: the report may be older than
+ * that.
+ */
 static void recover_idempotent_task(mt_runner_t *runner,
 				    mt_fleet_server_t *server, mt_job_t *job,
 				    const mt_name_t *run_label,
@@ -53,6 +66,10 @@
 	mt_run_t *run = mt_runner_find(runner, &job->id);
 	mt_run_part_t part = {0};
 
+	if (!run && was_unwound(runner, job, run_label)) {
+		remove_stray_task(runner, server, report);
+		return;
+	}
 	if (!run) {
 		run = mt_run_new(runner, job, MT_PHASE_RECOVER);
 		run->run_label = *run_label;
--- a/lib/node/runner.c
+++ b/lib/node/runner.c
@@ -21,6 +21,8 @@
 	runner->deps = *deps;
 	runner->by_job = g_hash_table_new_full(
 		mt_job_id_hash, mt_job_id_key_equal, NULL, free_run);
+	runner->unwound = g_hash_table_new_full(
+		mt_job_id_hash, mt_job_id_key_equal, g_free, g_free);
 	runner->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
 	runner->by_task = g_hash_table_new_full(mt_name_hash, mt_name_key_equal,
 						g_free, NULL);
@@ -35,6 +37,7 @@
 	if (!runner)
 		return;
 	mt_runner_drop_all(runner);
+	g_hash_table_destroy(runner->unwound);
 	g_hash_table_destroy(runner->by_server);
 	g_hash_table_destroy(runner->by_task);
 	g_hash_table_destroy(runner->by_id);
--- a/lib/node/runner_internal.h
+++ b/lib/node/runner_internal.h
@@ -27,6 +27,9 @@
 	GHashTable *by_id;     /**< run id to mt_run_t */
 	GHashTable *by_task;   /**< task name to mt_run_t */
 	GHashTable *by_server; /**< server id to GPtrArray of mt_run_t */
+	/** Job id to the label (mt_name_t) of its last run that was unwound and
+	 * dropped, for the job to be started again. */
+	GHashTable *unwound;
 	uint64_t last_id;
 	bool jobs_loaded;    /**< see mt_runner_set_discovery_state() */
 	bool discovery_done; /**< see mt_runner_set_discovery_state() */
--- a/lib/node/unwind.c
+++ b/lib/node/unwind.c
@@ -3,6 +3,9 @@
 
 #include "node/runner_internal.h"
 
+/** The unwound runs are forgotten when there are this many. */
+#define UNWOUND_MAX 10000u
+
 void mt_run_unwind(mt_runner_t *runner, mt_run_t *run, mt_unwind_cause_t cause,
 		   const char *reason)
 {
@@ -161,6 +164,19 @@
 			      lost ? "server_lost" : run->reason);
 }
 
+/**
+ * Remembers the label of a run that is dropped: a report that was asked for
+ * before may still list its tasks, see recover_idempotent_task().
+ */
+static void remember_unwound(mt_runner_t *runner, const mt_run_t *run)
+{
+	if (g_hash_table_size(runner->unwound) >= UNWOUND_MAX)
+		g_hash_table_remove_all(runner->unwound);
+	g_hash_table_insert(runner->unwound,
+			    g_memdup2(&run->job, sizeof(run->job)),
+			    mt_name_dup(&run->run_label));
+}
+
 static void finish_idempotent(mt_runner_t *runner, mt_run_t *run)
 {
 	mt_ms_t now = mt_kernel_now(runner->deps.kernel);
@@ -180,6 +196,7 @@
 	}
 	if (run->cause == MT_CAUSE_REFUSED || run->cause == MT_CAUSE_LOST)
 		mt_health_back_off(runner->deps.health, &run->job_text, now);
+	remember_unwound(runner, run);
 	mt_run_forget_tasks(runner, run);
 	mt_run_drop(runner, run);
 }
--- a/tests/unit/test_runner.c
+++ b/tests/unit/test_runner.c
@@ -7,7 +7,7 @@
 #include <CUnit/Basic.h>
 #include <string.h>
 
-#include "node/runner.h"
+#include "node/runner_internal.h"
 #include "unit/tests.h"
 
 typedef struct mt_runner_fixture_t {
@@ -226,7 +226,7 @@
 	mt_timers_free(fixture->timers);
 }
 
-static mt_job_t *accept_non_idempotent_job(mt_runner_fixture_t *fixture)
+static mt_job_t *accept_job(mt_runner_fixture_t *fixture, bool idempotent)
 {
 	MtPb__Record record = MT_PB__RECORD__INIT;
 	MtPb__Accept accept = MT_PB__ACCEPT__INIT;
@@ -236,6 +236,7 @@
 	mt_job_id_t id = mt_job_id_derive(&account, MT_STR("charge-1"));
 
 	spec.kind = (char *)"charge";
+	spec.idempotent = idempotent;
 	spec.members = 1;
 	spec.memory_mb = 100;
 	spec.run_s = 1;
@@ -283,7 +284,7 @@
 	mt_job_t *job;
 
 	set_up(&fixture);
-	job = accept_non_idempotent_job(&fixture);
+	job = accept_job(&fixture, false);
 	start_on(&fixture, job, 0);
 	mt_timers_advance(fixture.timers, 1300);
 	CU_ASSERT_EQUAL(fixture.records->len, 1);
@@ -299,7 +300,7 @@
 	mt_job_t *job;
 
 	set_up(&fixture);
-	job = accept_non_idempotent_job(&fixture);
+	job = accept_job(&fixture, false);
 	start_on(&fixture, job, 0);
 	mt_timers_advance(fixture.timers, 1300);
 	/* Another host takes the lease of the server: this host ends the run,
@@ -327,7 +328,7 @@
 	mt_job_t *job;
 
 	set_up(&fixture);
-	job = accept_non_idempotent_job(&fixture);
+	job = accept_job(&fixture, false);
 	start_on(&fixture, job, 0);
 	mt_timers_advance(fixture.timers, 1300);
 	/* The fencing token changes before the claim is read back. */
@@ -339,7 +340,50 @@
 	tear_down(&fixture);
 }
 
+/** Unwinds the job's run, of which no start was sent; returns its task's name.
+ */
+static mt_name_t unwind_run(mt_runner_fixture_t *fixture, const mt_job_t *job)
+{
+	mt_run_t *run = mt_runner_find(fixture->runner, &job->id);
+	mt_name_t task = {0};
+
+	CU_ASSERT_PTR_NOT_NULL(run);
+	if (!run)
+		return task;
+	task = mt_run_task_name(run, 0);
+	mt_run_part(run, 0)->stopped = true;
+	mt_run_unwind(fixture->runner, run, MT_CAUSE_RECLAIM, "reclaimed");
+	return task;
+}
+
+/**
+ * Guards against: a report that was asked for before a run was dropped still
+ * lists its ended task, a run is recovered from it, and the job is backed off
+ * again and again (a gang that waits over 30 s on idle servers).
+ */
+static void an_ended_task_of_a_dropped_run_is_not_recovered(void)
+{
+	mt_runner_fixture_t fixture;
+	mt_job_t *job;
+	mt_task_report_t report = {.state = MT_TASK_STOPPED, .members = 1};
+	mt_name_t server = mt_name("gpu-a");
+
+	set_up(&fixture);
+	mt_runner_set_discovery_state(fixture.runner, true, true);
+	job = accept_job(&fixture, true);
+	start_on(&fixture, job, 0);
+	report.task = unwind_run(&fixture, job);
+	report.servers = 2;
+	CU_ASSERT_PTR_NULL(mt_runner_find(fixture.runner, &job->id));
+	mt_runner_on_stray_task(fixture.runner,
+				mt_fleet_find(fixture.fleet, &server), &report);
+	CU_ASSERT_PTR_NULL(mt_runner_find(fixture.runner, &job->id));
+	tear_down(&fixture);
+}
+
 const mt_test_t mt_runner_tests[] = {
+	{"an ended task of a dropped run is not recovered",
+	 an_ended_task_of_a_dropped_run_is_not_recovered},
 	{"a start waits until its claim is read back",
 	 a_start_waits_until_its_claim_is_read_back},
 	{"a claim of an earlier run permits no start",
