--- a/lib/dag/candidates.c
+++ b/lib/dag/candidates.c
@@ -163,12 +163,15 @@
 		mt_candidate_step_t candidate = {step, 0, false, 0, 0, false};
 
 		if (step->n_done == step->spec->count ||
-		    !is_due(planner, step) || !mt_dag_step_is_ready(step) ||
-		    !is_worth_starting(planner, step))
+		    !is_due(planner, step) || !mt_dag_step_is_ready(step))
 			continue;
 		candidate.count = count_waiting(step);
 		if (!candidate.count)
 			continue;
+		if (!is_worth_starting(planner, step)) {
+			planner->n_held_back++;
+			continue;
+		}
 		candidate.guaranteed =
 			g_hash_table_contains(planner->guaranteed, job);
 		candidate.latest_start_ms = latest_start(job);
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -542,7 +542,7 @@
 	planner.candidates =
 		g_array_new(FALSE, FALSE, sizeof(mt_candidate_step_t));
 	mt_candidates_collect(&planner);
-	if (planner.candidates->len) {
+	if (planner.candidates->len || planner.n_held_back) {
 		collect_servers(&planner);
 		build_units(&planner);
 		collect_victims(&planner);
--- a/lib/dag/planner_internal.h
+++ b/lib/dag/planner_internal.h
@@ -35,6 +35,9 @@
 	bool contended;
 	/** Most of the service is idle, see UNDERUSED_SHARE in candidates.c. */
 	bool underused;
+	/** Steps that are not started, as their tasks would probably be
+	 * preempted before they end. */
+	unsigned n_held_back;
 	GPtrArray *backends; /**< mt_backend_t, in the order of plan.servers */
 	/** Maps mt_backend_t to its index in `backends` plus one. */
 	GHashTable *backend_index;
@@ -61,8 +64,9 @@
 bool mt_wait_log_is_due(mt_engine_t *engine);
 
 /**
- * Logs the first steps, in scheduling order, that have waited for long and of
- * which the plan has placed no task. Nothing is logged if there are none.
+ * Logs the state of the service, and the first steps, in scheduling order, that
+ * have waited for long and of which the plan has placed no task. Nothing is
+ * logged if there are no such steps and none is held back.
  */
 void mt_wait_log_write(const mt_planner_t *planner);
 
--- a/lib/dag/wait_log.c
+++ b/lib/dag/wait_log.c
@@ -62,13 +62,15 @@
 	}
 	mt_kernel_event(
 		planner->engine->deps.kernel, "service_waits",
-		"\"service\":\"%s\",\"candidates\":%u,\"listed\":%u,"
+		"\"service\":\"%s\",\"candidates\":%u,\"held_back\":%u,"
+		"\"listed\":%u,"
 		"\"usable\":%u,\"draining\":%u,\"silent\":%u,"
 		"\"avoided\":%u,\"suspect\":%u,\"cores\":%.0f,\"used\":%.0f,"
 		"\"contended\":%s",
-		planner->service->text, planner->candidates->len, counts.listed,
-		counts.usable, counts.draining, counts.silent, counts.avoided,
-		counts.suspect, counts.cores, counts.cores_used,
+		planner->service->text, planner->candidates->len,
+		planner->n_held_back, counts.listed, counts.usable,
+		counts.draining, counts.silent, counts.avoided, counts.suspect,
+		counts.cores, counts.cores_used,
 		planner->contended ? "true" : "false");
 }
 
@@ -113,6 +115,8 @@
 {
 	unsigned n_logged = 0;
 
+	if (planner->n_held_back)
+		log_service(planner);
 	for (guint i = 0; i < planner->candidates->len; i++) {
 		const mt_candidate_step_t *candidate = &g_array_index(
 			planner->candidates, mt_candidate_step_t, i);
@@ -120,7 +124,7 @@
 		if (candidate->waited_ms <= LOGGED_WAIT_MS ||
 		    planner->plan.units[i].placed)
 			continue;
-		if (!n_logged)
+		if (!n_logged && !planner->n_held_back)
 			log_service(planner);
 		if (n_logged++ >= LOGGED_STEPS_MAX)
 			return;
