reports: the success of a run given up counts

Cause: an end `done` of a run counts after the run was given up, but not any more once the next run is placed; it was then even permitted to be deleted, and further runs were started.

Change: such an end finishes the task, and its present run is stopped. Gangs are left out.

Evidence: test_engine.c, the success of a run given up counts, fails without the change (1 of 145).

--- a/lib/dag/reports.c
+++ b/lib/dag/reports.c
@@ -157,6 +157,33 @@
 	mt_dag_job_update_state(job);
 }
 
+/**
+ * True for the success of an earlier run than the present one: that run was
+ * given up as lost, but its work is done. Members of a gang are left out, as
+ * the present run of the whole gang would have to be stopped.
+ */
+static bool is_late_success(const mt_dag_task_t *task,
+			    const mt_ended_run_t *ended)
+{
+	return ended->run < task->run && !task->step->spec->gang &&
+	       task->phase != MT_TASK_PHASE_DONE &&
+	       finishes_task(task, ended->reason);
+}
+
+/** Finishes a task whose earlier run has succeeded, and stops its present run.
+ */
+static void apply_late_success(mt_engine_t *engine, mt_dag_task_t *task)
+{
+	mt_task_key_t key = mt_dag_task_key(task);
+
+	if (task->server && task->placement_stored &&
+	    task->server->info.target.port)
+		mt_commands_stop_stray(engine, task->server, &key, task->run);
+	task->step->job->begun = true;
+	mt_dag_task_finish(task);
+	mt_dag_job_update_state(task->step->job);
+}
+
 static void on_ended_run(mt_engine_t *engine, mt_backend_t *backend,
 			 const mt_ended_run_t *ended)
 {
@@ -172,6 +199,10 @@
 			ended->task.job, ended->task.step, ended->task.index,
 			ended->run, backend->info.target.id.text, ended->reason,
 			task && task->run == ended->run ? "true" : "false");
+	if (task && is_late_success(task, ended)) {
+		apply_late_success(engine, task);
+		return;
+	}
 	if (!task || task->run != ended->run)
 		return;
 	if (task->server && task->server != backend)
--- a/tests/unit/test_engine.c
+++ b/tests/unit/test_engine.c
@@ -515,6 +515,31 @@
 	mt_engine_fixture_close(&fixture);
 }
 
+/**
+ * Guards against: a run that was given up as lost has succeeded, which its
+ * server lists when it is reached again, but the task runs once more and may be
+ * started yet again (TWICE).
+ */
+static void the_success_of_a_run_given_up_counts(void)
+{
+	mt_engine_fixture_t fixture;
+	mt_dag_task_t *task;
+	mt_ended_run_t ended;
+	mt_backend_answer_t answer;
+
+	mt_engine_fixture_open(&fixture);
+	task = mt_engine_fixture_add_running_task(&fixture);
+	answer = success_of(task, &ended);
+	mt_reports_run_lost(fixture.engine, task, "lease over");
+	mt_dag_task_place(task, fixture.servers[1], 2, 10000);
+	task->placement_stored = true;
+	mt_reports_apply_ends(fixture.engine, fixture.servers[0], &answer);
+	CU_ASSERT_EQUAL(task->phase, MT_TASK_PHASE_DONE);
+	CU_ASSERT_EQUAL(task->step->job->state, MT_DAG__STATE__COMPLETED);
+	CU_ASSERT_EQUAL(fixture.stops, 1);
+	mt_engine_fixture_close(&fixture);
+}
+
 /**
  * Guards against: a long-running task ends `done`, is not started again, and
  * its job is shown as completed (LOST).
@@ -668,6 +693,8 @@
 	 an_overtaken_report_gives_no_run_up},
 	{"a run missing from a cut list is not lost",
 	 a_run_missing_from_a_cut_list_is_not_lost},
+	{"the success of a run given up counts",
+	 the_success_of_a_run_given_up_counts},
 	{"a long-running task that ends waits again",
 	 a_long_running_task_that_ends_waits_again},
 	{"a restarted server may have granted a longer lease",
