--- a/lib/net/json_repair.c
+++ b/lib/net/json_repair.c
@@ -1,9 +1,10 @@
 /** @file json_repair.c Replaces the unreadable parts of JSON text. */
 #include "net/json_repair.h"
 
-#include <jansson.h>
 #include <string.h>
 
+#include "net/json_util.h"
+
 /** Arrays and objects nested deeper than this are replaced. */
 #define DEPTH_MAX 64u
 
@@ -132,3 +133,16 @@
 	g_free(valid);
 	return g_string_free(scan.out, FALSE);
 }
+
+json_t *mt_json_parse_list(mt_str_t body)
+{
+	json_t *json = mt_json_parse(body);
+	char *repaired;
+
+	if (json || !body.len)
+		return json;
+	repaired = mt_json_repair(body);
+	json = json_loads(repaired, 0, NULL);
+	g_free(repaired);
+	return json;
+}
--- a/lib/net/json_repair.h
+++ b/lib/net/json_repair.h
@@ -6,6 +6,8 @@
 #ifndef MT_NET_JSON_REPAIR_H
 #define MT_NET_JSON_REPAIR_H
 
+#include <jansson.h>
+
 #include "kernel/name.h"
 
 /**
@@ -18,4 +20,11 @@
  */
 char *mt_json_repair(mt_str_t text);
 
+/**
+ * Parses like mt_json_parse(), but makes up for parts that cannot be read, see
+ * mt_json_repair(); of duplicate keys the last one counts. For lists to which
+ * others contribute. NULL if the text as a whole is malformed.
+ */
+json_t *mt_json_parse_list(mt_str_t body);
+
 #endif
--- a/lib/net/json_util.c
+++ b/lib/net/json_util.c
@@ -1,8 +1,6 @@
 /** @file json_util.c Typed access to jansson values. */
 #include "net/json_util.h"
 
-#include "net/json_repair.h"
-
 #include <string.h>
 
 json_t *mt_json_parse(mt_str_t body)
@@ -10,19 +8,6 @@
 	return json_loadb(body.data, body.len, JSON_REJECT_DUPLICATES, NULL);
 }
 
-json_t *mt_json_parse_list(mt_str_t body)
-{
-	json_t *json = mt_json_parse(body);
-	char *repaired;
-
-	if (json || !body.len)
-		return json;
-	repaired = mt_json_repair(body);
-	json = json_loads(repaired, 0, NULL);
-	g_free(repaired);
-	return json;
-}
-
 bool mt_json_get_name(const json_t *object, const char *key, mt_name_t *name)
 {
 	const json_t *value = json_object_get(object, key);
--- a/lib/net/json_util.h
+++ b/lib/net/json_util.h
@@ -14,13 +14,6 @@
 /** Parses an object or array; NULL if malformed or with duplicate keys. */
 json_t *mt_json_parse(mt_str_t body);
 
-/**
- * Parses like mt_json_parse(), but makes up for parts that cannot be read, see
- * json_repair.h; of duplicate keys the last one counts. For lists to which
- * others contribute. NULL if the text as a whole is malformed.
- */
-json_t *mt_json_parse_list(mt_str_t body);
-
 bool mt_json_get_name(const json_t *object, const char *key, mt_name_t *name);
 bool mt_json_get_u64(const json_t *object, const char *key, uint64_t *value);
 bool mt_json_get_u32(const json_t *object, const char *key, uint32_t *value);
