planner: no step is held back for long on an underused service

A step without checkpoints is not started on a contended service if its tasks would probably be preempted. A service counts as contended when over 70% of its cores or of its accelerators are in use, so that jobs stood still when only one of the two was scarce, for as long as preemptions went on.

Change: while nothing of its job runs and the service is underused (less than 60% of cores and accelerators together), a step is held back for 1.5 s at most.

Evidence: test_planner.c, a job is not held back for long on an underused service, fails without the change (1 of 146).

--- a/lib/dag/candidates.c
+++ b/lib/dag/candidates.c
@@ -17,9 +17,9 @@
 
 /**
  * On an underused service, a step of a job of which nothing runs is overdue
- * after waiting this long. It must not wait any longer for room that is
- * reserved for others, for room in a preferred rack, or until servers are no
- * longer suspect.
+ * after waiting this long, and is no longer held back. It must not wait any
+ * longer for room that is reserved for others, for room in a preferred rack, or
+ * until servers are no longer suspect.
  */
 #define OVERDUE_MS 1500u
 
@@ -155,6 +155,23 @@
 	       SURVIVAL_PROBABILITY_MIN;
 }
 
+/**
+ * True if the step is held back, as it is not worth starting. Not for long
+ * while nothing of its job runs and the service is underused: one of its
+ * resources may be scarce then, but most of the room is idle.
+ */
+static bool is_held_back(const mt_planner_t *planner, mt_dag_step_t *step)
+{
+	if (is_worth_starting(planner, step)) {
+		step->held_back_since = 0;
+		return false;
+	}
+	if (!step->held_back_since)
+		step->held_back_since = planner->now;
+	return !planner->underused || mt_dag_job_n_placed(step->job) ||
+	       planner->now - step->held_back_since <= OVERDUE_MS;
+}
+
 /** Adds the steps of the job that have waiting tasks which may start now. */
 static void add_steps(mt_planner_t *planner, mt_dag_job_t *job)
 {
@@ -168,7 +185,7 @@
 		candidate.count = count_waiting(step);
 		if (!candidate.count)
 			continue;
-		if (!is_worth_starting(planner, step)) {
+		if (is_held_back(planner, step)) {
 			planner->n_held_back++;
 			continue;
 		}
--- a/lib/dag/job_model.h
+++ b/lib/dag/job_model.h
@@ -99,6 +99,9 @@
 	 * last placed; 0: not set. The planner sets this member, and clears it
 	 * when it places a task of the step. */
 	mt_ms_t waiting_since;
+	/** Local time since which it is held back, see candidates.c; 0: it is
+	 * not. */
+	mt_ms_t held_back_since;
 	unsigned n_stalls;  /**< how often runs of it have stalled */
 	mt_ms_t stalled_at; /**< local time of the last stall; 0: none */
 	GQuark label;	    /**< required label of the servers; 0: any */
--- a/tests/unit/test_planner.c
+++ b/tests/unit/test_planner.c
@@ -159,6 +159,28 @@
 	mt_engine_fixture_close(&fixture);
 }
 
+/**
+ * Guards against: jobs stand still for long, since they would probably be
+ * preempted, on a service of which only the cores are scarce (LOST).
+ */
+static void a_job_is_not_held_back_for_long_on_an_underused_service(void)
+{
+	mt_engine_fixture_t fixture;
+	mt_dag_job_t *job;
+
+	mt_engine_fixture_open(&fixture);
+	mt_survival_add_running_time(&fixture.engine->survival, 2, 100);
+	for (unsigned i = 0; i < 100; i++)
+		mt_survival_add_preemption(&fixture.engine->survival, 2);
+	for (unsigned i = 0; i < MT_ENGINE_FIXTURE_SERVERS; i++)
+		fixture.servers[i]->used.cpu_milli = 46000; /* of 64000 */
+	job = mt_engine_fixture_add_job(&fixture, 2, 2, 1);
+	CU_ASSERT_FALSE(is_placed_next(&fixture, job));
+	mt_timers_advance(fixture.timers, 10000 + LONG_WAIT_MS);
+	CU_ASSERT_TRUE(is_placed_next(&fixture, job));
+	mt_engine_fixture_close(&fixture);
+}
+
 /** Keeps the requests for tickets that the engine sends. */
 static void count_request(void *self, const mt_advice_request_t *request,
 			  mt_advice_cb cb, void *ctx)
@@ -204,6 +226,8 @@
 	 a_gang_keeps_no_server_beside_a_long_running_task},
 	{"an idle server is not kept for long",
 	 an_idle_server_is_not_kept_for_long},
+	{"a job is not held back for long on an underused service",
+	 a_job_is_not_held_back_for_long_on_an_underused_service},
 	{"an overdue job may use suspect servers",
 	 an_overdue_job_may_use_suspect_servers},
 	{"a suspect server comes last", a_suspect_server_comes_last},
