--- a/lib/dag/dag.pb-c.c
+++ b/lib/dag/dag.pb-c.c
@@ -277,6 +277,231 @@
   assert(message->base.descriptor == &mt_dag__leader__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mt_dag__pressure__init
+                     (MtDag__Pressure         *message)
+{
+  static const MtDag__Pressure init_value = MT_DAG__PRESSURE__INIT;
+  *message = init_value;
+}
+size_t mt_dag__pressure__get_packed_size
+                     (const MtDag__Pressure *message)
+{
+  assert(message->base.descriptor == &mt_dag__pressure__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mt_dag__pressure__pack
+                     (const MtDag__Pressure *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mt_dag__pressure__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mt_dag__pressure__pack_to_buffer
+                     (const MtDag__Pressure *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mt_dag__pressure__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+MtDag__Pressure *
+       mt_dag__pressure__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (MtDag__Pressure *)
+     protobuf_c_message_unpack (&mt_dag__pressure__descriptor,
+                                allocator, len, data);
+}
+void   mt_dag__pressure__free_unpacked
+                     (MtDag__Pressure *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mt_dag__pressure__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mt_dag__priority_load__init
+                     (MtDag__PriorityLoad         *message)
+{
+  static const MtDag__PriorityLoad init_value = MT_DAG__PRIORITY_LOAD__INIT;
+  *message = init_value;
+}
+size_t mt_dag__priority_load__get_packed_size
+                     (const MtDag__PriorityLoad *message)
+{
+  assert(message->base.descriptor == &mt_dag__priority_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mt_dag__priority_load__pack
+                     (const MtDag__PriorityLoad *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mt_dag__priority_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mt_dag__priority_load__pack_to_buffer
+                     (const MtDag__PriorityLoad *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mt_dag__priority_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+MtDag__PriorityLoad *
+       mt_dag__priority_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (MtDag__PriorityLoad *)
+     protobuf_c_message_unpack (&mt_dag__priority_load__descriptor,
+                                allocator, len, data);
+}
+void   mt_dag__priority_load__free_unpacked
+                     (MtDag__PriorityLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mt_dag__priority_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mt_dag__account_load__init
+                     (MtDag__AccountLoad         *message)
+{
+  static const MtDag__AccountLoad init_value = MT_DAG__ACCOUNT_LOAD__INIT;
+  *message = init_value;
+}
+size_t mt_dag__account_load__get_packed_size
+                     (const MtDag__AccountLoad *message)
+{
+  assert(message->base.descriptor == &mt_dag__account_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mt_dag__account_load__pack
+                     (const MtDag__AccountLoad *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mt_dag__account_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mt_dag__account_load__pack_to_buffer
+                     (const MtDag__AccountLoad *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mt_dag__account_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+MtDag__AccountLoad *
+       mt_dag__account_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (MtDag__AccountLoad *)
+     protobuf_c_message_unpack (&mt_dag__account_load__descriptor,
+                                allocator, len, data);
+}
+void   mt_dag__account_load__free_unpacked
+                     (MtDag__AccountLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mt_dag__account_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mt_dag__speeds__init
+                     (MtDag__Speeds         *message)
+{
+  static const MtDag__Speeds init_value = MT_DAG__SPEEDS__INIT;
+  *message = init_value;
+}
+size_t mt_dag__speeds__get_packed_size
+                     (const MtDag__Speeds *message)
+{
+  assert(message->base.descriptor == &mt_dag__speeds__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mt_dag__speeds__pack
+                     (const MtDag__Speeds *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mt_dag__speeds__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mt_dag__speeds__pack_to_buffer
+                     (const MtDag__Speeds *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mt_dag__speeds__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+MtDag__Speeds *
+       mt_dag__speeds__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (MtDag__Speeds *)
+     protobuf_c_message_unpack (&mt_dag__speeds__descriptor,
+                                allocator, len, data);
+}
+void   mt_dag__speeds__free_unpacked
+                     (MtDag__Speeds *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mt_dag__speeds__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mt_dag__server_speed__init
+                     (MtDag__ServerSpeed         *message)
+{
+  static const MtDag__ServerSpeed init_value = MT_DAG__SERVER_SPEED__INIT;
+  *message = init_value;
+}
+size_t mt_dag__server_speed__get_packed_size
+                     (const MtDag__ServerSpeed *message)
+{
+  assert(message->base.descriptor == &mt_dag__server_speed__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mt_dag__server_speed__pack
+                     (const MtDag__ServerSpeed *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mt_dag__server_speed__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mt_dag__server_speed__pack_to_buffer
+                     (const MtDag__ServerSpeed *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mt_dag__server_speed__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+MtDag__ServerSpeed *
+       mt_dag__server_speed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (MtDag__ServerSpeed *)
+     protobuf_c_message_unpack (&mt_dag__server_speed__descriptor,
+                                allocator, len, data);
+}
+void   mt_dag__server_speed__free_unpacked
+                     (MtDag__ServerSpeed *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mt_dag__server_speed__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mt_dag__host__init
                      (MtDag__Host         *message)
 {
@@ -1244,7 +1469,7 @@
   (ProtobufCMessageInit) mt_dag__progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mt_dag__leader__field_descriptors[6] =
+static const ProtobufCFieldDescriptor mt_dag__leader__field_descriptors[7] =
 {
   {
     "host",
@@ -1318,19 +1543,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pressure",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(MtDag__Leader, n_pressure),
+    offsetof(MtDag__Leader, pressure),
+    &mt_dag__pressure__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mt_dag__leader__field_indices_by_name[] = {
   4,   /* field[4] = address */
   0,   /* field[0] = host */
   1,   /* field[1] = incarnation */
   5,   /* field[5] = port */
+  6,   /* field[6] = pressure */
   3,   /* field[3] = released */
   2,   /* field[2] = term */
 };
 static const ProtobufCIntRange mt_dag__leader__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor mt_dag__leader__descriptor =
 {
@@ -1340,13 +1578,346 @@
   "MtDag__Leader",
   "mt_dag",
   sizeof(MtDag__Leader),
-  6,
+  7,
   mt_dag__leader__field_descriptors,
   mt_dag__leader__field_indices_by_name,
   1,  mt_dag__leader__number_ranges,
   (ProtobufCMessageInit) mt_dag__leader__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor mt_dag__pressure__field_descriptors[4] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__Pressure, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "capacity_millicores",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__Pressure, capacity_millicores),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loads",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(MtDag__Pressure, n_loads),
+    offsetof(MtDag__Pressure, loads),
+    &mt_dag__priority_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accounts",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(MtDag__Pressure, n_accounts),
+    offsetof(MtDag__Pressure, accounts),
+    &mt_dag__account_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mt_dag__pressure__field_indices_by_name[] = {
+  3,   /* field[3] = accounts */
+  1,   /* field[1] = capacity_millicores */
+  2,   /* field[2] = loads */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange mt_dag__pressure__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor mt_dag__pressure__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mt_dag.Pressure",
+  "Pressure",
+  "MtDag__Pressure",
+  "mt_dag",
+  sizeof(MtDag__Pressure),
+  4,
+  mt_dag__pressure__field_descriptors,
+  mt_dag__pressure__field_indices_by_name,
+  1,  mt_dag__pressure__number_ranges,
+  (ProtobufCMessageInit) mt_dag__pressure__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mt_dag__priority_load__field_descriptors[4] =
+{
+  {
+    "priority",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__PriorityLoad, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting_core_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__PriorityLoad, waiting_core_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running_core_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__PriorityLoad, running_core_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "drained_core_ms_per_s",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__PriorityLoad, drained_core_ms_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mt_dag__priority_load__field_indices_by_name[] = {
+  3,   /* field[3] = drained_core_ms_per_s */
+  0,   /* field[0] = priority */
+  2,   /* field[2] = running_core_ms */
+  1,   /* field[1] = waiting_core_ms */
+};
+static const ProtobufCIntRange mt_dag__priority_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor mt_dag__priority_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mt_dag.PriorityLoad",
+  "PriorityLoad",
+  "MtDag__PriorityLoad",
+  "mt_dag",
+  sizeof(MtDag__PriorityLoad),
+  4,
+  mt_dag__priority_load__field_descriptors,
+  mt_dag__priority_load__field_indices_by_name,
+  1,  mt_dag__priority_load__number_ranges,
+  (ProtobufCMessageInit) mt_dag__priority_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mt_dag__account_load__field_descriptors[2] =
+{
+  {
+    "account",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__AccountLoad, account),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "borrowed_millicores",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__AccountLoad, borrowed_millicores),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mt_dag__account_load__field_indices_by_name[] = {
+  0,   /* field[0] = account */
+  1,   /* field[1] = borrowed_millicores */
+};
+static const ProtobufCIntRange mt_dag__account_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mt_dag__account_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mt_dag.AccountLoad",
+  "AccountLoad",
+  "MtDag__AccountLoad",
+  "mt_dag",
+  sizeof(MtDag__AccountLoad),
+  2,
+  mt_dag__account_load__field_descriptors,
+  mt_dag__account_load__field_indices_by_name,
+  1,  mt_dag__account_load__number_ranges,
+  (ProtobufCMessageInit) mt_dag__account_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mt_dag__speeds__field_descriptors[2] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__Speeds, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(MtDag__Speeds, n_servers),
+    offsetof(MtDag__Speeds, servers),
+    &mt_dag__server_speed__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mt_dag__speeds__field_indices_by_name[] = {
+  1,   /* field[1] = servers */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange mt_dag__speeds__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mt_dag__speeds__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mt_dag.Speeds",
+  "Speeds",
+  "MtDag__Speeds",
+  "mt_dag",
+  sizeof(MtDag__Speeds),
+  2,
+  mt_dag__speeds__field_descriptors,
+  mt_dag__speeds__field_indices_by_name,
+  1,  mt_dag__speeds__number_ranges,
+  (ProtobufCMessageInit) mt_dag__speeds__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mt_dag__server_speed__field_descriptors[4] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__ServerSpeed, server),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__ServerSpeed, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log2_permille",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT32,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__ServerSpeed, log2_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "error_permille",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__ServerSpeed, error_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mt_dag__server_speed__field_indices_by_name[] = {
+  1,   /* field[1] = born_ms */
+  3,   /* field[3] = error_permille */
+  2,   /* field[2] = log2_permille */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange mt_dag__server_speed__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor mt_dag__server_speed__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mt_dag.ServerSpeed",
+  "ServerSpeed",
+  "MtDag__ServerSpeed",
+  "mt_dag",
+  sizeof(MtDag__ServerSpeed),
+  4,
+  mt_dag__server_speed__field_descriptors,
+  mt_dag__server_speed__field_indices_by_name,
+  1,  mt_dag__server_speed__number_ranges,
+  (ProtobufCMessageInit) mt_dag__server_speed__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor mt_dag__host__field_descriptors[2] =
 {
   {
--- a/lib/dag/dag.pb-c.h
+++ b/lib/dag/dag.pb-c.h
@@ -21,6 +21,11 @@
 typedef struct MtDag__Placement MtDag__Placement;
 typedef struct MtDag__Progress MtDag__Progress;
 typedef struct MtDag__Leader MtDag__Leader;
+typedef struct MtDag__Pressure MtDag__Pressure;
+typedef struct MtDag__PriorityLoad MtDag__PriorityLoad;
+typedef struct MtDag__AccountLoad MtDag__AccountLoad;
+typedef struct MtDag__Speeds MtDag__Speeds;
+typedef struct MtDag__ServerSpeed MtDag__ServerSpeed;
 typedef struct MtDag__Host MtDag__Host;
 typedef struct MtDag__SlotHolder MtDag__SlotHolder;
 typedef struct MtDag__PeerCall MtDag__PeerCall;
@@ -271,10 +276,110 @@
    */
   char *address;
   uint32_t port;
+  /*
+   * by service; none without contention
+   */
+  size_t n_pressure;
+  MtDag__Pressure **pressure;
 };
 #define MT_DAG__LEADER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mt_dag__leader__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL }
+
+
+/*
+ * Load of one service, as the leader saw it when it wrote the leader record.
+ */
+struct  MtDag__Pressure
+{
+  ProtobufCMessage base;
+  char *service;
+  /*
+   * cores and accelerators, see MT_CORES_PER_GPU
+   */
+  uint64_t capacity_millicores;
+  size_t n_loads;
+  MtDag__PriorityLoad **loads;
+  /*
+   * those that use more than they guarantee
+   */
+  size_t n_accounts;
+  MtDag__AccountLoad **accounts;
+};
+#define MT_DAG__PRESSURE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mt_dag__pressure__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL }
+
+
+/*
+ * Work of one priority that waits for its start or runs.
+ */
+struct  MtDag__PriorityLoad
+{
+  ProtobufCMessage base;
+  uint32_t priority;
+  uint64_t waiting_core_ms;
+  uint64_t running_core_ms;
+  /*
+   * rate at which work of it was completed
+   */
+  uint64_t drained_core_ms_per_s;
+};
+#define MT_DAG__PRIORITY_LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mt_dag__priority_load__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+/*
+ * Use of one client account beyond its guarantee.
+ */
+struct  MtDag__AccountLoad
+{
+  ProtobufCMessage base;
+  char *account;
+  uint64_t borrowed_millicores;
+};
+#define MT_DAG__ACCOUNT_LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mt_dag__account_load__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * What the leader has learned of the speeds of servers, see speed.h. The key of
+ * the record is the hash of the service's name.
+ */
+struct  MtDag__Speeds
+{
+  ProtobufCMessage base;
+  char *service;
+  size_t n_servers;
+  MtDag__ServerSpeed **servers;
+};
+#define MT_DAG__SPEEDS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mt_dag__speeds__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL }
+
+
+struct  MtDag__ServerSpeed
+{
+  ProtobufCMessage base;
+  char *server;
+  /*
+   * start time of the server process; 0: unknown
+   */
+  int64_t born_ms;
+  /*
+   * 1000 * binary logarithm of the speed
+   */
+  int32_t log2_permille;
+  /*
+   * standard error of that logarithm, times 1000
+   */
+  uint32_t error_permille;
+};
+#define MT_DAG__SERVER_SPEED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mt_dag__server_speed__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
@@ -523,6 +628,101 @@
 void   mt_dag__leader__free_unpacked
                      (MtDag__Leader *message,
                       ProtobufCAllocator *allocator);
+/* MtDag__Pressure methods */
+void   mt_dag__pressure__init
+                     (MtDag__Pressure         *message);
+size_t mt_dag__pressure__get_packed_size
+                     (const MtDag__Pressure   *message);
+size_t mt_dag__pressure__pack
+                     (const MtDag__Pressure   *message,
+                      uint8_t             *out);
+size_t mt_dag__pressure__pack_to_buffer
+                     (const MtDag__Pressure   *message,
+                      ProtobufCBuffer     *buffer);
+MtDag__Pressure *
+       mt_dag__pressure__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mt_dag__pressure__free_unpacked
+                     (MtDag__Pressure *message,
+                      ProtobufCAllocator *allocator);
+/* MtDag__PriorityLoad methods */
+void   mt_dag__priority_load__init
+                     (MtDag__PriorityLoad         *message);
+size_t mt_dag__priority_load__get_packed_size
+                     (const MtDag__PriorityLoad   *message);
+size_t mt_dag__priority_load__pack
+                     (const MtDag__PriorityLoad   *message,
+                      uint8_t             *out);
+size_t mt_dag__priority_load__pack_to_buffer
+                     (const MtDag__PriorityLoad   *message,
+                      ProtobufCBuffer     *buffer);
+MtDag__PriorityLoad *
+       mt_dag__priority_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mt_dag__priority_load__free_unpacked
+                     (MtDag__PriorityLoad *message,
+                      ProtobufCAllocator *allocator);
+/* MtDag__AccountLoad methods */
+void   mt_dag__account_load__init
+                     (MtDag__AccountLoad         *message);
+size_t mt_dag__account_load__get_packed_size
+                     (const MtDag__AccountLoad   *message);
+size_t mt_dag__account_load__pack
+                     (const MtDag__AccountLoad   *message,
+                      uint8_t             *out);
+size_t mt_dag__account_load__pack_to_buffer
+                     (const MtDag__AccountLoad   *message,
+                      ProtobufCBuffer     *buffer);
+MtDag__AccountLoad *
+       mt_dag__account_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mt_dag__account_load__free_unpacked
+                     (MtDag__AccountLoad *message,
+                      ProtobufCAllocator *allocator);
+/* MtDag__Speeds methods */
+void   mt_dag__speeds__init
+                     (MtDag__Speeds         *message);
+size_t mt_dag__speeds__get_packed_size
+                     (const MtDag__Speeds   *message);
+size_t mt_dag__speeds__pack
+                     (const MtDag__Speeds   *message,
+                      uint8_t             *out);
+size_t mt_dag__speeds__pack_to_buffer
+                     (const MtDag__Speeds   *message,
+                      ProtobufCBuffer     *buffer);
+MtDag__Speeds *
+       mt_dag__speeds__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mt_dag__speeds__free_unpacked
+                     (MtDag__Speeds *message,
+                      ProtobufCAllocator *allocator);
+/* MtDag__ServerSpeed methods */
+void   mt_dag__server_speed__init
+                     (MtDag__ServerSpeed         *message);
+size_t mt_dag__server_speed__get_packed_size
+                     (const MtDag__ServerSpeed   *message);
+size_t mt_dag__server_speed__pack
+                     (const MtDag__ServerSpeed   *message,
+                      uint8_t             *out);
+size_t mt_dag__server_speed__pack_to_buffer
+                     (const MtDag__ServerSpeed   *message,
+                      ProtobufCBuffer     *buffer);
+MtDag__ServerSpeed *
+       mt_dag__server_speed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mt_dag__server_speed__free_unpacked
+                     (MtDag__ServerSpeed *message,
+                      ProtobufCAllocator *allocator);
 /* MtDag__Host methods */
 void   mt_dag__host__init
                      (MtDag__Host         *message);
@@ -657,6 +857,21 @@
 typedef void (*MtDag__Leader_Closure)
                  (const MtDag__Leader *message,
                   void *closure_data);
+typedef void (*MtDag__Pressure_Closure)
+                 (const MtDag__Pressure *message,
+                  void *closure_data);
+typedef void (*MtDag__PriorityLoad_Closure)
+                 (const MtDag__PriorityLoad *message,
+                  void *closure_data);
+typedef void (*MtDag__AccountLoad_Closure)
+                 (const MtDag__AccountLoad *message,
+                  void *closure_data);
+typedef void (*MtDag__Speeds_Closure)
+                 (const MtDag__Speeds *message,
+                  void *closure_data);
+typedef void (*MtDag__ServerSpeed_Closure)
+                 (const MtDag__ServerSpeed *message,
+                  void *closure_data);
 typedef void (*MtDag__Host_Closure)
                  (const MtDag__Host *message,
                   void *closure_data);
@@ -688,6 +903,11 @@
 extern const ProtobufCMessageDescriptor mt_dag__placement__descriptor;
 extern const ProtobufCMessageDescriptor mt_dag__progress__descriptor;
 extern const ProtobufCMessageDescriptor mt_dag__leader__descriptor;
+extern const ProtobufCMessageDescriptor mt_dag__pressure__descriptor;
+extern const ProtobufCMessageDescriptor mt_dag__priority_load__descriptor;
+extern const ProtobufCMessageDescriptor mt_dag__account_load__descriptor;
+extern const ProtobufCMessageDescriptor mt_dag__speeds__descriptor;
+extern const ProtobufCMessageDescriptor mt_dag__server_speed__descriptor;
 extern const ProtobufCMessageDescriptor mt_dag__host__descriptor;
 extern const ProtobufCMessageDescriptor mt_dag__slot_holder__descriptor;
 extern const ProtobufCMessageDescriptor mt_dag__peer_call__descriptor;
--- a/lib/dag/records.c
+++ b/lib/dag/records.c
@@ -48,6 +48,7 @@
 	case MT_RECORD_HOST:
 	case MT_RECORD_STANDBY:
 	case MT_RECORD_RELAY:
+	case MT_RECORD_SPEEDS:
 		*kind = (mt_record_kind_t)key.data[0];
 		break;
 	default:
--- a/lib/dag/records.h
+++ b/lib/dag/records.h
@@ -34,6 +34,7 @@
 	MT_RECORD_HOST = 'h',	 /**< a host and its size in cores */
 	MT_RECORD_STANDBY = 's', /**< a standby, see slots.h */
 	MT_RECORD_RELAY = 'r',	 /**< the relay of a data centre, see slots.h */
+	MT_RECORD_SPEEDS = 'v',	 /**< speeds of servers, see speed.h */
 } mt_record_kind_t;
 
 /** Hexadecimal digits of a job id. */
