ctl: shorter commands, a type for the counts of a rack

Cause: mt_cmd_show() and mt_cmd_check() did several jobs, and print_racks() kept its three counts in an array without names. Change: find_newest(), print_versions(), apply_contents() and mt_rack_counts_t.

--- a/programs/ctl/cmd_lists.c
+++ b/programs/ctl/cmd_lists.c
@@ -321,6 +321,29 @@
 	return MT_EXIT_OK;
 }
 
+/** Applies the contents as version 1 of the lists, which checks them. */
+static bool apply_contents(json_t *const contents[MT_LIST_COUNT],
+			   GError **error)
+{
+	mt_lists_t *lists = mt_lists_new();
+	MtPb__ListSnapshot snapshot = MT_PB__LIST_SNAPSHOT__INIT;
+	MtPb__ListState states[MT_LIST_COUNT];
+	MtPb__ListState *pointers[MT_LIST_COUNT];
+
+	for (int i = 0; i < MT_LIST_COUNT; i++) {
+		mt_pb__list_state__init(&states[i]);
+		states[i].list = (char *)mt_list_name((mt_list_t)i);
+		states[i].version = 1;
+		states[i].content = json_dumps(contents[i], JSON_COMPACT);
+		pointers[i] = &states[i];
+	}
+	snapshot.n_states = MT_LIST_COUNT;
+	snapshot.states = pointers;
+	return mt_lists_apply_snapshot(lists, 0, &snapshot, error) &&
+	       mt_lists_check(lists, MT_LIST_PLANS, contents[MT_LIST_PLANS],
+			      error);
+}
+
 int mt_cmd_check(int argc, char **argv)
 {
 	struct arg_file *usage =
@@ -330,13 +353,8 @@
 	struct arg_lit *help = arg_lit0("h", "help", "print this help");
 	struct arg_end *end = arg_end(8);
 	void *table[] = {usage, plans, help, end};
-	const char *paths[MT_LIST_COUNT];
-	mt_lists_t *lists = mt_lists_new();
-	MtPb__ListSnapshot snapshot = MT_PB__LIST_SNAPSHOT__INIT;
-	MtPb__ListState states[MT_LIST_COUNT];
-	MtPb__ListState *pointers[MT_LIST_COUNT];
-	GError *error = NULL;
 	json_t *contents[MT_LIST_COUNT];
+	GError *error = NULL;
 	int code;
 
 	if (!mt_ctl_parse(argc, argv, table, help, end,
@@ -347,23 +365,11 @@
 			  "line or file,\n3 a list is invalid.\n",
 			  &code))
 		return code;
-	paths[MT_LIST_PLANS] = plans->filename[0];
-	paths[MT_LIST_USAGE] = usage->filename[0];
-	for (int i = 0; i < MT_LIST_COUNT; i++) {
-		contents[i] = mt_ctl_read_json(paths[i]);
-		if (!contents[i])
-			return MT_EXIT_USAGE;
-		mt_pb__list_state__init(&states[i]);
-		states[i].list = (char *)mt_list_name((mt_list_t)i);
-		states[i].version = 1;
-		states[i].content = json_dumps(contents[i], JSON_COMPACT);
-		pointers[i] = &states[i];
-	}
-	snapshot.n_states = MT_LIST_COUNT;
-	snapshot.states = pointers;
-	if (!mt_lists_apply_snapshot(lists, 0, &snapshot, &error) ||
-	    !mt_lists_check(lists, MT_LIST_PLANS, contents[MT_LIST_PLANS],
-			    &error)) {
+	contents[MT_LIST_PLANS] = mt_ctl_read_json(plans->filename[0]);
+	contents[MT_LIST_USAGE] = mt_ctl_read_json(usage->filename[0]);
+	if (!contents[MT_LIST_PLANS] || !contents[MT_LIST_USAGE])
+		return MT_EXIT_USAGE;
+	if (!apply_contents(contents, &error)) {
 		fprintf(stderr, "mimosaturn: %s\n", error->message);
 		return MT_EXIT_INVALID;
 	}
--- a/programs/ctl/cmd_status.c
+++ b/programs/ctl/cmd_status.c
@@ -71,13 +71,54 @@
 	printf("%s:%u ", endpoint->address.text, endpoint->port);
 }
 
+static void print_no_answer(const GArray *endpoints, size_t i)
+{
+	print_endpoint(endpoints, i);
+	printf("does not answer\n");
+}
+
+/** Finds the highest version of each list on any host. */
+static void find_newest(const json_t *responses,
+			json_int_t newest[MT_LIST_COUNT])
+{
+	size_t i;
+	json_t *response;
+
+	json_array_foreach(responses, i, response)
+	{
+		const json_t *lists = json_object_get(response, "lists");
+
+		for (int list = 0; list < MT_LIST_COUNT; list++)
+			newest[list] =
+				MAX(newest[list],
+				    number_of(lists, mt_list_name(list)));
+	}
+}
+
+/**
+ * Prints the versions of the lists on a host that has answered.
+ * @return true if the host has an older version of a list than another host
+ */
+static bool print_versions(const json_t *response,
+			   const json_int_t newest[MT_LIST_COUNT])
+{
+	const json_t *lists = json_object_get(response, "lists");
+	json_int_t plans = number_of(lists, "plans");
+	json_int_t usage = number_of(lists, "usage");
+
+	printf("%-24s %-10s %8lld %8lld\n", text_of(response, "host"),
+	       text_of(response, "data_centre"), (long long)plans,
+	       (long long)usage);
+	return plans < newest[MT_LIST_PLANS] || usage < newest[MT_LIST_USAGE];
+}
+
 int mt_cmd_show(int argc, char **argv)
 {
 	mt_status_args_t args;
 	mt_ctl_t ctl;
 	json_t *responses;
 	json_int_t newest[MT_LIST_COUNT] = {0};
-	int behind = 0;
+	bool any_behind = false;
 	int code;
 	size_t i;
 	json_t *response;
@@ -95,65 +136,61 @@
 	responses = mt_ctl_fetch_all(&ctl, args.endpoints, "/v1/status");
 	if (args.json)
 		return print_json(responses);
-	json_array_foreach(responses, i, response)
-	{
-		const json_t *lists = json_object_get(response, "lists");
-
-		for (int list = 0; list < MT_LIST_COUNT; list++)
-			newest[list] =
-				MAX(newest[list],
-				    number_of(lists, mt_list_name(list)));
-	}
+	find_newest(responses, newest);
 	printf("%-24s %-10s %8s %8s\n", "host", "dc", "plans", "usage");
 	json_array_foreach(responses, i, response)
 	{
-		const json_t *lists = json_object_get(response, "lists");
-		json_int_t plans = number_of(lists, "plans");
-		json_int_t usage = number_of(lists, "usage");
-
-		if (json_is_null(response)) {
-			print_endpoint(args.endpoints, i);
-			printf("does not answer\n");
-			continue;
-		}
-		behind += plans < newest[MT_LIST_PLANS] ||
-			  usage < newest[MT_LIST_USAGE];
-		printf("%-24s %-10s %8lld %8lld\n", text_of(response, "host"),
-		       text_of(response, "data_centre"), (long long)plans,
-		       (long long)usage);
+		if (json_is_null(response))
+			print_no_answer(args.endpoints, i);
+		else if (print_versions(response, newest))
+			any_behind = true;
 	}
-	return behind || count_missing(responses) ? MT_EXIT_FAILED : MT_EXIT_OK;
+	return any_behind || count_missing(responses) ? MT_EXIT_FAILED
+						      : MT_EXIT_OK;
 }
 
-/** Prints per rack: all servers, the usable ones, and the tasks on them. */
-static void print_racks(const json_t *servers)
+typedef struct mt_rack_counts_t {
+	int n_servers;
+	int n_usable; /**< servers that take new tasks */
+	int n_tasks;
+} mt_rack_counts_t;
+
+/** Counts the servers by rack; the index in the result is the rack's number. */
+static GArray *count_racks(const json_t *servers)
 {
-	/* Each row has three numbers: servers, usable servers and tasks. */
-	GArray *racks = g_array_new(FALSE, TRUE, sizeof(int) * 3);
+	GArray *racks = g_array_new(FALSE, TRUE, sizeof(mt_rack_counts_t));
 	size_t i;
 	json_t *server;
 
 	json_array_foreach(servers, i, server)
 	{
 		guint rack = (guint)number_of(server, "rack");
-		int *row;
+		mt_rack_counts_t *counts;
 
 		if (racks->len <= rack)
 			g_array_set_size(racks, rack + 1);
-		row = (int *)(void *)(racks->data + rack * sizeof(int) * 3);
-		row[0]++;
-		row[1] += json_is_true(json_object_get(server, "usable"));
-		row[2] += (int)number_of(server, "tasks");
+		counts = &g_array_index(racks, mt_rack_counts_t, rack);
+		counts->n_servers++;
+		counts->n_usable +=
+			json_is_true(json_object_get(server, "usable"));
+		counts->n_tasks += (int)number_of(server, "tasks");
 	}
+	return racks;
+}
+
+static void print_racks(const json_t *servers)
+{
+	GArray *racks = count_racks(servers);
+
 	for (guint rack = 0; rack < racks->len; rack++) {
-		const int *row =
-			(const int *)(const void *)(racks->data +
-						    rack * sizeof(int) * 3);
+		const mt_rack_counts_t *counts =
+			&g_array_index(racks, mt_rack_counts_t, rack);
 
-		if (row[0])
+		if (counts->n_servers)
 			printf("  rack %-4u servers %3d  usable %3d  tasks "
 			       "%4d\n",
-			       rack, row[0], row[1], row[2]);
+			       rack, counts->n_servers, counts->n_usable,
+			       counts->n_tasks);
 	}
 	g_array_unref(racks);
 }
@@ -220,8 +257,7 @@
 	json_array_foreach(responses, i, response)
 	{
 		if (json_is_null(response)) {
-			print_endpoint(args.endpoints, i);
-			printf("does not answer\n");
+			print_no_answer(args.endpoints, i);
 			continue;
 		}
 		printf("%-24s %-10s %-6s %-9s %s\n", text_of(response, "host"),
