ctl: check of a configuration before it is written

Cause: the daemons ignore entries of a configuration that are malformed or have no effect, and say nothing of limits that contradict each other, so that an operator learns of a mistake only when callers do. Change: platform/config_check.c lists errors, entries that never match, contradictions and the differences from the configuration in force; 'mimosaturn check CONFIGURATION [--against IN-FORCE] [--json]' prints them.

--- a/programs/ctl/cmd_lists.c
+++ b/programs/ctl/cmd_lists.c
@@ -344,7 +344,7 @@
 			      error);
 }
 
-int mt_cmd_check(int argc, char **argv)
+int mt_cmd_check_lists(int argc, char **argv)
 {
 	struct arg_file *usage =
 		arg_file1(NULL, "usage", "FILE", "what each plan may use");
--- a/programs/ctl/ctl.h
+++ b/programs/ctl/ctl.h
@@ -18,7 +18,8 @@
 	/**
 	 * A host does not answer or has older lists than another one, or the
 	 * load command found jobs that were lost, run twice, begun though
-	 * reported as not run, or answered wrongly.
+	 * reported as not run, or answered wrongly, or check found
+	 * faults.
 	 */
 	MT_EXIT_FAILED = 1,
 	MT_EXIT_USAGE = 2,    /**< bad command line or file */
@@ -62,6 +63,7 @@
 		  struct arg_end *end, const char *examples, int *code);
 
 int mt_cmd_check(int argc, char **argv);
+int mt_cmd_check_lists(int argc, char **argv);
 int mt_cmd_diff(int argc, char **argv);
 int mt_cmd_publish(int argc, char **argv);
 int mt_cmd_show(int argc, char **argv);
--- a/programs/ctl/main.c
+++ b/programs/ctl/main.c
@@ -12,7 +12,7 @@
 } mt_command_t;
 
 static const mt_command_t commands[] = {
-	{"check", mt_cmd_check, "check the two lists"},
+	{"check", mt_cmd_check, "check the two lists, or a configuration"},
 	{"diff", mt_cmd_diff, "show what a file would change"},
 	{"publish", mt_cmd_publish, "put a new version of a list in force"},
 	{"show", mt_cmd_show,
--- a/tests/scripts/callers.sh
+++ b/tests/scripts/callers.sh
@@ -212,6 +212,13 @@
 check "new version shown for the host" 1 "$(grep -c ' [3-9]$' "$WORK/show")"
 "$CTL" check --usage "$WORK/usage.json" --plans "$WORK/plans.json" >/dev/null
 check "check succeeds" 0 $?
+echo '{"version":2,"routes":[],"services":[],"tenants":[]}' >"$WORK/config.json"
+"$CTL" check "$WORK/config.json" >/dev/null
+check "check of a configuration without faults" 0 $?
+"$CTL" check --against "$WORK/config.json" "$WORK/config.json" >/dev/null
+check "check finds a version that is not newer" 1 $?
+"$CTL" check --json "$WORK/missing.json" >/dev/null 2>&1
+check "check of a file that is missing" 2 $?
 "$BUILD/programs/mimosaturnd" --settings "$WORK/usage.json" 2>/dev/null
 check "invalid settings" 2 $?
 
--- a/tests/unit/script_adapter.c
+++ b/tests/unit/script_adapter.c
@@ -2,10 +2,13 @@
  * @file script_adapter.c
  * Script commands for the platform adapter, which is the part of
  * mimosaturn-entry in platform/. They run its decoders of server reports, the
- * configuration, submitted jobs and pages of the store.
+ * configuration, submitted jobs and pages of the store, and the check of a
+ * configuration.
  */
 #include <string.h>
 
+#include "net/json_util.h"
+#include "platform/config_check.h"
 #include "platform/config_json.h"
 #include "platform/backend_json.h"
 #include "platform/store_http.h"
@@ -167,6 +170,36 @@
 	g_byte_array_unref(records);
 }
 
+/**
+ * Prints the findings of a check. `text` is a JSON object with the
+ * configuration as "config", and optionally the one in force as "in_force" and
+ * the numbers of accelerators as "gpus" and "evacuated_gpus".
+ */
+static void show_config_check(const char *text, GString *out)
+{
+	json_t *input = mt_json_parse(mt_str_from(text));
+	mt_check_capacity_t capacity = {0, 0};
+	GArray *findings;
+
+	mt_json_get_u32(input, "gpus", &capacity.gpus);
+	mt_json_get_u32(input, "evacuated_gpus", &capacity.evacuated_gpus);
+	findings =
+		mt_config_check(json_object_get(input, "config"),
+				json_object_get(input, "in_force"), &capacity);
+	for (guint i = 0; i < findings->len; i++) {
+		const mt_finding_t *finding =
+			&g_array_index(findings, mt_finding_t, i);
+
+		g_string_append_printf(out, "%s: %s\n",
+				       mt_finding_kind_name(finding->kind),
+				       finding->text);
+	}
+	if (!findings->len)
+		g_string_append(out, "no findings\n");
+	g_array_unref(findings);
+	json_decref(input);
+}
+
 static bool run(void *group, char **words, const char *rest, GString *out)
 {
 	(void)group;
@@ -174,6 +207,8 @@
 		show_report(rest, out);
 	else if (!strcmp(words[0], "operator-config"))
 		show_catalog(rest, out);
+	else if (!strcmp(words[0], "check-config"))
+		show_config_check(rest, out);
 	else if (!strcmp(words[0], "posted-job"))
 		show_job(rest, out);
 	else if (!strcmp(words[0], "records-page"))
