dag: data centres can be evacuated

Operators request by a record evacuate/ZONE in keyed.op that no task is started on the servers of a data centre. It was not read at all, so that tasks were started there until the servers left.

The leader follows the topic itself, as relays pass on the configuration only. Starts that are not confirmed are withdrawn, a gang as a whole. Runs go on to their end. Events and gauges show the evacuated data centres, the tasks there, and guarantees that exceed what is left.

evacuation_ms is optional; without it nothing is followed, and placement is as before.

--- a/lib/dag/commands.c
+++ b/lib/dag/commands.c
@@ -158,24 +158,32 @@
 
 /* Starts. */
 
+/**
+ * Gives up the start of a task. If all attempts to start the run were answered,
+ * none of them can still take effect, and the task waits again at once.
+ * Otherwise the server is first told to stop the run, which also keeps the run
+ * from starting later. The other members of a gang are stopped too: a gang runs
+ * only as a whole, so they would wait in vain for the task that did not start.
+ */
+static void give_up_start(mt_engine_t *engine, mt_dag_task_t *task,
+			  const char *why)
+{
+	if (!task->start_unanswered)
+		mt_reports_run_lost(engine, task, why);
+	else
+		mt_commands_stop_task_or_gang(engine, task);
+}
+
 /**
  * Handles a start that had no effect: the server refused it, or it was not sent
- * as there was no connection or no valid ticket. If all earlier attempts to
- * start the run were answered, none of them can still take effect, and the task
- * waits again at once. Otherwise the server is first told to stop the run,
- * which also keeps the run from starting later. The other members of a gang are
- * stopped too: a gang runs only as a whole, so they would wait in vain for the
- * task that did not start.
+ * as there was no connection or no valid ticket.
  */
 static void handle_start_without_effect(mt_engine_t *engine,
 					mt_dag_task_t *task, mt_ms_t avoid_ms)
 {
 	avoid(engine, task->server, avoid_ms);
 	/* The reason in the log also stands for starts that were not sent. */
-	if (!task->start_unanswered)
-		mt_reports_run_lost(engine, task, "start refused");
-	else
-		mt_commands_stop_task_or_gang(engine, task);
+	give_up_start(engine, task, "start refused");
 }
 
 static void on_start_confirmed(mt_engine_t *engine, mt_dag_task_t *task)
@@ -260,6 +268,21 @@
 				task->server->born_ms, now);
 }
 
+/** True if this host's copies are recent enough for a start to be sent. */
+static bool may_start_by_age(const mt_engine_t *engine)
+{
+	return records_age(engine) <= START_STALENESS_MAX_MS &&
+	       (!engine->deps.evacuations ||
+		mt_evacuations_are_fresh(engine->deps.evacuations));
+}
+
+/** Gives up a start on a server whose data centre is evacuated. */
+static void withdraw_start(mt_engine_t *engine, mt_dag_task_t *task)
+{
+	mt_kernel_count(engine->deps.kernel, "starts_withdrawn_total");
+	give_up_start(engine, task, "data centre evacuated");
+}
+
 void mt_commands_start(mt_engine_t *engine, mt_dag_task_t *task)
 {
 	mt_backend_t *backend = task->server;
@@ -273,11 +296,15 @@
 				      task->checkpoint,
 				      ticket_of(task, now)};
 
+	if (mt_engine_is_evacuated(engine, backend)) {
+		withdraw_start(engine, task);
+		return;
+	}
 	if (!backend->clock_known) {
 		mt_commands_hold(engine, backend);
 		return;
 	}
-	if (records_age(engine) > START_STALENESS_MAX_MS)
+	if (!may_start_by_age(engine))
 		return;
 	if (task->step->job->queue.advised && !command.ticket) {
 		handle_start_without_effect(engine, task, 0);
@@ -629,6 +656,24 @@
 					RESPONSIVE_WINDOW_MS);
 }
 
+/**
+ * True if the start is neither in flight nor settled, and this leader placed
+ * the task. If an earlier leader placed the task, the start is not repeated:
+ * the server's report shows whether it took effect. Such a task has `placed_at`
+ * <= `leading_since`, as its placement is restored when this host begins to
+ * lead, and `placed_at` is the time of the restoration. (A task that is
+ * restored later than `leading_since` counts as placed by this leader. Its
+ * start is sent again, with the same run number.)
+ */
+static bool waits_for_start(const mt_engine_t *engine,
+			    const mt_dag_task_t *task)
+{
+	return task->phase == MT_TASK_PHASE_STARTING &&
+	       task->placement_stored && !task->start_in_flight &&
+	       !task->start_settled_at &&
+	       task->placed_at > engine->leading_since;
+}
+
 static void tick_task(mt_engine_t *engine, mt_dag_task_t *task, mt_ms_t now)
 {
 	if (task->stop_wanted) {
@@ -636,19 +681,15 @@
 			mt_commands_stop(engine, task);
 		return;
 	}
-	/* If an earlier leader placed the task, the start is not repeated: the
-	 * server's report shows whether it took effect. Such a task has
-	 * `placed_at` <= `leading_since`, as its placement is restored when
-	 * this host begins to lead, and `placed_at` is the time of the
-	 * restoration. (A task that is restored later than `leading_since`
-	 * counts as placed by this leader. Its start is sent again, with the
-	 * same run number.) */
-	if (task->phase == MT_TASK_PHASE_STARTING && task->placement_stored &&
-	    !task->start_in_flight && !task->start_settled_at &&
-	    now - task->last_start_sent_at >= START_RETRY_MS &&
-	    may_send_start(task, now) &&
-	    task->placed_at > engine->leading_since)
-		mt_commands_start(engine, task);
+	if (waits_for_start(engine, task)) {
+		if (mt_engine_is_evacuated(engine, task->server)) {
+			withdraw_start(engine, task);
+			return;
+		}
+		if (now - task->last_start_sent_at >= START_RETRY_MS &&
+		    may_send_start(task, now))
+			mt_commands_start(engine, task);
+	}
 	check_gang_start(engine, task, now);
 }
 
--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -40,6 +40,14 @@
 	return engine->leading;
 }
 
+bool mt_engine_is_evacuated(const mt_engine_t *engine,
+			    const mt_backend_t *backend)
+{
+	return engine->deps.evacuations &&
+	       mt_evacuations_contain(engine->deps.evacuations,
+				      &backend->info.zone);
+}
+
 void mt_engine_request_pass(mt_engine_t *engine)
 {
 	mt_ms_t now = mt_engine_now(engine);
@@ -74,6 +82,8 @@
 	engine->backends = g_hash_table_new_full(
 		mt_name_hash, mt_name_key_equal, NULL, free_backend);
 	engine->flushes = g_ptr_array_new_with_free_func(mt_flush_free);
+	engine->logged_zones = g_hash_table_new_full(
+		mt_name_hash, mt_name_key_equal, g_free, NULL);
 	return engine;
 }
 
@@ -308,6 +318,7 @@
 		mt_commands_tick(engine, value);
 		mt_relocation_tick(engine, value);
 	}
+	mt_evacuation_log_tick(engine);
 	mt_sweep_ended(engine);
 	mt_engine_request_pass(engine);
 }
@@ -339,6 +350,8 @@
 	mt_table_each(engine->deps.table, add_job, engine);
 	mt_table_watch(engine->deps.table, &job_watcher);
 	mt_directory_open(engine->deps.directory, &server_watcher);
+	if (engine->deps.evacuations)
+		mt_evacuations_open(engine->deps.evacuations);
 	engine->tick_timer = mt_timers_every(
 		mt_kernel_timers(engine->deps.kernel), TICK_MS, tick, engine);
 	mt_kernel_event(engine->deps.kernel, "office_won",
@@ -361,6 +374,9 @@
 	engine->pass_timer = 0;
 	mt_table_watch(engine->deps.table, NULL);
 	mt_directory_close(engine->deps.directory);
+	if (engine->deps.evacuations)
+		mt_evacuations_close(engine->deps.evacuations);
+	mt_evacuation_log_reset(engine);
 	mt_writer_close(engine->writer);
 	engine->writer = NULL;
 	g_ptr_array_set_size(engine->flushes, 0);
--- a/lib/dag/engine.h
+++ b/lib/dag/engine.h
@@ -12,6 +12,7 @@
 #include "dag/backend_port.h"
 #include "dag/catalog.h"
 #include "dag/directory.h"
+#include "dag/evacuations.h"
 #include "dag/store_port.h"
 #include "dag/table.h"
 #include "kernel/kernel.h"
@@ -36,6 +37,8 @@
 	const mt_advice_port_t *advice; /**< NULL: no policy service */
 	mt_table_t *table;
 	mt_directory_t *directory;
+	/** Read while this host leads; NULL: no data centre is evacuated. */
+	mt_evacuations_t *evacuations;
 	mt_engine_timing_t timings;
 	/** Returns the Unix time in milliseconds. */
 	int64_t (*wall_ms)(void);
--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -6,7 +6,8 @@
  * is requests to the policy service), commands.c (sends commands to servers),
  * reports.c (applies what servers report), relocation.c (moves runs to other
  * servers), flush.c (writes changes to the store), sweep.c (deletes the records
- * of ended jobs) and wait_log.c (logs why steps wait).
+ * of ended jobs), wait_log.c (logs why steps wait) and evacuation_log.c (logs
+ * which data centres are evacuated, and what is left for the guarantees).
  *
  * A scheduling pass plans placements and stores changed jobs. It runs after
  * each tick and soon after a change. A tick handles time-outs and repeats
@@ -45,6 +46,10 @@
 	/** Time of the last search for slow servers, see relocation.c. */
 	mt_ms_t slow_search_at;
 	mt_ms_t wait_logged_at; /**< time of the last log, see wait_log.c */
+	/** Data centres that are logged as evacuated, mt_name_t. */
+	GHashTable *logged_zones;
+	/** The guarantees are logged as exceeding the capacity. */
+	bool guarantees_logged;
 };
 
 /**
@@ -57,6 +62,10 @@
 mt_dag_job_t *mt_engine_job(const mt_engine_t *engine, uint64_t id);
 mt_ms_t mt_engine_now(const mt_engine_t *engine);
 
+/** True if the server is in an evacuated data centre: no task starts there. */
+bool mt_engine_is_evacuated(const mt_engine_t *engine,
+			    const mt_backend_t *backend);
+
 /**
  * Stops the tasks of a cancelled or failed job, except those in the phase DONE.
  */
@@ -85,6 +94,18 @@
  */
 GHashTable *mt_guarantees_find(const mt_engine_t *engine);
 
+/* evacuation_log.c */
+
+/**
+ * Called at each tick. Once the list of servers and the evacuations have been
+ * read, logs their changes and sets the gauges. Does nothing where no data
+ * centre can be evacuated.
+ */
+void mt_evacuation_log_tick(mt_engine_t *engine);
+
+/** Clears the gauges when this host leads no more. */
+void mt_evacuation_log_reset(mt_engine_t *engine);
+
 /* sweep.c */
 
 /**
@@ -96,7 +117,10 @@
 
 /* planner.c */
 
-/** Places tasks that can start, and stops the tasks preempted for them. */
+/**
+ * Places tasks that can start, and stops the tasks preempted for them. Does
+ * nothing until it is known which data centres are evacuated.
+ */
 void mt_planner_run(mt_engine_t *engine);
 
 /* advice_requests.c */
@@ -116,9 +140,10 @@
 
 /**
  * Sends the start of a task whose placement is stored. Sends no start while the
- * server's clock is unknown or this host's copy of the records is too old; the
- * start is then sent at a later tick, unless mt_commands_tick() gives the run
- * up as lost before that. If the queue requires a ticket of the policy service
+ * server's clock is unknown or this host's copy of the records or of the
+ * evacuations is too old; the start is then sent at a later tick, unless
+ * mt_commands_tick() gives the run up as lost before that. If the server's data
+ * centre is evacuated, or if the queue requires a ticket of the policy service
  * and there is no valid one for the server, the task is not started there and
  * waits again.
  */
--- a/lib/dag/host.c
+++ b/lib/dag/host.c
@@ -40,6 +40,7 @@
 	mt_table_t *table;
 	mt_writer_t *writer;
 	mt_directory_t *directory;
+	mt_evacuations_t *evacuations; /**< NULL: none can be requested */
 	mt_engine_t *engine;
 	mt_dag_front_t *front;
 	mt_catalog_t *catalog;
@@ -362,6 +363,7 @@
 	deps.advice = host->deps.advice;
 	deps.table = host->table;
 	deps.directory = host->directory;
+	deps.evacuations = host->evacuations;
 	deps.timings = host->deps.timings;
 	deps.wall_ms = host->deps.wall_ms;
 	deps.records_age_ms = records_age;
@@ -402,6 +404,10 @@
 	host->table = mt_table_new(deps->kernel);
 	host->directory = mt_directory_new(deps->kernel, deps->store,
 					   deps->server_list_format);
+	if (deps->evacuation_ms)
+		host->evacuations = mt_evacuations_new(
+			deps->kernel, deps->store, deps->evacuations_format,
+			deps->evacuation_ms);
 	make_writer(host);
 	make_leadership(host);
 	make_config_source(host);
--- a/lib/dag/host.h
+++ b/lib/dag/host.h
@@ -30,6 +30,10 @@
 	/** Format of the platform's list of backend servers. */
 	const mt_directory_format_t *server_list_format;
 	mt_config_format_t config_format;
+	/** Format of the records that evacuate data centres. */
+	const mt_evacuations_format_t *evacuations_format;
+	/** See mt_evacuations_new(); 0: no data centre is evacuated. */
+	mt_ms_t evacuation_ms;
 	/** See mt_dag_front_deps_t. */
 	MtDag__Job *(*decode_job)(mt_str_t body);
 	mt_name_t host;		/**< name of this host */
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -575,12 +575,18 @@
 
 void mt_planner_run(mt_engine_t *engine)
 {
-	GHashTable *services = list_services(engine);
-	GHashTable *guaranteed = mt_guarantees_find(engine);
-	bool log_waits = mt_wait_log_is_due(engine);
+	GHashTable *services;
+	GHashTable *guaranteed;
+	bool log_waits;
 	GHashTableIter iter;
 	gpointer key;
 
+	if (engine->deps.evacuations &&
+	    !mt_evacuations_are_known(engine->deps.evacuations))
+		return;
+	services = list_services(engine);
+	guaranteed = mt_guarantees_find(engine);
+	log_waits = mt_wait_log_is_due(engine);
 	g_hash_table_iter_init(&iter, services);
 	while (g_hash_table_iter_next(&iter, &key, NULL))
 		plan_service(engine, key, guaranteed, log_waits);
--- a/lib/dag/wait_log.c
+++ b/lib/dag/wait_log.c
@@ -18,10 +18,11 @@
 	unsigned listed;
 	unsigned usable;
 	unsigned draining;
-	unsigned silent;  /**< no recent answer to a hold, or clock unknown */
-	unsigned avoided; /**< see mt_backend_t.avoid_until */
-	unsigned suspect; /**< of the usable ones, see suspect_until there */
-	double cores;	  /**< see mt_dag_resources_cores() */
+	unsigned evacuated; /**< their data centre is evacuated */
+	unsigned silent;    /**< no recent answer to a hold, or clock unknown */
+	unsigned avoided;   /**< see mt_backend_t.avoid_until */
+	unsigned suspect;   /**< of the usable ones, see suspect_until there */
+	double cores;	    /**< see mt_dag_resources_cores() */
 	double cores_used;
 } mt_server_counts_t;
 
@@ -39,6 +40,8 @@
 	}
 	if (backend->info.draining)
 		counts->draining++;
+	else if (mt_engine_is_evacuated(planner->engine, backend))
+		counts->evacuated++;
 	else if (!backend->hold_answered || backend->n_failed_holds ||
 		 !backend->clock_known)
 		counts->silent++;
@@ -64,13 +67,14 @@
 		planner->engine->deps.kernel, "service_waits",
 		"\"service\":\"%s\",\"candidates\":%u,\"held_back\":%u,"
 		"\"listed\":%u,"
-		"\"usable\":%u,\"draining\":%u,\"silent\":%u,"
+		"\"usable\":%u,\"draining\":%u,\"evacuated\":%u,"
+		"\"silent\":%u,"
 		"\"avoided\":%u,\"suspect\":%u,\"cores\":%.0f,\"used\":%.0f,"
 		"\"contended\":%s",
 		planner->service->text, planner->candidates->len,
 		planner->n_held_back, counts.listed, counts.usable,
-		counts.draining, counts.silent, counts.avoided, counts.suspect,
-		counts.cores, counts.cores_used,
+		counts.draining, counts.evacuated, counts.silent,
+		counts.avoided, counts.suspect, counts.cores, counts.cores_used,
 		planner->contended ? "true" : "false");
 }
 
--- a/programs/entryd/main.c
+++ b/programs/entryd/main.c
@@ -202,6 +202,8 @@
 	deps.server_list_format = &mt_server_list_format;
 	deps.config_format = (mt_config_format_t){
 		WIRE_TOPIC_OPERATOR, WIRE_KEY_CONFIG, mt_config_decode};
+	deps.evacuations_format = &mt_evacuations_format;
+	deps.evacuation_ms = settings->evacuation_ms;
 	deps.decode_job = mt_job_decode;
 	deps.host = settings->host;
 	deps.dc = settings->dc;
--- a/programs/entryd/settings.c
+++ b/programs/entryd/settings.c
@@ -40,6 +40,9 @@
 #define MS_PER_S 1000u
 #define MILLI_PER_CORE 1000.0
 
+/** Shortest time for an evacuation; the store is polled each fifth of it. */
+#define EVACUATION_MIN_MS 1000u
+
 /** A file with a larger number of cores is rejected, as a likely mistake. */
 #define CORES_MAX 4096.0
 
@@ -132,6 +135,17 @@
 	return true;
 }
 
+/** Leaves the time at 0 if the field is missing. */
+static bool get_evacuation(const json_t *json, mt_ms_t *ms, GError **error)
+{
+	if (!json_object_get(json, "evacuation_ms"))
+		return true;
+	if (!get_ms(json, "evacuation_ms", 1, ms, error))
+		return false;
+	return !*ms || *ms >= EVACUATION_MIN_MS ||
+	       fail(error, "evacuation_ms", "neither 0 nor at least 1000");
+}
+
 /** Reads an optional size; `bytes` keeps its value if the field is missing. */
 static bool get_size(const json_t *json, const char *field, size_t *bytes,
 		     GError **error)
@@ -175,7 +189,8 @@
 	       get_optional_endpoint(json, "advice", &settings->advice,
 				     error) &&
 	       get_store_limits(json, &settings->store_limits, error) &&
-	       get_durations(json, settings, error);
+	       get_durations(json, settings, error) &&
+	       get_evacuation(json, &settings->evacuation_ms, error);
 }
 
 bool mt_entry_settings_read(const char *path, mt_entry_settings_t *settings,
--- a/programs/entryd/settings.h
+++ b/programs/entryd/settings.h
@@ -36,6 +36,9 @@
 	mt_ms_t drain_ms; /**< time from the signal to the end of a graceful
 		       shutdown, including DRAIN_LINGER_MS */
 	mt_engine_timing_t timings;
+	/** Starts in an evacuated data centre end within this time; 0: data
+	 * centres are not evacuated. */
+	mt_ms_t evacuation_ms;
 } mt_entry_settings_t;
 
 /** Reads and validates the file; the error names the file or the field. */
--- a/tests/unit/script_adapter.c
+++ b/tests/unit/script_adapter.c
@@ -2,13 +2,16 @@
  * @file script_adapter.c
  * Script commands for the platform adapter, which is the part of
  * mimosaturn-entry in platform/. They run its decoders of server reports, the
- * configuration, submitted jobs and pages of the store.
+ * configuration, submitted jobs and pages of the store, and that of the
+ * program's settings.
  */
 #include <string.h>
+#include <unistd.h>
 
 #include "platform/config_json.h"
 #include "platform/backend_json.h"
 #include "platform/store_http.h"
+#include "programs/entryd/settings.h"
 #include "unit/script.h"
 
 static void *open_group(void)
@@ -167,6 +170,29 @@
 	g_byte_array_unref(records);
 }
 
+/** Prints what was read from a settings file of mimosaturn-entry, or why not.
+ */
+static void show_settings(const char *text, GString *out)
+{
+	mt_entry_settings_t settings;
+	GError *error = NULL;
+	char *path = NULL;
+	int fd = g_file_open_tmp("settings-XXXXXX", &path, NULL);
+
+	g_assert(fd >= 0);
+	close(fd);
+	g_file_set_contents(path, text, -1, NULL);
+	if (mt_entry_settings_read(path, &settings, &error))
+		g_string_append_printf(out, "%s in %s, evacuation %u ms\n",
+				       settings.host.text, settings.dc.text,
+				       (unsigned)settings.evacuation_ms);
+	else
+		g_string_append_printf(out, "%s\n", error->message);
+	g_clear_error(&error);
+	unlink(path);
+	g_free(path);
+}
+
 static bool run(void *group, char **words, const char *rest, GString *out)
 {
 	(void)group;
@@ -178,6 +204,8 @@
 		show_job(rest, out);
 	else if (!strcmp(words[0], "records-page"))
 		show_page(rest, out);
+	else if (!strcmp(words[0], "entry-settings"))
+		show_settings(rest, out);
 	else
 		return false;
 	return true;
