fleet: evacuations of data centres

The simulation did not evacuate data centres, so that take-overs, pauses and outages of the store during an evacuation were not covered.

Servers report a start later than the bound.

--- a/tests/check.sh
+++ b/tests/check.sh
@@ -63,6 +63,8 @@
 suite "format and lint" verdict_of scripts/lint.sh build
 suite "unit and scripted" build/tests/unit tests/scripted
 suite "simulated mimosaturn-entry hosts (fleet)" build/tests/fleet --seed 1 --seeds 150
+suite "the same with evacuations of data centres" \
+	build/tests/fleet --evacuations --seed 1 --seeds 50
 suite "fleet seeds that failed before" tests/scripts/fleet-seeds.sh build
 suite "simulated mimosaturnd hosts (soak)" build/tests/soak --seed 1 --seeds "$SOAK_SEEDS" \
 	--events "$SOAK_EVENTS"
--- a/tests/fleet/fake_servers.c
+++ b/tests/fleet/fake_servers.c
@@ -106,6 +106,8 @@
 	GHashTable *jobs; /**< serialized job (GBytes) by id */
 	/** Time (mt_ms_t) by job id: no task of the job must start after it. */
 	GHashTable *forbidden;
+	/** Time (mt_ms_t) by data centre: it is evacuated since then. */
+	GHashTable *evacuated;
 	/** Names of tasks that have succeeded. */
 	GHashTable *succeeded_tasks;
 	/** Of these, those whose end was acknowledged under a valid lease. */
@@ -140,6 +142,7 @@
 	void *ctx;
 	char ticket[TICKET_BYTES];
 	int64_t born; /**< of the server instance that received it */
+	bool late;    /**< the network has delayed it */
 	mt_command_result_t result;
 } mt_fake_command_t;
 
@@ -439,6 +442,26 @@
 			run->name);
 }
 
+/**
+ * Reports a start in a data centre that has been evacuated for longer than
+ * SIM_EVACUATION_MS, unless the network has delayed the command.
+ */
+static void audit_evacuated_start(const mt_fake_server_t *server,
+				  const mt_fake_command_t *command)
+{
+	mt_fake_fleet_t *fleet = server->fleet;
+	mt_ms_t *from = g_hash_table_lookup(fleet->evacuated, server->rack);
+	char name[64];
+
+	format_task_name(name, sizeof(name), &command->key);
+	if (from && !command->late &&
+	    fleet_now(fleet) > *from + SIM_EVACUATION_MS)
+		mt_sim_breach(fleet->sim,
+			      "%s started %u ms after the evacuation of %s",
+			      name, (unsigned)(fleet_now(fleet) - *from),
+			      server->rack);
+}
+
 /**
  * Once a host has acknowledged a task's success, the task must not start
  * again. This does not hold when the lease expired before the acknowledgement:
@@ -652,6 +675,7 @@
 	audit_single_run(fleet, run);
 	audit_step_order(fleet, run, job);
 	audit_forbidden_start(fleet, run);
+	audit_evacuated_start(server, command);
 	g_ptr_array_add(server->runs, run);
 	if (run->gang)
 		start_gang_if_complete(fleet, run);
@@ -884,6 +908,7 @@
 {
 	mt_fake_command_t *command = ctx;
 
+	command->late = true;
 	/* A restarted server has lost the commands received before. */
 	if (command->server->up && command->server->born == command->born)
 		execute_command(command);
@@ -1135,6 +1160,8 @@
 					    (GDestroyNotify)g_bytes_unref);
 	fleet->forbidden = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						 g_free, g_free);
+	fleet->evacuated =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	fleet->succeeded_tasks =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	fleet->acked_tasks =
@@ -1174,6 +1201,16 @@
 			    g_memdup2(&from, sizeof(from)));
 }
 
+void mt_fake_fleet_evacuate(mt_fake_fleet_t *fleet, const char *zone,
+			    mt_ms_t from)
+{
+	if (from)
+		g_hash_table_insert(fleet->evacuated, g_strdup(zone),
+				    g_memdup2(&from, sizeof(from)));
+	else
+		g_hash_table_remove(fleet->evacuated, zone);
+}
+
 unsigned mt_fake_fleet_incomplete_gangs(const mt_fake_fleet_t *fleet)
 {
 	return fleet->incomplete_gangs;
--- a/tests/fleet/fake_servers.h
+++ b/tests/fleet/fake_servers.h
@@ -2,9 +2,10 @@
  * @file fake_servers.h
  * In-memory backend servers that audit the commands they receive: a task never
  * has two runs at once and does not run again after its success was
- * acknowledged, steps run in the order of their dependencies, and tasks of
- * cancelled or refused jobs do not start. A start beyond a server's capacity is
- * no breach; the server refuses it.
+ * acknowledged, steps run in the order of their dependencies, tasks of
+ * cancelled or refused jobs do not start, and none start in an evacuated data
+ * centre. A start beyond a server's capacity is no breach; the server refuses
+ * it.
  */
 #ifndef MT_FLEET_FAKE_SERVERS_H
 #define MT_FLEET_FAKE_SERVERS_H
@@ -32,6 +33,13 @@
 void mt_fake_fleet_forbid_starts(mt_fake_fleet_t *fleet, uint64_t job,
 				 mt_ms_t from);
 
+/**
+ * The data centre is evacuated from time `from` on; 0: it is no more. A task
+ * must not start there SIM_EVACUATION_MS later.
+ */
+void mt_fake_fleet_evacuate(mt_fake_fleet_t *fleet, const char *zone,
+			    mt_ms_t from);
+
 /** Stops a server, which loses its runs, and restarts it after `down_ms`. */
 void mt_fake_fleet_crash(mt_fake_fleet_t *fleet, unsigned server_index,
 			 mt_ms_t down_ms);
--- a/tests/fleet/fake_store.c
+++ b/tests/fleet/fake_store.c
@@ -524,7 +524,10 @@
 
 /* Simple text formats in place of the platform's JSON. */
 
-/** Decodes "STATE RACK BORN REMAINING_MS". */
+/**
+ * Decodes "STATE RACK BORN REMAINING_MS". Each rack is a data centre of its
+ * own.
+ */
 static bool decode_report(const mt_store_record_t *record,
 			  mt_backend_info_t *info)
 {
@@ -547,6 +550,7 @@
 	info->labels[0] = g_quark_from_string("a");
 	info->labels[1] = g_quark_from_string(valid ? rack : "");
 	info->rack = info->labels[1];
+	info->zone = mt_name(valid ? rack : "");
 	return valid;
 }
 
@@ -601,6 +605,14 @@
 	return (mt_config_format_t){CONFIG_TOPIC, "config", decode_config};
 }
 
+const mt_evacuations_format_t *mt_fake_store_evacuations_format(void)
+{
+	static const mt_evacuations_format_t format = {CONFIG_TOPIC,
+						       "evacuate/"};
+
+	return &format;
+}
+
 MtDag__Job *mt_fake_store_decode_job(mt_str_t body)
 {
 	return mt_dag__job__unpack(NULL, body.len, (const uint8_t *)body.data);
--- a/tests/fleet/fake_store.h
+++ b/tests/fleet/fake_store.h
@@ -41,6 +41,7 @@
 /** Format of the servers' reports; the directory of lib/dag reads these. */
 const mt_directory_format_t *mt_fake_store_server_list_format(void);
 mt_config_format_t mt_fake_store_config_format(void);
+const mt_evacuations_format_t *mt_fake_store_evacuations_format(void);
 MtDag__Job *mt_fake_store_decode_job(mt_str_t body);
 
 #endif
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -47,6 +47,12 @@
 
 #define LOST_SERVERS_MAX 2u
 
+/** Mean time between two changes of the evacuations, approximately. */
+#define EVACUATION_INTERVAL_MS 2500
+
+/** Data centres with servers; one more has none. */
+#define ZONES (SIM_SERVERS / 4)
+
 /** Longer than a simulation: the server is not restarted. */
 #define NEVER_MS 10000000u
 
@@ -69,6 +75,9 @@
 	uint64_t last_id;
 	bool settling;	    /**< no further jobs and faults */
 	mt_ms_t revoked_at; /**< when the API key "revoked" was removed */
+	/** Of the evacuations: without these, a seed has the same faults. */
+	GRand *evacuation_rand;
+	bool evacuated[ZONES + 1]; /**< by number of the data centre */
 } mt_workload_t;
 
 /**
@@ -495,6 +504,56 @@
 			inject_fault, workload);
 }
 
+/* Evacuations. */
+
+static void set_evacuated(mt_workload_t *workload, unsigned zone,
+			  bool evacuated)
+{
+	mt_sim_t *sim = workload->sim;
+	char name[16];
+	char key[32];
+
+	snprintf(name, sizeof(name), "r%u", zone);
+	snprintf(key, sizeof(key), "evacuate/%s", name);
+	workload->evacuated[zone] = evacuated;
+	mt_fake_store_put(sim->store, "keyed.op", key,
+			  evacuated ? MT_STR("{}") : (mt_str_t){0});
+	mt_fake_fleet_evacuate(sim->fleet, name,
+			       evacuated ? mt_sim_now(sim) : 0);
+}
+
+/**
+ * Evacuates a data centre or ends its evacuation; sometimes takes this back at
+ * once. Sometimes the store then drops the records, so that only a snapshot
+ * shows what is left.
+ */
+static void change_evacuations(void *ctx)
+{
+	mt_workload_t *workload = ctx;
+	GRand *rand = workload->evacuation_rand;
+	unsigned zone = (unsigned)g_rand_int_range(rand, 0, ZONES + 1);
+
+	if (workload->settling)
+		return;
+	set_evacuated(workload, zone, !workload->evacuated[zone]);
+	if (g_rand_double(rand) < 0.2)
+		set_evacuated(workload, zone, !workload->evacuated[zone]);
+	if (g_rand_double(rand) < 0.2)
+		mt_fake_store_drop_history(workload->sim->store, "keyed.op");
+	mt_timers_after(workload->sim->timers,
+			(mt_ms_t)g_rand_int_range(rand, 100,
+						  2 * EVACUATION_INTERVAL_MS),
+			change_evacuations, workload);
+}
+
+static void end_evacuations(mt_workload_t *workload)
+{
+	for (unsigned i = 0; i <= ZONES; i++) {
+		if (workload->evacuated[i])
+			set_evacuated(workload, i, false);
+	}
+}
+
 /* Checks at the end. */
 
 /** How long a host may take to show a job. */
@@ -573,14 +632,18 @@
 static void begin_settling(mt_workload_t *workload)
 {
 	workload->settling = true;
+	end_evacuations(workload);
 	mt_fake_fleet_repair(workload->sim->fleet);
 }
 
 /** @return true when no invariant was violated */
-static bool run_seed(guint32 seed, bool verbose)
+static bool run_seed(guint32 seed, bool verbose, bool evacuations)
 {
-	mt_sim_t *sim = mt_sim_new(seed, verbose);
-	mt_workload_t workload = {sim, g_ptr_array_new(), 0, false, 0};
+	mt_sim_t *sim = mt_sim_new(seed, verbose, evacuations);
+	mt_workload_t workload = {.sim = sim,
+				  .jobs = g_ptr_array_new(),
+				  .evacuation_rand =
+					  g_rand_new_with_seed(seed)};
 	mt_ms_t started_at = mt_sim_now(sim);
 	unsigned accepted = 0;
 
@@ -588,6 +651,8 @@
 	mt_sim_run(sim, started_at + WARM_UP_MS);
 	submit_next_job(&workload);
 	inject_fault(&workload);
+	if (evacuations)
+		change_evacuations(&workload);
 	mt_timers_after(sim->timers, REVOCATION_AT_MS, revoke_key, &workload);
 	mt_sim_run(sim, started_at + WARM_UP_MS + TRAFFIC_MS);
 	begin_settling(&workload);
@@ -615,8 +680,10 @@
 	struct arg_int *seed = arg_int0(NULL, "seed", "N", "first seed");
 	struct arg_int *seeds = arg_int0(NULL, "seeds", "N", "number of seeds");
 	struct arg_lit *verbose = arg_lit0("v", "verbose", "show events");
+	struct arg_lit *evacuations = arg_lit0(
+		NULL, "evacuations", "evacuate data centres now and then");
 	struct arg_end *end = arg_end(4);
-	void *table[] = {seed, seeds, verbose, end};
+	void *table[] = {seed, seeds, verbose, evacuations, end};
 	int first;
 	int count;
 	int failed = 0;
@@ -629,7 +696,8 @@
 	first = seed->count ? seed->ival[0] : 1;
 	count = seeds->count ? seeds->ival[0] : 1;
 	for (int i = 0; i < count; i++)
-		failed += !run_seed((guint32)(first + i), verbose->count);
+		failed += !run_seed((guint32)(first + i), verbose->count,
+				    evacuations->count);
 	printf("%d passed, %d failed\n", count - failed, failed);
 	return failed != 0;
 }
--- a/tests/fleet/sim.c
+++ b/tests/fleet/sim.c
@@ -128,6 +128,8 @@
 	deps.endpoint = mt_fake_peers_endpoint(index);
 	deps.server_list_format = mt_fake_store_server_list_format();
 	deps.config_format = mt_fake_store_config_format();
+	deps.evacuations_format = mt_fake_store_evacuations_format();
+	deps.evacuation_ms = sim->evacuations ? SIM_EVACUATION_MS : 0;
 	deps.decode_job = mt_fake_store_decode_job;
 	snprintf(name, sizeof(name), "host-%u", index);
 	deps.host = mt_name(name);
@@ -163,7 +165,7 @@
 		run_event(event);
 }
 
-mt_sim_t *mt_sim_new(guint32 seed, bool verbose)
+mt_sim_t *mt_sim_new(guint32 seed, bool verbose, bool evacuations)
 {
 	mt_sim_t *sim = g_new0(mt_sim_t, 1);
 
@@ -171,6 +173,7 @@
 	sim->timers = mt_timers_new(START_MS);
 	sim->rand = g_rand_new_with_seed(seed);
 	sim->verbose = verbose;
+	sim->evacuations = evacuations;
 	sim->store = mt_fake_store_new(sim);
 	sim->fleet = mt_fake_fleet_new(sim, SIM_SERVERS);
 	for (unsigned i = 0; i < SIM_HOSTS; i++)
--- a/tests/fleet/sim.h
+++ b/tests/fleet/sim.h
@@ -17,6 +17,9 @@
 #define SIM_HOSTS 6u
 #define SIM_SERVERS 12u
 
+/** Bound of an evacuation, see mt_evacuations_new(). */
+#define SIM_EVACUATION_MS 5000u
+
 typedef struct mt_sim_t mt_sim_t;
 
 /** One process of an entry host; a restart creates a new object. */
@@ -52,6 +55,8 @@
 	unsigned breaches;
 	unsigned lost_servers; /**< servers that will not come back */
 	bool verbose;
+	/** Hosts that are started can evacuate data centres. */
+	bool evacuations;
 	/* Active faults, named as in platformd's /test/faults query, which
 	 * lacks `order_unsent`. An order is a command to a server. */
 	bool store_down;
@@ -65,7 +70,8 @@
 	struct mt_fake_fleet_t *fleet;
 };
 
-mt_sim_t *mt_sim_new(guint32 seed, bool verbose);
+/** @param evacuations see mt_sim_t */
+mt_sim_t *mt_sim_new(guint32 seed, bool verbose, bool evacuations);
 
 /**
  * Creates a store and servers, but no hosts. The caller advances
