dag: starts of a former leader are told by a flag, not by the time

A leader that takes over told the placements of the former leader by placed_at <= leading_since, but restoring many jobs takes longer than a millisecond. Their starts were sent again with the same run number, which was harmless; since data centres can be evacuated, such a start is given up, and the task runs twice. Change: mt_dag_task_t.restored. Such starts are never repeated nor given up; the server's report decides, as documented before. Test: the take-over in test_evacuations.c restores a task later than the leadership begins; it fails with the comparison of times.

--- a/lib/dag/commands.c
+++ b/lib/dag/commands.c
@@ -658,20 +658,14 @@
 
 /**
  * True if the start is neither in flight nor settled, and this leader placed
- * the task. If an earlier leader placed the task, the start is not repeated:
- * the server's report shows whether it took effect. Such a task has `placed_at`
- * <= `leading_since`, as its placement is restored when this host begins to
- * lead, and `placed_at` is the time of the restoration. (A task that is
- * restored later than `leading_since` counts as placed by this leader. Its
- * start is sent again, with the same run number.)
+ * the task. If an earlier leader placed it, the start is not repeated: the
+ * server's report shows whether it took effect.
  */
-static bool waits_for_start(const mt_engine_t *engine,
-			    const mt_dag_task_t *task)
+static bool waits_for_start(const mt_dag_task_t *task)
 {
 	return task->phase == MT_TASK_PHASE_STARTING &&
-	       task->placement_stored && !task->start_in_flight &&
-	       !task->start_settled_at &&
-	       task->placed_at > engine->leading_since;
+	       task->placement_stored && !task->restored &&
+	       !task->start_in_flight && !task->start_settled_at;
 }
 
 static void tick_task(mt_engine_t *engine, mt_dag_task_t *task, mt_ms_t now)
@@ -681,7 +675,7 @@
 			mt_commands_stop(engine, task);
 		return;
 	}
-	if (waits_for_start(engine, task)) {
+	if (waits_for_start(task)) {
 		if (mt_engine_is_evacuated(engine, task->server)) {
 			withdraw_start(engine, task);
 			return;
--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -345,7 +345,6 @@
 	engine->next_advice_request_at = 0;
 	engine->generation++;
 	engine->term = term;
-	engine->leading_since = mt_engine_now(engine);
 	engine->writer = mt_writer_new(&writer_deps);
 	mt_table_each(engine->deps.table, add_job, engine);
 	mt_table_watch(engine->deps.table, &job_watcher);
--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -30,7 +30,6 @@
 	/** Incremented at each gain and loss of leadership. Answers to commands
 	 * and requests of an earlier generation are ignored. */
 	unsigned generation;
-	mt_ms_t leading_since; /**< when this host last became the leader */
 	mt_writer_t *writer;
 	GHashTable *jobs;		/**< id to mt_dag_job_t */
 	GHashTable *backends;		/**< id to mt_backend_t */
--- a/lib/dag/job_model.c
+++ b/lib/dag/job_model.c
@@ -158,6 +158,7 @@
 	task->run = run;
 	task->server = server;
 	task->placement_stored = false;
+	task->restored = false;
 	task->start_in_flight = false;
 	task->start_unanswered = false;
 	task->stop_wanted = false;
@@ -528,6 +529,7 @@
 			     progress->servers[server - 1]->born_ms),
 			  task->run, now);
 	task->placement_stored = true;
+	task->restored = true;
 	return true;
 }
 
--- a/lib/dag/job_model.h
+++ b/lib/dag/job_model.h
@@ -44,6 +44,8 @@
 	uint32_t fails;
 	mt_backend_t *server;  /**< server on which it is placed, or NULL */
 	bool placement_stored; /**< the placement is in the store */
+	/** An earlier leader placed the task, and may have sent the start. */
+	bool restored;
 	bool start_in_flight;  /**< a start command has no answer yet */
 	bool start_unanswered; /**< a start command of this run got no answer */
 	bool stop_wanted;      /**< the run is to be stopped */
--- a/lib/dag/reports.c
+++ b/lib/dag/reports.c
@@ -283,19 +283,17 @@
  *   settled before the hold was sent, as the report may otherwise be older.
  * - An earlier leader placed the task, and no start command of this leader is
  *   in flight: true. A start sent by the earlier leader can no longer take
- *   effect, since the server has seen the present term in the hold. The
- *   condition on `placed_at` is explained in tick_task() in commands.c.
+ *   effect, since the server has seen the present term in the hold.
  * - Otherwise false.
  */
-static bool report_must_list(const mt_engine_t *engine,
-			     const mt_dag_task_t *task, mt_ms_t sent_at)
+static bool report_must_list(const mt_dag_task_t *task, mt_ms_t sent_at)
 {
 	if (task->stop_confirmed_at)
 		return sent_at > task->stop_confirmed_at;
 	if (task->start_settled_at)
 		return sent_at > task->start_settled_at;
 	return task->placement_stored && !task->start_in_flight &&
-	       task->placed_at <= engine->leading_since;
+	       task->restored;
 }
 
 /**
@@ -317,7 +315,7 @@
 		if (i >= backend->tasks->len)
 			continue;
 		task = backend->tasks->pdata[i];
-		if (report_must_list(engine, task, sent_at) &&
+		if (report_must_list(task, sent_at) &&
 		    !is_reported_active(answer, task))
 			mt_reports_run_lost(engine, task,
 					    "unknown to its server");
--- a/tests/unit/test_evacuations.c
+++ b/tests/unit/test_evacuations.c
@@ -515,7 +515,9 @@
 /**
  * Guards against: the leader is lost during an evacuation, and the next one
  * places tasks before it has read the evacuation, or repeats a start of the
- * former leader. A task that the former leader has started is left alone.
+ * former leader, or gives up one whose record was restored some time after it
+ * began to lead, so that the task runs twice. A task that the former leader has
+ * started is left alone.
  */
 static void a_take_over_during_an_evacuation(void)
 {
@@ -528,6 +530,8 @@
 	mt_fake_topic_put(&fixture.topic, "evacuate/z1", "{}");
 	lead(&fixture, &servers);
 	former = &add_placed_step(&fixture.engine, 1)->tasks[0];
+	former->restored = true;
+	former->placed_at = mt_engine_now(fixture.engine.engine) + 1;
 	fixture.engine.servers[0]->leases_expire_at = 99999;
 	task = &mt_engine_fixture_add_job(&fixture.engine, 2, 0, 1)
 			->steps[0]
