dag: learn the speeds of servers from the progress of runs

Servers of one service run at speeds such as 0.6, 1.0 and 1.6, and members of a gang on fast servers wait for those on slow ones. The scheduler did not know the speeds.

A sample also carries the error of its measurement (two new members of mt_speed_sample_t), and loses weight as it ages.

server_speeds.c takes the samples from reports and from successful ends of tasks outside gangs. The engine forgets a server that restarts, updates the model before each pass, at most every 0.5 s, and logs speeds_learned. time_left() divides by the speed. On servers of equal speed the model answers 1.0 for all of them, so nothing changes there.

--- a/lib/dag/backend.h
+++ b/lib/dag/backend.h
@@ -67,6 +67,7 @@
 	 * since the last known restart of the server. */
 	bool hold_answered;
 	mt_ms_t answered_at; /**< local time of its last hold answer */
+	mt_ms_t reported_at; /**< local time of the last report applied */
 
 	/** A hold has no answer yet and is not overdue. */
 	bool hold_in_flight;
--- a/lib/dag/commands.c
+++ b/lib/dag/commands.c
@@ -187,6 +187,7 @@
 			  task->start_settled_at - task->placed_at);
 	if (task->phase == MT_TASK_PHASE_STARTING)
 		task->phase = MT_TASK_PHASE_RUNNING;
+	mt_server_speeds_note_start(engine, task);
 	job->begun = true;
 	mt_dag_job_update_state(job);
 	mt_commands_hold(engine, task->server);
--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -74,6 +74,7 @@
 	engine->backends = g_hash_table_new_full(
 		mt_name_hash, mt_name_key_equal, NULL, free_backend);
 	engine->flushes = g_ptr_array_new_with_free_func(mt_flush_free);
+	engine->speeds = mt_speed_model_new();
 	return engine;
 }
 
@@ -273,6 +274,7 @@
 	if (!engine->leading)
 		return;
 	engine->pass_started_at = mt_engine_now(engine);
+	mt_server_speeds_update(engine);
 	mt_planner_run(engine);
 	mt_flush_changes(engine);
 }
@@ -366,4 +368,5 @@
 	g_ptr_array_set_size(engine->flushes, 0);
 	g_hash_table_remove_all(engine->jobs);
 	g_hash_table_remove_all(engine->backends);
+	mt_server_speeds_clear(engine);
 }
--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -5,8 +5,9 @@
  * within their accounts' guarantees), advice_requests.c (advice requests, that
  * is requests to the policy service), commands.c (sends commands to servers),
  * reports.c (applies what servers report), relocation.c (moves runs to other
- * servers), flush.c (writes changes to the store), sweep.c (deletes the records
- * of ended jobs) and wait_log.c (logs why steps wait).
+ * servers), server_speeds.c (learns the speeds of servers), flush.c (writes
+ * changes to the store), sweep.c (deletes the records of ended jobs) and
+ * wait_log.c (logs why steps wait).
  *
  * A scheduling pass plans placements and stores changed jobs. It runs after
  * each tick and soon after a change. A tick handles time-outs and repeats
@@ -19,6 +20,7 @@
 #include "dag/follower.h"
 #include "dag/survival.h"
 #include "dag/job_model.h"
+#include "dag/speed.h"
 #include "dag/writer.h"
 
 struct mt_engine_t {
@@ -44,7 +46,13 @@
 	mt_ms_t last_sweep_at;	 /**< time of the last sweep, see sweep.c */
 	/** Time of the last search for slow servers, see relocation.c. */
 	mt_ms_t slow_search_at;
-	mt_ms_t wait_logged_at; /**< time of the last log, see wait_log.c */
+	mt_ms_t wait_logged_at;	   /**< time of the last log, see wait_log.c */
+	mt_speed_model_t *speeds;  /**< speeds of the servers; never NULL */
+	mt_ms_t speeds_updated_at; /**< last update of `speeds`; 0: none */
+	/* The last event speeds_learned, see server_speeds.c. */
+	mt_ms_t speeds_logged_at; /**< 0: none */
+	mt_speed_summary_t speeds_logged;
+	bool speeds_logged_uneven;
 };
 
 /**
@@ -190,6 +198,38 @@
  */
 void mt_relocation_tick(mt_engine_t *engine, mt_backend_t *backend);
 
+/* server_speeds.c */
+
+/** Called when a server has confirmed the start of a run. */
+void mt_server_speeds_note_start(const mt_engine_t *engine,
+				 mt_dag_task_t *task);
+
+/**
+ * Called when a server reports a run as active, with the progress
+ * `task->percent`.
+ * @param progressed the progress has changed since the last report
+ */
+void mt_server_speeds_note_progress(mt_engine_t *engine, mt_dag_task_t *task,
+				    bool progressed);
+
+/** Called when a run has ended with success, before the task is finished. */
+void mt_server_speeds_note_end(mt_engine_t *engine, const mt_dag_task_t *task);
+
+/**
+ * Makes a sample of the mean rate of a run so far.
+ * @param has_ended the run has just ended with success
+ * @return false if there is no rate yet, or it is too inexact
+ */
+bool mt_server_speeds_sample(const mt_engine_t *engine,
+			     const mt_dag_task_t *task, bool has_ended,
+			     mt_speed_sample_t *sample);
+
+/** Called before each scheduling pass: computes the speeds now and then. */
+void mt_server_speeds_update(mt_engine_t *engine);
+
+/** Forgets all speeds. */
+void mt_server_speeds_clear(mt_engine_t *engine);
+
 /* reports.c */
 
 /**
--- a/lib/dag/job_model.h
+++ b/lib/dag/job_model.h
@@ -69,7 +69,10 @@
 	uint32_t pace_from_percent; /**< progress at `pace_from_at` */
 	mt_ms_t paced_at;	    /**< end of the last one; 0: none yet */
 	double pace;		    /**< percent per second, as last measured */
-	char *checkpoint;	    /**< newest checkpoint, or NULL */
+	/* Begin of the measurement of its mean rate, see server_speeds.c. */
+	mt_ms_t measured_from_at;	/**< 0: not yet */
+	uint32_t measured_from_percent; /**< progress at `measured_from_at` */
+	char *checkpoint;		/**< newest checkpoint, or NULL */
 	/** Time at which `checkpoint` was received; before that, the time of
 	 * the placement. Written, but never read. */
 	mt_ms_t checkpoint_saved_at;
--- a/lib/dag/relocation.c
+++ b/lib/dag/relocation.c
@@ -238,12 +238,15 @@
 /* Ends of runs. */
 
 /** Estimated time until the run ends. */
-static mt_ms_t time_left(const mt_dag_task_t *task)
+static mt_ms_t time_left(const mt_engine_t *engine, const mt_dag_task_t *task)
 {
 	uint32_t percent = MIN(task->percent, PERCENT_MAX);
+	mt_ms_t left_at_speed_1 = (mt_ms_t)task->step->spec->estimate_ms *
+				  (PERCENT_MAX - percent) / PERCENT_MAX;
+	double speed = mt_speed_model_speed(engine->speeds,
+					    &task->server->info.target.id);
 
-	return (mt_ms_t)task->step->spec->estimate_ms *
-	       (PERCENT_MAX - percent) / PERCENT_MAX;
+	return (mt_ms_t)((double)left_at_speed_1 / speed);
 }
 
 /**
@@ -251,12 +254,14 @@
  * before the run ends. A run that writes checkpoints is moved only
  * EVACUATE_BEFORE_DEADLINE_MS before the server's deadline, other runs at once.
  */
-static bool should_evacuate(const mt_dag_task_t *task, mt_ms_t now)
+static bool should_evacuate(const mt_engine_t *engine,
+			    const mt_dag_task_t *task, mt_ms_t now)
 {
 	mt_ms_t drain_deadline = task->server->drain_deadline;
 	mt_ms_t left = drain_deadline > now ? drain_deadline - now : 0;
 
-	if (!drain_deadline || !is_running(task) || time_left(task) <= left)
+	if (!drain_deadline || !is_running(task) ||
+	    time_left(engine, task) <= left)
 		return false;
 	return !task->step->spec->checkpointing ||
 	       left <= EVACUATE_BEFORE_DEADLINE_MS;
@@ -296,7 +301,7 @@
 			relocate(engine, task, "stands still");
 		} else if (crawls(task, now)) {
 			relocate(engine, task, "its server is slow");
-		} else if (should_evacuate(task, now)) {
+		} else if (should_evacuate(engine, task, now)) {
 			relocate(engine, task, "its server leaves");
 		}
 	}
--- a/lib/dag/reports.c
+++ b/lib/dag/reports.c
@@ -121,6 +121,7 @@
 	backend->last_end_handled = 0;
 	backend->last_end_stored = 0;
 	backend->last_end_deletable_sent = 0;
+	mt_speed_model_forget(engine->speeds, &backend->info.target.id);
 	mt_engine_request_pass(engine);
 }
 
@@ -143,6 +144,7 @@
 	if (reason == MT_END_DONE)
 		note_success(backend);
 	if (finishes_task(task, reason)) {
+		mt_server_speeds_note_end(engine, task);
 		mt_dag_task_finish(task);
 	} else if (reason == MT_END_FAILED) {
 		record_failure(engine, backend);
@@ -231,6 +233,7 @@
 	mt_dag_task_t *task =
 		job ? mt_dag_job_find_task(job, &active->task) : NULL;
 	mt_ms_t now = mt_engine_now(engine);
+	bool progressed;
 
 	if (!task || task->server != backend || task->run != active->run) {
 		backend->n_stray_runs++;
@@ -244,11 +247,13 @@
 		job->begun = true;
 		mt_dag_job_update_state(job);
 	}
-	if (task->percent != active->percent) {
+	progressed = task->percent != active->percent;
+	if (progressed) {
 		task->percent = active->percent;
 		task->progressed_at = now;
 	}
 	mt_relocation_note_progress(task, now);
+	mt_server_speeds_note_progress(engine, task, progressed);
 	mt_dag_task_save_checkpoint(task, active->checkpoint, now);
 	if (task->stop_wanted || job->state >= MT_DAG__STATE__COMPLETED)
 		mt_commands_stop(engine, task);
@@ -345,4 +350,5 @@
 	for (size_t i = 0; i < answer->n_active_runs; i++)
 		on_active_run(engine, backend, &answer->active_runs[i]);
 	mark_missing_lost(engine, backend, answer, sent_at);
+	backend->reported_at = mt_engine_now(engine);
 }
--- a/lib/dag/speed.h
+++ b/lib/dag/speed.h
@@ -25,8 +25,26 @@
 	mt_name_t server; /**< id of the server */
 	double rate;	  /**< percent of the work per second, above 0 */
 	mt_ms_t at;	  /**< time of the observation */
+	/** Standard error of the natural logarithm of `rate` that results from
+	 * how it was measured; 0: it is exact. */
+	double error;
+	/** The run has done all its work by `at`, so that its rate is at least
+	 * `rate`. Such a sample never replaces one with an exact rate. */
+	bool is_minimum;
 } mt_speed_sample_t;
 
+/** What a model knows. */
+typedef struct mt_speed_summary_t {
+	unsigned n_known; /**< servers whose speeds are known well */
+	double p10;	  /**< quantiles of the speeds of these servers */
+	double p50;
+	double p90;
+} mt_speed_summary_t;
+
+/** Receives the speed of a server and the standard error of its logarithm. */
+typedef void (*mt_speed_cb)(void *ctx, const mt_name_t *server, double speed,
+			    double error);
+
 typedef struct mt_speed_model_t mt_speed_model_t;
 
 mt_speed_model_t *mt_speed_model_new(void);
@@ -56,4 +74,23 @@
 /** Forgets a server, for example because its process has restarted. */
 void mt_speed_model_forget(mt_speed_model_t *model, const mt_name_t *server);
 
+/** Quantiles of the speeds, also if the servers are not uneven. */
+mt_speed_summary_t mt_speed_model_summary(const mt_speed_model_t *model);
+
+/**
+ * Calls `cb` for each server whose speed is known well. Does nothing if the
+ * servers are not uneven.
+ */
+void mt_speed_model_each(const mt_speed_model_t *model, mt_speed_cb cb,
+			 void *ctx);
+
+/**
+ * Sets the speed of a server that another model has reported to
+ * mt_speed_model_each(). Samples of this model change it further. To be called
+ * before the first sample of the server; mt_speed_model_update() then decides
+ * whether the servers are uneven.
+ */
+void mt_speed_model_restore(mt_speed_model_t *model, const mt_name_t *server,
+			    double speed, double error, mt_ms_t now);
+
 #endif
