plan: gangs are placed on servers of similar speed

Cause: a gang ends with its slowest member, so that the capacity of faster members is lost, and urgent gangs ended late on slow servers while work that could wait held the fast ones. Change: the plan groups servers into classes of similar speed (plan_speed.c). A gang is placed on the classes on which it uses the least capacity, weighed against its end: urgent gangs, and gangs with little time left, on fast servers, others on the slowest on which they are in time. Single tasks are ordered by speed in the same way, before best fit. The planner sets the speeds from the speed model, and the run time and the time left of each unit. With one class of servers the plan is the one of before.

--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -74,6 +74,7 @@
 	engine->backends = g_hash_table_new_full(
 		mt_name_hash, mt_name_key_equal, NULL, free_backend);
 	engine->flushes = g_ptr_array_new_with_free_func(mt_flush_free);
+	engine->speeds = mt_speed_model_new();
 	return engine;
 }
 
--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -17,6 +17,7 @@
 
 #include "dag/engine.h"
 #include "dag/follower.h"
+#include "dag/speed.h"
 #include "dag/survival.h"
 #include "dag/job_model.h"
 #include "dag/writer.h"
@@ -40,6 +41,7 @@
 	uint64_t tick_timer; /**< runs the ticks while this host leads */
 	/** Observed running time and preemptions, by priority. */
 	mt_survival_t survival;
+	mt_speed_model_t *speeds;
 	mt_ms_t pass_started_at; /**< start of the last scheduling pass */
 	mt_ms_t last_sweep_at;	 /**< time of the last sweep, see sweep.c */
 	/** Time of the last search for slow servers, see relocation.c. */
--- a/lib/dag/plan.c
+++ b/lib/dag/plan.c
@@ -97,7 +97,8 @@
 	return mt_plan_server_has_label(plan_server, scope->unit->label);
 }
 
-static mt_dag_resources_t available_on(const mt_scope_t *scope, uint32_t server)
+mt_dag_resources_t mt_scope_available_on(const mt_scope_t *scope,
+					 uint32_t server)
 {
 	const mt_plan_server_t *plan_server = &scope->plan->servers[server];
 	mt_dag_resources_t available = plan_server->free;
@@ -111,11 +112,10 @@
 	return available;
 }
 
-/** Number of the unit's tasks that fit on one server. */
-static uint32_t fit_count_on(const mt_scope_t *scope, uint32_t server)
+uint32_t mt_scope_fit_count_on(const mt_scope_t *scope, uint32_t server)
 {
 	const mt_plan_unit_t *unit = scope->unit;
-	mt_dag_resources_t available = available_on(scope, server);
+	mt_dag_resources_t available = mt_scope_available_on(scope, server);
 	uint32_t fit = mt_dag_resources_fit_count(&unit->need, &available);
 
 	if (unit->per_server_max) {
@@ -137,7 +137,8 @@
 
 		if (!mt_scope_allows(scope, server))
 			continue;
-		fit += MIN(fit_count_on(scope, server), scope->unit->count);
+		fit += MIN(mt_scope_fit_count_on(scope, server),
+			   scope->unit->count);
 		if (fit >= scope->unit->count)
 			return fit;
 	}
@@ -149,12 +150,13 @@
 	uint32_t fit;	 /**< number of tasks that fit on the server */
 	/** Number of accelerators left once `fit` tasks are placed. */
 	uint32_t gpus_left;
-	uint32_t penalty; /**< see mt_plan_server_t.penalty */
+	uint32_t penalty;    /**< see mt_plan_server_t.penalty */
+	uint32_t speed_rank; /**< see mt_speed_rank() */
 } mt_server_fit_t;
 
 /**
- * Sorts by penalty, then by best fit: servers with the fewest accelerators left
- * come first, so that other servers stay entirely free.
+ * Sorts by penalty, then by speed, then by best fit: servers with the fewest
+ * accelerators left come first, so that other servers stay entirely free.
  */
 static int compare_server_fits(const void *a, const void *b)
 {
@@ -163,6 +165,8 @@
 
 	if (x->penalty != y->penalty)
 		return x->penalty < y->penalty ? -1 : 1;
+	if (x->speed_rank != y->speed_rank)
+		return x->speed_rank < y->speed_rank ? -1 : 1;
 	if (x->gpus_left != y->gpus_left)
 		return x->gpus_left < y->gpus_left ? -1 : 1;
 	return x->server < y->server ? -1 : x->server > y->server;
@@ -178,21 +182,27 @@
 {
 	mt_server_fit_t *fits =
 		g_new(mt_server_fit_t, scope->server_set->n_servers);
+	mt_speed_preference_t preference =
+		mt_speed_preference_of(&scope->index->classes, scope->unit);
 	uint32_t n = 0;
 	uint32_t n_assigned = 0;
 
 	for (uint32_t i = 0; i < scope->server_set->n_servers; i++) {
 		uint32_t server = scope->server_set->servers[i];
 		mt_server_fit_t server_fit = {
-			server, 0, 0, scope->plan->servers[server].penalty};
+			server, 0, 0, scope->plan->servers[server].penalty, 0};
 
 		if (!mt_scope_allows(scope, server))
 			continue;
-		server_fit.fit = MIN(fit_count_on(scope, server), count);
+		server_fit.fit =
+			MIN(mt_scope_fit_count_on(scope, server), count);
 		if (!server_fit.fit)
 			continue;
-		server_fit.gpus_left = available_on(scope, server).gpu -
-				       server_fit.fit * scope->unit->need.gpu;
+		server_fit.gpus_left =
+			mt_scope_available_on(scope, server).gpu -
+			server_fit.fit * scope->unit->need.gpu;
+		server_fit.speed_rank =
+			mt_speed_rank(scope, &preference, server);
 		fits[n++] = server_fit;
 	}
 	if (n)
@@ -236,7 +246,7 @@
 		uint32_t server = scope->server_set->servers[i];
 
 		if (mt_scope_allows(scope, server))
-			gpu += available_on(scope, server).gpu;
+			gpu += mt_scope_available_on(scope, server).gpu;
 	}
 	return gpu;
 }
@@ -291,6 +301,31 @@
 	return n_assigned == unit->count;
 }
 
+/**
+ * Places a gang on servers of similar speed, see mt_plan_choose_by_speed().
+ * @return true if it was placed
+ */
+static bool place_by_speed(const mt_plan_run_t *run, mt_plan_unit_t *unit,
+			   bool one_rack)
+{
+	mt_server_set_t chosen;
+	bool placed;
+
+	if (!mt_plan_choose_by_speed(run->plan, run->index, unit, one_rack,
+				     &chosen))
+		return false;
+	placed = place_within(run->plan, run->index, unit, &chosen);
+	g_free((uint32_t *)chosen.servers);
+	return placed;
+}
+
+/** True if the speeds of the servers matter for the choice of a set. */
+static bool chooses_by_speed(const mt_plan_run_t *run,
+			     const mt_plan_unit_t *unit)
+{
+	return unit->is_gang && mt_speed_classes_differ(&run->index->classes);
+}
+
 /** True if the whole unit would fit into the set if no other task ran there. */
 static bool fits_into_room(const mt_plan_run_t *run, const mt_plan_unit_t *unit,
 			   const mt_server_set_t *server_set)
@@ -415,9 +450,12 @@
  */
 static bool place_in_rack(const mt_plan_run_t *run, mt_plan_unit_t *unit)
 {
-	const mt_server_set_t *rack = find_rack_with_fewest_gpus(
-		run->plan, run->index, unit, MT_CAPACITY_FREE);
+	const mt_server_set_t *rack;
 
+	if (chooses_by_speed(run, unit))
+		return place_by_speed(run, unit, true);
+	rack = find_rack_with_fewest_gpus(run->plan, run->index, unit,
+					  MT_CAPACITY_FREE);
 	if (rack)
 		return place_within(run->plan, run->index, unit, rack);
 	rack = mt_plan_index_rack(run->index, unit->data_rack);
@@ -426,6 +464,17 @@
 	return false;
 }
 
+/**
+ * Places tasks of a unit that may use all servers.
+ * @return true if all tasks were placed
+ */
+static bool place_anywhere(const mt_plan_run_t *run, mt_plan_unit_t *unit)
+{
+	if (chooses_by_speed(run, unit))
+		return place_by_speed(run, unit, false);
+	return place_within(run->plan, run->index, unit, &run->index->all);
+}
+
 /**
  * Schedules a unit that is restricted to one rack:
  * - Places its tasks, see place_in_rack().
@@ -471,7 +520,7 @@
 		NULL};
 	bool soon;
 
-	if (place_within(run->plan, run->index, unit, all))
+	if (place_anywhere(run, unit))
 		return;
 	soon = mt_scope_fit_count(&scope) >= unit->count;
 	if (!soon && unit->may_preempt)
@@ -538,7 +587,7 @@
 	if (unit->overdue && is_restricted_to_rack(unit))
 		place_in_rack(run, unit);
 	else if (unit->overdue)
-		place_within(run->plan, run->index, unit, &run->index->all);
+		place_anywhere(run, unit);
 	if (!unit->placed && unit->may_preempt)
 		reserve_if_soon(run, unit);
 }
--- a/lib/dag/plan.h
+++ b/lib/dag/plan.h
@@ -61,6 +61,8 @@
 	 * the server's number of consecutive failed runs, and higher for a
 	 * suspect server. */
 	uint32_t penalty;
+	/** Relative to the median server; 0 counts as 1. */
+	double speed;
 } mt_plan_server_t;
 
 /**
@@ -93,8 +95,13 @@
 	 * there; NULL: none. Only set with `per_server_max`. */
 	const uint32_t *already_placed;
 	uint32_t priority; /**< 0 is the highest */
-	bool guaranteed;   /**< the job is within its account's guarantee */
-	bool may_preempt;  /**< placed tasks may be preempted for it */
+	/** Estimated run time of a task on a server of speed 1. */
+	uint32_t run_ms;
+	/** Time left until the latest end of the unit with which its job meets
+	 * its objective; may be negative. */
+	int64_t left_ms;
+	bool guaranteed;  /**< the job is within its account's guarantee */
+	bool may_preempt; /**< placed tasks may be preempted for it */
 	/** If not all tasks of this unit can be placed, resources are reserved
 	 * for the others, so that later units cannot use them. No resources
 	 * are reserved for a gang that would not even fit into
--- a/lib/dag/plan_index.c
+++ b/lib/dag/plan_index.c
@@ -108,11 +108,13 @@
 	index->all.n_servers = plan->n_servers;
 	index_racks(index, plan);
 	index_victims(index, plan);
+	mt_speed_classes_init(&index->classes, plan);
 	return index;
 }
 
 void mt_plan_index_free(mt_plan_index_t *index)
 {
+	mt_speed_classes_clear(&index->classes);
 	free_buckets(&index->servers_by_rack);
 	free_buckets(&index->victims_by_server);
 	free_buckets(&index->victims_by_group);
--- a/lib/dag/plan_internal.h
+++ b/lib/dag/plan_internal.h
@@ -1,10 +1,11 @@
 /**
  * @file plan_internal.h
  * Internal interface of the placement plan: plan.c (placement), plan_index.c
- * (lookup tables, built once per plan) and plan_preempt.c (selection of tasks
- * to preempt). A victim is a placed task that may be preempted. The victims of
- * one gang form a victim group, as they are stopped together; every other
- * victim is a group of its own.
+ * (lookup tables, built once per plan), plan_speed.c (choice of servers by
+ * their speeds) and plan_preempt.c (selection of tasks to preempt). A victim is
+ * a placed task that may be preempted. The victims of one gang form a victim
+ * group, as they are stopped together; every other victim is a group of its
+ * own.
  */
 #ifndef MT_DAG_PLAN_INTERNAL_H
 #define MT_DAG_PLAN_INTERNAL_H
@@ -27,8 +28,20 @@
 	GQuark name;		 /**< of the rack; 0: all servers */
 	const uint32_t *servers; /**< indexes into mt_plan_t.servers */
 	uint32_t n_servers;
+	/** Chosen for a gang by mt_plan_choose_by_speed(). */
+	bool is_chosen_by_speed;
 } mt_server_set_t;
 
+/** Maximum number of classes; the last one has no upper bound. */
+#define MT_SPEED_CLASSES_MAX 16u
+
+/** Classes of servers of similar speeds, slowest first. */
+typedef struct mt_speed_classes_t {
+	uint32_t n;
+	double lowest[MT_SPEED_CLASSES_MAX]; /**< lowest speed of each class */
+	uint32_t *of_server;		     /**< class of each server */
+} mt_speed_classes_t;
+
 /**
  * Indexes grouped by a key. The indexes with key k are items[i] for
  * start[k] <= i < start[k + 1].
@@ -48,6 +61,7 @@
 	mt_buckets_t victims_by_group;	/**< by mt_plan_victim_t.group */
 	double *group_cost;    /**< cost of stopping each victim group */
 	uint32_t *all_servers; /**< owned memory of `all.servers` */
+	mt_speed_classes_t classes;
 } mt_plan_index_t;
 
 /**
@@ -67,6 +81,16 @@
 	const mt_dag_resources_t *freed;
 } mt_scope_t;
 
+/** Which speeds a unit prefers. */
+typedef struct mt_speed_preference_t {
+	/** The faster, the better. Otherwise the slowest servers are preferred
+	 * on which the unit is expected to end in time. */
+	bool end_soon;
+	/** The slowest class on which the unit is expected to end in time; 0 if
+	 * `end_soon` is set, or if no class is fast enough. */
+	uint32_t in_time_from;
+} mt_speed_preference_t;
+
 /** The caller frees the result with mt_plan_index_free(). */
 mt_plan_index_t *mt_plan_index_new(const mt_plan_t *plan);
 void mt_plan_index_free(mt_plan_index_t *index);
@@ -82,6 +106,13 @@
  */
 bool mt_scope_allows(const mt_scope_t *scope, uint32_t server);
 
+/** The resources of the server that count as available in the scope. */
+mt_dag_resources_t mt_scope_available_on(const mt_scope_t *scope,
+					 uint32_t server);
+
+/** Number of the unit's tasks that fit on one server. */
+uint32_t mt_scope_fit_count_on(const mt_scope_t *scope, uint32_t server);
+
 /**
  * Number of tasks with the needs of the unit that fit on the servers of the
  * scope. Counting ends at the server with which the number reaches unit->count;
@@ -89,6 +120,39 @@
  */
 uint32_t mt_scope_fit_count(const mt_scope_t *scope);
 
+/** Groups the servers of the plan; freed with mt_speed_classes_clear(). */
+void mt_speed_classes_init(mt_speed_classes_t *classes, const mt_plan_t *plan);
+void mt_speed_classes_clear(mt_speed_classes_t *classes);
+
+/** True if there are several classes. */
+bool mt_speed_classes_differ(const mt_speed_classes_t *classes);
+
+mt_speed_preference_t mt_speed_preference_of(const mt_speed_classes_t *classes,
+					     const mt_plan_unit_t *unit);
+
+/**
+ * Rank of the server among those of the scope, by its speed: lower ranks are
+ * used first. On servers chosen for a gang, the slowest come first: the gang
+ * ends with its slowest member, and uses less capacity if few are faster.
+ */
+uint32_t mt_speed_rank(const mt_scope_t *scope,
+		       const mt_speed_preference_t *preference,
+		       uint32_t server);
+
+/**
+ * Chooses the servers of similar speed on which a gang uses the least capacity,
+ * weighed against the time at which it ends. Only free resources are
+ * considered. Servers with a penalty are used only if the gang does not fit
+ * otherwise.
+ * @param one_rack the servers must belong to one rack
+ * @param chosen receives the servers; the caller frees `chosen->servers`
+ * @return false if the gang does not fit
+ */
+bool mt_plan_choose_by_speed(const mt_plan_t *plan,
+			     const mt_plan_index_t *index,
+			     const mt_plan_unit_t *unit, bool one_rack,
+			     mt_server_set_t *chosen);
+
 /**
  * Selects victims to stop so that the unit fits, and marks them as preempted.
  * @param one_rack true: the unit must fit into one rack, and the rack with the
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -123,6 +123,8 @@
 		server->suspect = mt_planner_is_suspect(planner, backend);
 		server->penalty = backend->fail_streak +
 				  (server->suspect ? SUSPECT_PENALTY : 0);
+		server->speed = mt_speed_model_speed(planner->engine->speeds,
+						     &backend->info.target.id);
 		mark_workload_kinds(server, backend);
 		memcpy(server->labels, backend->info.labels,
 		       sizeof(server->labels));
@@ -298,6 +300,22 @@
 		       candidate->latest_start_ms + LATEST_START_WINDOW_MS;
 }
 
+/**
+ * Returns mt_plan_unit_t.left_ms of the step: its share, by estimated run time,
+ * of the time left until the job's objective.
+ */
+static int64_t time_left(const mt_planner_t *planner, const mt_dag_step_t *step)
+{
+	const mt_dag_job_t *job = step->job;
+	int64_t left_ms = (int64_t)job->known_since +
+			  mt_dag_job_objective_ms(job) - (int64_t)planner->now;
+	uint32_t path_left_ms = mt_dag_job_critical_path_left_ms(job);
+
+	if (!path_left_ms)
+		return left_ms;
+	return left_ms * step->spec->estimate_ms / path_left_ms;
+}
+
 static void init_unit(mt_planner_t *planner, mt_plan_unit_t *unit,
 		      const mt_candidate_step_t *candidate)
 {
@@ -314,6 +332,8 @@
 	unit->already_placed = count_already_placed(planner, step);
 	unit->allowed = find_allowed(planner, step, unit->count);
 	unit->priority = step->job->queue.priority;
+	unit->run_ms = step->spec->estimate_ms;
+	unit->left_ms = time_left(planner, step);
 	unit->guaranteed = candidate->guaranteed;
 	unit->may_preempt =
 		!unit->priority || is_near_latest_start(planner, candidate);
