planner: preemptions are weighed by cost and gain

Cause: an urgent unit always preempted, whatever work its victims lost, also where runs that end at once would have made room. The cost of a gang left out the members on servers outside the plan, and the work since the last checkpoint counted as nothing. A unit that is not a gang preempted for all of its tasks, although some had just been placed. Change: victims.c computes the cost from the work not saved, the delay of the victim, its progress and earlier preemptions, weighted by priority. A unit that is not guaranteed preempts only if it gains more, waits for runs that end while it still is in time, and where speeds differ only stops runs on servers on which it would be in time. Guaranteed units always preempt. Only the tasks left over need room; reservations count the tasks just placed against the limit for each server. Counters preemptions_refused_total and preemptions_awaited_total.

--- a/lib/dag/job_model.h
+++ b/lib/dag/job_model.h
@@ -64,6 +64,8 @@
 	 * same as `placed_at`. */
 	mt_ms_t progressed_at;
 	uint32_t percent; /**< progress of the run, reported by its server */
+	/** How often this leader has preempted a run of the task. */
+	unsigned n_preemptions;
 	/* Rate of progress, see pace.h. */
 	mt_ms_t pace_from_at;	    /**< begin of the present measurement */
 	uint32_t pace_from_percent; /**< progress at `pace_from_at` */
@@ -71,7 +73,7 @@
 	double pace;		    /**< percent per second, as last measured */
 	char *checkpoint;	    /**< newest checkpoint, or NULL */
 	/** Time at which `checkpoint` was received; before that, the time of
-	 * the placement. Written, but never read. */
+	 * the placement. */
 	mt_ms_t checkpoint_saved_at;
 } mt_dag_task_t;
 
--- a/lib/dag/plan.c
+++ b/lib/dag/plan.c
@@ -363,7 +363,7 @@
 }
 
 /**
- * Reserves resources for the tasks of the unit that were not placed, so that
+ * Reserves resources for the tasks of a unit, none of which is placed, so that
  * later units cannot use these resources. Uses free resources and resources
  * being released. Reserves nothing for a gang that cannot fit into the set even
  * if all other tasks there end, as the resources would stay idle in vain.
@@ -388,7 +388,7 @@
 	    run->n_limited_reservations++ >= run->plan->reservations_max)
 		return;
 	chosen = g_new(uint32_t, unit->count);
-	n_assigned = assign_servers(&scope, chosen, unit->count - unit->placed);
+	n_assigned = assign_servers(&scope, chosen, unit->count);
 	for (uint32_t i = 0; i < n_assigned; i++)
 		reserve_on(run, unit, chosen[i], soon);
 	g_free(chosen);
@@ -475,58 +475,107 @@
 	return place_within(run->plan, run->index, unit, &run->index->all);
 }
 
+/**
+ * The tasks of the unit that were not placed, as a unit of their own.
+ * @param already_placed receives memory that the caller frees
+ */
+static mt_plan_unit_t rest_of(const mt_plan_run_t *run,
+			      const mt_plan_unit_t *unit,
+			      uint32_t **already_placed)
+{
+	mt_plan_unit_t rest = *unit;
+
+	rest.count -= unit->placed;
+	rest.placed = 0;
+	*already_placed = NULL;
+	if (!unit->per_server_max || !unit->placed)
+		return rest;
+	*already_placed = g_new0(uint32_t, run->plan->n_servers + 1);
+	for (uint32_t i = 0; unit->already_placed && i < run->plan->n_servers;
+	     i++)
+		(*already_placed)[i] = unit->already_placed[i];
+	for (uint32_t i = 0; i < unit->placed; i++)
+		(*already_placed)[unit->chosen[i]]++;
+	rest.already_placed = *already_placed;
+	return rest;
+}
+
+/**
+ * Makes room for a unit that does not fit once the resources being released are
+ * free: waits for runs that end soon, or else preempts.
+ * @return the rack, or the set of all servers, that will have room; NULL: none
+ */
+static const mt_server_set_t *
+make_room(const mt_plan_run_t *run, const mt_plan_unit_t *unit, bool one_rack)
+{
+	const mt_server_set_t *server_set = NULL;
+
+	if (!unit->guaranteed)
+		server_set = mt_plan_wait_for_ends(run->plan, run->index, unit,
+						   one_rack);
+	if (!server_set)
+		server_set =
+			mt_plan_preempt(run->plan, run->index, unit, one_rack);
+	return server_set;
+}
+
 /**
  * Schedules a unit that is restricted to one rack:
  * - Places its tasks, see place_in_rack().
- * - If the unit may preempt, and if no rack will have room for all its tasks
- *   once the resources being released are free, it preempts tasks in one rack.
- *   The room required is for unit->count tasks even if some were just placed,
- *   see schedule_anywhere().
+ * - If the unit may preempt, and if no rack will have room for the rest once
+ *   the resources being released are free, it makes room in one rack.
  * - If the unit reserves resources, it does so in the rack that will have room
- *   for all its tasks, or if there is none, in the rack into which the largest
- *   number of them fits.
+ *   for the rest, or if there is none, in the rack into which the largest
+ *   number of its tasks fits.
  */
 static void schedule_in_rack(mt_plan_run_t *run, mt_plan_unit_t *unit)
 {
 	const mt_server_set_t *rack;
+	uint32_t *already_placed;
+	mt_plan_unit_t rest;
 	bool soon = true;
 
 	if (place_in_rack(run, unit))
 		return;
-	rack = find_rack_with_fewest_gpus(run->plan, run->index, unit,
+	rest = rest_of(run, unit, &already_placed);
+	rack = find_rack_with_fewest_gpus(run->plan, run->index, &rest,
 					  MT_CAPACITY_FREE_OR_RELEASING);
 	if (!rack && unit->may_preempt)
-		rack = mt_plan_preempt(run->plan, run->index, unit, true);
+		rack = make_room(run, &rest, true);
 	if (!rack) {
 		soon = false;
-		rack = find_rack_fitting_most(run, unit);
+		rack = find_rack_fitting_most(run, &rest);
 	}
 	if (rack)
-		reserve(run, unit, rack, soon);
+		reserve(run, &rest, rack, soon);
+	g_free(already_placed);
 }
 
 /**
  * Schedules a unit that may use all servers: places the tasks that fit. If some
- * do not, the unit may preempt tasks, and then may reserve resources for the
- * rest. Preemption makes room for unit->count tasks in addition to those just
- * placed, although only the rest needs room: it may therefore stop more tasks
- * than necessary.
+ * do not, the unit may make room for them, and then may reserve resources.
  */
 static void schedule_anywhere(mt_plan_run_t *run, mt_plan_unit_t *unit)
 {
 	const mt_server_set_t *all = &run->index->all;
-	mt_scope_t scope = {
-		run->plan, run->index, unit, all, MT_CAPACITY_FREE_OR_RELEASING,
-		NULL};
+	uint32_t *already_placed;
+	mt_plan_unit_t rest;
+	mt_scope_t scope = {run->plan,
+			    run->index,
+			    &rest,
+			    all,
+			    MT_CAPACITY_FREE_OR_RELEASING,
+			    NULL};
 	bool soon;
 
 	if (place_anywhere(run, unit))
 		return;
-	soon = mt_scope_fit_count(&scope) >= unit->count;
+	rest = rest_of(run, unit, &already_placed);
+	soon = mt_scope_fit_count(&scope) >= rest.count;
 	if (!soon && unit->may_preempt)
-		soon = mt_plan_preempt(run->plan, run->index, unit, false) !=
-		       NULL;
-	reserve(run, unit, all, soon);
+		soon = make_room(run, &rest, false) != NULL;
+	reserve(run, &rest, all, soon);
+	g_free(already_placed);
 }
 
 static void schedule(mt_plan_run_t *run, mt_plan_unit_t *unit)
--- a/lib/dag/plan.h
+++ b/lib/dag/plan.h
@@ -102,6 +102,9 @@
 	int64_t left_ms;
 	bool guaranteed;  /**< the job is within its account's guarantee */
 	bool may_preempt; /**< placed tasks may be preempted for it */
+	/** Maximum cost of the victims that are preempted for the unit; 0: no
+	 * limit. Ignored for guaranteed units. */
+	double cost_max;
 	/** If not all tasks of this unit can be placed, resources are reserved
 	 * for the others, so that later units cannot use them. No resources
 	 * are reserved for a gang that would not even fit into
@@ -128,10 +131,20 @@
 	/** The job is within its account's guarantee. The planner never sets
 	 * this, as it leaves out the tasks of such jobs. */
 	bool guaranteed;
-	double cost;	/**< work lost by stopping it, in core-seconds */
+	/** Cost of stopping it: work lost and delay, in core-seconds, weighted
+	 * by priority. */
+	double cost;
 	bool preempted; /**< result: is to be stopped */
 } mt_plan_victim_t;
 
+/** A run that is expected to end soon. */
+typedef struct mt_plan_end_t {
+	uint32_t server;	   /**< index into mt_plan_t.servers */
+	mt_dag_resources_t amount; /**< resources that are free then */
+	uint32_t in_ms;		   /**< time until it ends */
+	bool claimed; /**< result: a unit waits for it instead of preempting */
+} mt_plan_end_t;
+
 typedef struct mt_plan_t {
 	mt_plan_server_t *servers;
 	uint32_t n_servers;
@@ -139,9 +152,17 @@
 	uint32_t n_units;
 	mt_plan_victim_t *victims;
 	uint32_t n_victims;
+	mt_plan_end_t *ends; /**< in the order of in_ms */
+	uint32_t n_ends;
 	/** Maximum number of units with `reservation_limited` for which
 	 * resources are reserved. */
 	uint32_t reservations_max;
+	/** Result: number of units that do not preempt, as the victims cost
+	 * more than the unit gains. */
+	uint32_t n_refused;
+	/** Result: number of units that wait for runs that end soon instead of
+	 * preempting. */
+	uint32_t n_awaiting;
 } mt_plan_t;
 
 /** Why no task of a unit was placed. */
--- a/lib/dag/plan_internal.h
+++ b/lib/dag/plan_internal.h
@@ -153,12 +153,40 @@
 			     const mt_plan_unit_t *unit, bool one_rack,
 			     mt_server_set_t *chosen);
 
+/**
+ * The slowest class on which the unit is in time by its estimated run time; 0
+ * if no class is fast enough.
+ */
+uint32_t mt_speed_slowest_in_time(const mt_speed_classes_t *classes,
+				  const mt_plan_unit_t *unit);
+
+/**
+ * Time for which the unit can wait and still be in time on a server of speed 1,
+ * with a margin; 0: none.
+ */
+uint32_t mt_plan_spare_ms(const mt_plan_unit_t *unit);
+
+/**
+ * Finds runs that end so soon that the unit, if it waits for them, still is in
+ * time, and marks them as claimed.
+ * @param one_rack as for mt_plan_preempt()
+ * @return the rack that will have room first, or the set of all servers; NULL
+ * if the unit will not fit in time
+ */
+const mt_server_set_t *mt_plan_wait_for_ends(mt_plan_t *plan,
+					     const mt_plan_index_t *index,
+					     const mt_plan_unit_t *unit,
+					     bool one_rack);
+
 /**
  * Selects victims to stop so that the unit fits, and marks them as preempted.
+ * Where speeds differ, only servers on which the unit would be in time are
+ * considered, or all for a guaranteed unit that does not fit there.
  * @param one_rack true: the unit must fit into one rack, and the rack with the
  * lowest cost of preemption is used; false: the unit may use all servers
  * @return the rack that is used, or the set of all servers; NULL if the unit
- * does not fit even after preemption
+ * does not fit even after preemption, or if the victims cost more than the unit
+ * gains, see mt_plan_unit_t.cost_max
  */
 const mt_server_set_t *mt_plan_preempt(mt_plan_t *plan,
 				       const mt_plan_index_t *index,
--- a/lib/dag/plan_preempt.c
+++ b/lib/dag/plan_preempt.c
@@ -161,44 +161,222 @@
 	}
 }
 
-const mt_server_set_t *mt_plan_preempt(mt_plan_t *plan,
-				       const mt_plan_index_t *index,
+/* Sets of servers. */
+
+/** The part of a set that a unit may use, see mt_plan_preempt(). */
+typedef struct mt_fast_part_t {
+	mt_server_set_t part;
+	const mt_server_set_t *whole;
+	uint32_t *servers; /**< owned memory of `part` */
+} mt_fast_part_t;
+
+static mt_fast_part_t fast_part_of(const mt_plan_index_t *index,
+				   const mt_server_set_t *whole,
+				   uint32_t slowest)
+{
+	mt_fast_part_t fast = {*whole, whole, NULL};
+	uint32_t n = 0;
+
+	if (!slowest)
+		return fast;
+	fast.servers = g_new(uint32_t, whole->n_servers + 1);
+	for (uint32_t i = 0; i < whole->n_servers; i++) {
+		uint32_t server = whole->servers[i];
+
+		if (index->classes.of_server[server] >= slowest)
+			fast.servers[n++] = server;
+	}
+	fast.part.servers = fast.servers;
+	fast.part.n_servers = n;
+	return fast;
+}
+
+/**
+ * The next set that the unit may use, after the first `*position` ones; NULL:
+ * there are no more.
+ */
+static const mt_server_set_t *next_set(const mt_plan_index_t *index,
 				       const mt_plan_unit_t *unit,
-				       bool one_rack)
+				       bool one_rack, uint32_t *position)
+{
+	if (!one_rack)
+		return (*position)++ ? NULL : &index->all;
+	while (*position < index->n_racks) {
+		const mt_server_set_t *rack = &index->racks[(*position)++];
+
+		if (!unit->data_rack || rack->name == unit->data_rack)
+			return rack;
+	}
+	return NULL;
+}
+
+/* Runs that end soon. */
+
+/** Adds the resources of the first `n` ends that are not claimed. */
+static void add_ends(const mt_plan_t *plan, mt_dag_resources_t *freed,
+		     uint32_t n)
+{
+	for (uint32_t i = 0; i < n; i++) {
+		const mt_plan_end_t *end = &plan->ends[i];
+
+		if (!end->claimed)
+			mt_dag_resources_add(&freed[end->server], &end->amount);
+	}
+}
+
+static bool fits_after_ends(mt_scope_t *scope, uint32_t n)
+{
+	mt_dag_resources_t *freed =
+		g_new0(mt_dag_resources_t, scope->plan->n_servers + 1);
+	bool fits;
+
+	add_ends(scope->plan, freed, n);
+	scope->freed = freed;
+	fits = mt_scope_fit_count(scope) >= scope->unit->count;
+	scope->freed = NULL;
+	g_free(freed);
+	return fits;
+}
+
+/**
+ * The smallest number of ends after which the unit fits, by bisection; `n` + 1
+ * if it does not fit after `n` ends.
+ */
+static uint32_t count_ends_needed(mt_scope_t *scope, uint32_t n)
+{
+	uint32_t low = 0;
+	uint32_t high = n;
+
+	if (!fits_after_ends(scope, n))
+		return n + 1;
+	while (low < high) {
+		uint32_t middle = low + (high - low) / 2;
+
+		if (fits_after_ends(scope, middle))
+			high = middle;
+		else
+			low = middle + 1;
+	}
+	return low;
+}
+
+/** Marks the first `n` ends on servers of the set as claimed. */
+static void claim_ends(mt_plan_t *plan, const mt_server_set_t *server_set,
+		       uint32_t n)
+{
+	for (uint32_t i = 0; i < n; i++) {
+		mt_plan_end_t *end = &plan->ends[i];
+
+		if (!server_set->name ||
+		    plan->servers[end->server].rack == server_set->name)
+			end->claimed = true;
+	}
+}
+
+const mt_server_set_t *mt_plan_wait_for_ends(mt_plan_t *plan,
+					     const mt_plan_index_t *index,
+					     const mt_plan_unit_t *unit,
+					     bool one_rack)
+{
+	uint32_t slowest = mt_speed_slowest_in_time(&index->classes, unit);
+	uint32_t spare_ms = mt_plan_spare_ms(unit);
+	const mt_server_set_t *best = NULL;
+	const mt_server_set_t *set;
+	uint32_t best_needed = 0;
+	uint32_t position = 0;
+	uint32_t n = 0;
+
+	while (n < plan->n_ends && plan->ends[n].in_ms <= spare_ms)
+		n++;
+	while (n && (set = next_set(index, unit, one_rack, &position))) {
+		mt_fast_part_t fast = fast_part_of(index, set, slowest);
+		mt_scope_t scope = {plan,
+				    index,
+				    unit,
+				    &fast.part,
+				    MT_CAPACITY_FREE_OR_RELEASING,
+				    NULL};
+		uint32_t needed = count_ends_needed(&scope, n);
+
+		if (needed <= n && (!best || needed < best_needed)) {
+			best = set;
+			best_needed = needed;
+		}
+		g_free(fast.servers);
+	}
+	if (best) {
+		claim_ends(plan, best, best_needed);
+		plan->n_awaiting++;
+	}
+	return best;
+}
+
+/* Preemption. */
+
+/** Victims for a unit. */
+typedef struct mt_selection_t {
+	const mt_server_set_t *server_set; /**< NULL: none was found */
+	bool *selected; /**< per victim; the owner frees it */
+	double cost;
+} mt_selection_t;
+
+/** Selects the victims with the lowest cost, on classes from `slowest` on. */
+static mt_selection_t find_cheapest(const mt_plan_t *plan,
+				    const mt_plan_index_t *index,
+				    const mt_plan_unit_t *unit, bool one_rack,
+				    uint32_t slowest)
 {
-	const mt_server_set_t *server_sets =
-		one_rack ? index->racks : &index->all;
-	uint32_t n_server_sets = one_rack ? index->n_racks : 1;
-	const mt_server_set_t *best_set = NULL;
-	bool *best_selection = NULL;
-	double best_cost = -1;
+	mt_selection_t best = {NULL, NULL, 0};
+	const mt_server_set_t *set;
+	uint32_t position = 0;
 
-	for (uint32_t i = 0; i < n_server_sets; i++) {
+	while ((set = next_set(index, unit, one_rack, &position))) {
+		mt_fast_part_t fast = fast_part_of(index, set, slowest);
 		mt_scope_t scope = {plan,
 				    index,
 				    unit,
-				    &server_sets[i],
+				    &fast.part,
 				    MT_CAPACITY_AFTER_PREEMPTION,
 				    NULL};
-		bool *selected;
-		double cost;
+		bool *selected = g_new0(bool, plan->n_victims + 1);
+		double cost = choose_victims(&scope, selected);
 
-		if (one_rack && unit->data_rack &&
-		    server_sets[i].name != unit->data_rack)
-			continue;
-		selected = g_new0(bool, plan->n_victims + 1);
-		cost = choose_victims(&scope, selected);
-		if (cost < 0 || (best_selection && cost >= best_cost)) {
+		g_free(fast.servers);
+		if (cost < 0 || (best.server_set && cost >= best.cost)) {
 			g_free(selected);
 			continue;
 		}
-		g_free(best_selection);
-		best_selection = selected;
-		best_cost = cost;
-		best_set = &server_sets[i];
+		g_free(best.selected);
+		best = (mt_selection_t){set, selected, cost};
+	}
+	return best;
+}
+
+/** True if the unit gains more than the victims cost. */
+static bool is_worth(const mt_plan_unit_t *unit,
+		     const mt_selection_t *selection)
+{
+	return unit->guaranteed || !unit->cost_max ||
+	       selection->cost <= unit->cost_max;
+}
+
+const mt_server_set_t *mt_plan_preempt(mt_plan_t *plan,
+				       const mt_plan_index_t *index,
+				       const mt_plan_unit_t *unit,
+				       bool one_rack)
+{
+	uint32_t slowest = mt_speed_slowest_in_time(&index->classes, unit);
+	mt_selection_t best =
+		find_cheapest(plan, index, unit, one_rack, slowest);
+
+	if (!best.server_set && slowest && unit->guaranteed)
+		best = find_cheapest(plan, index, unit, one_rack, 0);
+	if (best.server_set && !is_worth(unit, &best)) {
+		plan->n_refused++;
+		best.server_set = NULL;
 	}
-	if (best_selection)
-		mark_preempted(plan, best_selection);
-	g_free(best_selection);
-	return best_set;
+	if (best.server_set)
+		mark_preempted(plan, best.selected);
+	g_free(best.selected);
+	return best.server_set;
 }
--- a/lib/dag/plan_speed.c
+++ b/lib/dag/plan_speed.c
@@ -17,6 +17,9 @@
  */
 #define RUN_TIME_MARGIN 1.25
 
+/** Time that preempted runs need to end, for a unit that has waited in vain. */
+#define STOP_TIME_MS 500
+
 /*
  * A gang is placed on the set of servers with the lowest price: the capacity
  * that it uses there, relative to servers of equal speed, times a power of the
@@ -121,6 +124,24 @@
 	return preference;
 }
 
+uint32_t mt_speed_slowest_in_time(const mt_speed_classes_t *classes,
+				  const mt_plan_unit_t *unit)
+{
+	for (uint32_t i = 0; i < classes->n; i++) {
+		if (is_in_time(unit, classes->lowest[i], 1))
+			return i;
+	}
+	return 0;
+}
+
+uint32_t mt_plan_spare_ms(const mt_plan_unit_t *unit)
+{
+	double spare_ms = (double)unit->left_ms -
+			  unit->run_ms * RUN_TIME_MARGIN - STOP_TIME_MS;
+
+	return spare_ms > 0 ? (uint32_t)MIN(spare_ms, UINT32_MAX) : 0;
+}
+
 uint32_t mt_speed_rank(const mt_scope_t *scope,
 		       const mt_speed_preference_t *preference, uint32_t server)
 {
@@ -156,11 +177,28 @@
 /** A search for the best window. */
 typedef struct mt_window_search_t {
 	mt_speed_preference_t preference;
+	/** Per class, the factor of the price for its speed. */
+	double speed_price[MT_SPEED_CLASSES_MAX];
 	bool skip_penalties; /**< only servers without a penalty */
 	bool skipped;	     /**< there were servers with a penalty */
 	mt_speed_window_t best;
 } mt_window_search_t;
 
+static void init_search(mt_window_search_t *search,
+			const mt_speed_classes_t *classes,
+			const mt_plan_unit_t *unit)
+{
+	*search = (mt_window_search_t){
+		.preference = mt_speed_preference_of(classes, unit),
+		.skip_penalties = true,
+	};
+	for (uint32_t i = 0; i < classes->n; i++)
+		search->speed_price[i] =
+			pow(classes->lowest[i], search->preference.end_soon
+							? END_SOON_EXPONENT
+							: SAVE_FAST_EXPONENT);
+}
+
 static mt_class_fits_t count_class_fits(const mt_scope_t *scope,
 					bool skip_penalties)
 {
@@ -184,41 +222,40 @@
 	return fits;
 }
 
-static double price_of(double capacity, double speed,
-		       const mt_speed_preference_t *preference)
-{
-	return capacity * pow(speed, preference->end_soon ? END_SOON_EXPONENT
-							  : SAVE_FAST_EXPONENT);
-}
-
 /**
  * Makes the window whose slowest class is `low`. Its slowest servers are used
  * first, so that the range of its speeds is as small as possible.
  * @return false if the gang does not fit
  */
-static bool make_window(const mt_scope_t *scope, const mt_class_fits_t *fits,
-			const mt_speed_preference_t *preference, uint32_t low,
-			mt_speed_window_t *window)
+static bool make_window(const mt_window_search_t *search,
+			const mt_scope_t *scope, const mt_class_fits_t *fits,
+			uint32_t low, mt_speed_window_t *window)
 {
 	const mt_speed_classes_t *classes = &scope->index->classes;
 	uint32_t left = scope->unit->count;
-	double speed_sum = 0;
 	uint32_t speed_class = low;
+	double speed_sum = 0;
+	double capacity;
 
+	if (!fits->fit[low])
+		return false;
 	for (; speed_class < classes->n && left; speed_class++) {
 		uint32_t used = MIN(fits->fit[speed_class], left);
 
 		speed_sum += used * classes->lowest[speed_class];
 		left -= used;
 	}
-	if (left || !fits->fit[low])
+	if (left)
 		return false;
+	capacity = speed_sum / (scope->unit->count * classes->lowest[low]);
 	*window = (mt_speed_window_t){
-		scope->server_set, low, speed_class - 1, false, 0, fits->gpu};
-	window->in_time = low >= preference->in_time_from;
-	window->price = price_of(
-		speed_sum / (scope->unit->count * classes->lowest[low]),
-		classes->lowest[low], preference);
+		.server_set = scope->server_set,
+		.low = low,
+		.high = speed_class - 1,
+		.in_time = low >= search->preference.in_time_from,
+		.price = capacity * search->speed_price[low],
+		.gpu = fits->gpu,
+	};
 	return true;
 }
 
@@ -244,8 +281,7 @@
 
 	search->skipped = search->skipped || fits.skipped;
 	for (uint32_t low = 0; low < scope->index->classes.n; low++) {
-		if (make_window(scope, &fits, &search->preference, low,
-				&window) &&
+		if (make_window(search, scope, &fits, low, &window) &&
 		    is_better_window(&window, &search->best))
 			search->best = window;
 	}
@@ -297,12 +333,9 @@
 			     const mt_plan_unit_t *unit, bool one_rack,
 			     mt_server_set_t *chosen)
 {
-	mt_window_search_t search = {
-		mt_speed_preference_of(&index->classes, unit),
-		true,
-		false,
-		{0}};
+	mt_window_search_t search;
 
+	init_search(&search, &index->classes, unit);
 	search_all_sets(&search, plan, index, unit, one_rack);
 	if (!search.best.server_set && search.skipped) {
 		search.skip_penalties = false;
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -31,11 +31,9 @@
  */
 #define LATEST_START_WINDOW_MS 3000
 
-/**
- * Fixed part of the cost of a preemption: this many seconds are added to the
- * time that the task loses, see stop_cost().
+/** Share of the gain of a preemption that is left if the unit is late anyway.
  */
-#define STOP_COST_S 0.3
+#define LATE_GAIN_SHARE 0.25
 
 /** Penalty of a suspect server, above that of all others. */
 #define SUSPECT_PENALTY 1000000u
@@ -300,11 +298,8 @@
 		       candidate->latest_start_ms + LATEST_START_WINDOW_MS;
 }
 
-/**
- * Returns mt_plan_unit_t.left_ms of the step: its share, by estimated run time,
- * of the time left until the job's objective.
- */
-static int64_t time_left(const mt_planner_t *planner, const mt_dag_step_t *step)
+int64_t mt_planner_time_left(const mt_planner_t *planner,
+			     const mt_dag_step_t *step)
 {
 	const mt_dag_job_t *job = step->job;
 	int64_t left_ms = (int64_t)job->known_since +
@@ -316,6 +311,18 @@
 	return left_ms * step->spec->estimate_ms / path_left_ms;
 }
 
+/**
+ * Returns mt_plan_unit_t.cost_max of the step: the work of its waiting tasks,
+ * weighted as the cost of victims. Less if the step is late anyway.
+ */
+static double preemption_gain(const mt_plan_unit_t *unit)
+{
+	double gain = mt_dag_resources_cores(&unit->need) * unit->count *
+		      unit->run_ms / 1000.0 * mt_planner_weight(unit->priority);
+
+	return unit->left_ms < unit->run_ms ? gain * LATE_GAIN_SHARE : gain;
+}
+
 static void init_unit(mt_planner_t *planner, mt_plan_unit_t *unit,
 		      const mt_candidate_step_t *candidate)
 {
@@ -333,10 +340,12 @@
 	unit->allowed = find_allowed(planner, step, unit->count);
 	unit->priority = step->job->queue.priority;
 	unit->run_ms = step->spec->estimate_ms;
-	unit->left_ms = time_left(planner, step);
+	unit->left_ms = mt_planner_time_left(planner, step);
 	unit->guaranteed = candidate->guaranteed;
 	unit->may_preempt =
 		!unit->priority || is_near_latest_start(planner, candidate);
+	if (!unit->guaranteed)
+		unit->cost_max = preemption_gain(unit);
 	unit->reservation_limited = !unit->may_preempt;
 	unit->reserves =
 		unit->may_preempt ||
@@ -363,85 +372,6 @@
 	planner->plan.reservations_max = RESERVING_GANGS_MAX;
 }
 
-/* Victims. */
-
-/**
- * Cost in core-seconds of stopping the task now: its cores (an accelerator
- * counts as MT_CORES_PER_GPU, and the processor cores of a filler as 0, see
- * mt_dag_step_need()), times the sum of STOP_COST_S and the lost time. The
- * lost time is the time since the placement of the task or, for a task that
- * writes checkpoints, the time to resume from a checkpoint.
- */
-static double stop_cost(const mt_planner_t *planner, const mt_dag_task_t *task)
-{
-	mt_dag_resources_t need = mt_dag_step_need(task->step);
-	double cores = mt_dag_resources_cores(&need);
-	double seconds = (double)(planner->now - task->placed_at) / 1000.0;
-
-	if (task->step->spec->checkpointing)
-		seconds = (double)planner->engine->deps.timings.restore_ms /
-			  1000.0;
-	return cores * (seconds + STOP_COST_S);
-}
-
-/**
- * False for tasks that are done or already being stopped, and for those that
- * are never preempted: tasks of long-running steps (`lasting`) and of
- * guaranteed jobs.
- */
-static bool can_be_victim(const mt_planner_t *planner,
-			  const mt_dag_task_t *task)
-{
-	const mt_dag_job_t *job = task->step->job;
-
-	if (task->stop_wanted || task->phase == MT_TASK_PHASE_DONE ||
-	    task->step->spec->lasting)
-		return false;
-	return job->queue.priority ||
-	       !g_hash_table_contains(planner->guaranteed, job);
-}
-
-static void collect_victims(mt_planner_t *planner)
-{
-	GArray *victims = g_array_new(FALSE, TRUE, sizeof(mt_plan_victim_t));
-	GHashTable *groups = g_hash_table_new(NULL, NULL);
-	/* No group is 0, as g_hash_table_lookup() returns 0 for a new key. */
-	uint32_t next_group = 1;
-
-	for (guint i = 0; i < planner->backends->len; i++) {
-		const mt_backend_t *backend = planner->backends->pdata[i];
-
-		for (guint k = 0; k < backend->tasks->len; k++) {
-			mt_dag_task_t *task = backend->tasks->pdata[k];
-			mt_plan_victim_t victim = {0};
-			gpointer key = task->step->spec->gang
-					       ? (gpointer)task->step
-					       : (gpointer)task;
-			guint group = GPOINTER_TO_UINT(
-				g_hash_table_lookup(groups, key));
-
-			if (!can_be_victim(planner, task))
-				continue;
-			if (!group) {
-				group = next_group++;
-				g_hash_table_insert(groups, key,
-						    GUINT_TO_POINTER(group));
-			}
-			victim.server = i;
-			victim.group = group;
-			victim.amount = mt_dag_step_need(task->step);
-			victim.priority = task->step->job->queue.priority;
-			victim.cost = stop_cost(planner, task);
-			g_array_append_val(victims, victim);
-			g_ptr_array_add(planner->victims, task);
-		}
-	}
-	planner->plan.n_victims = victims->len;
-	planner->plan.victims =
-		(mt_plan_victim_t *)g_array_free(victims, FALSE);
-	g_hash_table_destroy(groups);
-}
-
 /* Results. */
 
 static void log_placed(const mt_planner_t *planner,
@@ -512,6 +442,7 @@
 
 		if (!planner->plan.victims[i].preempted)
 			continue;
+		task->n_preemptions++;
 		log_preempted(planner, task, planner->plan.victims[i].cost);
 		mt_survival_add_preemption(&engine->survival,
 					   task->step->job->queue.priority);
@@ -519,8 +450,20 @@
 	}
 }
 
+/** Counts the preemptions that the plan has avoided. */
+static void count_avoided_preemptions(const mt_planner_t *planner)
+{
+	mt_kernel_t *kernel = planner->engine->deps.kernel;
+
+	*mt_kernel_counter(kernel, "preemptions_refused_total") +=
+		planner->plan.n_refused;
+	*mt_kernel_counter(kernel, "preemptions_awaited_total") +=
+		planner->plan.n_awaiting;
+}
+
 static void apply_plan(mt_planner_t *planner)
 {
+	count_avoided_preemptions(planner);
 	stop_victims(planner);
 	for (guint i = 0; i < planner->candidates->len; i++)
 		place_unit(planner, &planner->plan.units[i],
@@ -538,6 +481,7 @@
 	g_free(planner->plan.units);
 	g_free(planner->plan.servers);
 	g_free(planner->plan.victims);
+	g_free(planner->plan.ends);
 	g_array_unref(planner->candidates);
 	g_ptr_array_unref(planner->backends);
 	g_ptr_array_unref(planner->victims);
@@ -565,7 +509,7 @@
 	if (planner.candidates->len || planner.n_held_back) {
 		collect_servers(&planner);
 		build_units(&planner);
-		collect_victims(&planner);
+		mt_victims_collect(&planner);
 		mt_plan_run(&planner.plan);
 		if (log_waits)
 			mt_wait_log_write(&planner);
--- a/lib/dag/planner_internal.h
+++ b/lib/dag/planner_internal.h
@@ -1,8 +1,9 @@
 /**
  * @file planner_internal.h
  * Internal interface of the planner: candidates.c (lists the steps that wait to
- * start), planner.c (builds the placement plan and applies it) and wait_log.c
- * (logs why steps still wait).
+ * start), victims.c (lists the runs that may be preempted), planner.c (builds
+ * the placement plan and applies it) and wait_log.c (logs why steps still
+ * wait).
  */
 #ifndef MT_DAG_PLANNER_INTERNAL_H
 #define MT_DAG_PLANNER_INTERNAL_H
@@ -60,6 +61,23 @@
 /** Fills `candidates` with the steps that may start, in scheduling order. */
 void mt_candidates_collect(mt_planner_t *planner);
 
+/**
+ * Time left until the latest end of the step with which its job meets its
+ * objective, in ms; negative once it has passed. It is the step's share, by
+ * estimated run time, of the time left until the objective.
+ */
+int64_t mt_planner_time_left(const mt_planner_t *planner,
+			     const mt_dag_step_t *step);
+
+/**
+ * Weight of work of this priority when a preemption is considered; 1 for
+ * priority 0, and less for lower priorities.
+ */
+double mt_planner_weight(uint32_t priority);
+
+/** Fills the victims and the ends of the plan, and `victims`. */
+void mt_victims_collect(mt_planner_t *planner);
+
 /** True if the waiting steps are to be logged in this pass; notes the time. */
 bool mt_wait_log_is_due(mt_engine_t *engine);
 
