--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -6,9 +6,9 @@
  * is requests to the policy service), commands.c (sends commands to servers),
  * reports.c (applies what servers report), relocation.c (moves runs to other
  * servers), server_speeds.c (learns the speeds of servers), flush.c (writes
- * changes to the store), sweep.c (deletes the records of ended jobs), wait_log.c
- * (logs why steps wait) and evacuation_log.c (logs which data centres are
- * evacuated, and what is left for the guarantees).
+ * changes to the store), sweep.c (deletes the records of ended jobs),
+ * wait_log.c (logs why steps wait) and evacuation_log.c (logs which data
+ * centres are evacuated, and what is left for the guarantees).
  *
  * A scheduling pass plans placements and stores changed jobs. It runs after
  * each tick and soon after a change. A tick handles time-outs and repeats
@@ -19,6 +19,7 @@
 
 #include "dag/engine.h"
 #include "dag/follower.h"
+#include "dag/speed.h"
 #include "dag/survival.h"
 #include "dag/job_model.h"
 #include "dag/speed.h"
@@ -46,7 +47,6 @@
 	mt_ms_t last_sweep_at;	 /**< time of the last sweep, see sweep.c */
 	/** Time of the last search for slow servers, see relocation.c. */
 	mt_ms_t slow_search_at;
-	mt_ms_t wait_logged_at; /**< time of the last log, see wait_log.c */
 	/** Data centres that are logged as evacuated, mt_name_t. */
 	GHashTable *logged_zones;
 	/** The guarantees are logged as exceeding the capacity. */
--- a/lib/dag/server_speeds.c
+++ b/lib/dag/server_speeds.c
@@ -136,7 +136,7 @@
 	 * resumes does not begin at 0%. Both are measured from the first
 	 * report on. */
 	if (task->measured_from_at || task->start_unanswered ||
-	    task->placed_at <= engine->leading_since || task->checkpoint)
+	    task->restored || task->checkpoint)
 		return;
 	task->measured_from_at = mt_engine_now(engine);
 	task->measured_from_percent = 0;
--- a/tests/unit/test_speed.c
+++ b/tests/unit/test_speed.c
@@ -584,8 +584,9 @@
 
 	mt_engine_fixture_open(&fixture);
 	mt_timers_advance(fixture.timers, 20000);
-	fixture.engine->leading_since = 20000;
 	step = place_gang(&fixture);
+	step->tasks[0].restored = true;
+	step->tasks[1].restored = true;
 	confirm(&fixture, &step->tasks[0]);
 	confirm(&fixture, &step->tasks[1]);
 	report(&fixture, &step->tasks[0], 1000, 70);
