relocation: a server is slow only in comparison with its normal speed

Change: rates are divided by the learned speed before they are compared; speeds below 0.5 do not count as normal. Test: a_server_of_a_low_normal_speed_is_not_slow (its first half shows that such a server was found slow).

--- a/lib/dag/relocation.c
+++ b/lib/dag/relocation.c
@@ -54,6 +54,12 @@
 /** How long a server is suspect after it was found slow. */
 #define AVOID_SLOW_MS 4000u
 
+/**
+ * Lowest speed that is normal for a server. Slower ones are treated as servers
+ * that are slow for a while, also if their speed was learned.
+ */
+#define NORMAL_SPEED_MIN 0.5
+
 /** A server counts as slow for this long after it was found slow. */
 #define SLOW_AGE_MAX_MS 1000u
 
@@ -144,19 +150,37 @@
 	       (!data_rack || task->server->info.rack == data_rack);
 }
 
-/** Compares the running tasks of a step, and adds the result to their servers.
+/**
+ * Speed that is normal for the server, relative to the median server. A learned
+ * speed below NORMAL_SPEED_MIN shows that the server has become slow.
  */
-static void compare_step(const mt_dag_step_t *step, mt_ms_t now)
+static double normal_speed(const mt_engine_t *engine,
+			   const mt_backend_t *backend)
+{
+	return MAX(
+		NORMAL_SPEED_MIN,
+		mt_speed_model_speed(engine->speeds, &backend->info.target.id));
+}
+
+/**
+ * Compares the running tasks of a step, each with what is normal on its server,
+ * and adds the result to the servers.
+ */
+static void compare_step(const mt_engine_t *engine, const mt_dag_step_t *step,
+			 mt_ms_t now)
 {
 	mt_pace_sample_t *samples = g_new(mt_pace_sample_t, step->n_placed);
 	mt_dag_task_t **tasks = g_new(mt_dag_task_t *, step->n_placed);
 	unsigned n = 0;
 
 	for (uint32_t i = 0; i < step->spec->count && n < step->n_placed; i++) {
-		if (!has_pace(&step->tasks[i], now))
+		mt_dag_task_t *task = &step->tasks[i];
+
+		if (!has_pace(task, now))
 			continue;
-		samples[n] = (mt_pace_sample_t){step->tasks[i].pace, 0};
-		tasks[n++] = &step->tasks[i];
+		samples[n].rate =
+			task->pace / normal_speed(engine, task->server);
+		tasks[n++] = task;
 	}
 	if (mt_pace_compare(samples, n)) {
 		for (unsigned i = 0; i < n; i++) {
@@ -168,7 +192,7 @@
 	g_free(tasks);
 }
 
-static void compare_all_steps(mt_engine_t *engine, mt_ms_t now)
+static void compare_all_steps(const mt_engine_t *engine, mt_ms_t now)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -179,7 +203,7 @@
 
 		for (uint32_t i = 0; i < job->n_steps_total; i++) {
 			if (job->steps[i].n_placed)
-				compare_step(&job->steps[i], now);
+				compare_step(engine, &job->steps[i], now);
 		}
 	}
 }
--- a/tests/unit/test_relocation.c
+++ b/tests/unit/test_relocation.c
@@ -118,11 +118,73 @@
 	mt_engine_fixture_close(&fixture);
 }
 
+/** Teaches the model that every second server runs at 0.375 of the others. */
+static void teach_speeds(mt_engine_fixture_t *fixture)
+{
+	mt_speed_sample_t sample = {.run = 1, .at = 10000, .error = 0.01};
+
+	for (uint64_t job = 100; job < 110; job++) {
+		for (uint32_t i = 0; i < 12; i++) {
+			char name[16];
+
+			g_snprintf(name, sizeof(name), "other-%u", i);
+			sample.job = job;
+			sample.task = i;
+			sample.rate = i % 2 ? 16 : 6;
+			sample.server =
+				i < MT_ENGINE_FIXTURE_SERVERS
+					? fixture->servers[i]->info.target.id
+					: mt_name(name);
+			mt_speed_model_observe(fixture->engine->speeds,
+					       &sample);
+		}
+	}
+	mt_speed_model_update(fixture->engine->speeds, 10000);
+}
+
+/** True if a server is found slow that runs at 0.375 of the other's rate. */
+static bool is_found_slow(bool speeds_are_known)
+{
+	mt_engine_fixture_t fixture;
+	mt_dag_step_t *step;
+	bool found;
+
+	mt_engine_fixture_open(&fixture);
+	if (speeds_are_known)
+		teach_speeds(&fixture);
+	step = mt_engine_fixture_add_job(&fixture, 1, 1, 4)->steps;
+	for (uint32_t i = 0; i < 4; i++) {
+		mt_dag_task_t *task = &step->tasks[i];
+
+		mt_dag_task_place(task, fixture.servers[i % 2], 1, 9000);
+		task->phase = MT_TASK_PHASE_RUNNING;
+		task->pace = i % 2 ? 16 : 6;
+		task->paced_at = mt_timers_now(fixture.timers);
+	}
+	mt_relocation_find_slow_servers(fixture.engine);
+	found = fixture.servers[0]->slow_at > 0;
+	CU_ASSERT_EQUAL(fixture.servers[1]->slow_at, 0);
+	mt_engine_fixture_close(&fixture);
+	return found;
+}
+
+/**
+ * Guards against: on servers of unequal speeds, the tasks of the slower ones
+ * are moved again and again, as their servers seem to have become slow.
+ */
+static void a_server_of_a_low_normal_speed_is_not_slow(void)
+{
+	CU_ASSERT_TRUE(is_found_slow(false));
+	CU_ASSERT_FALSE(is_found_slow(true));
+}
+
 const mt_test_t mt_relocation_tests[] = {
 	{"a stalled run is moved", a_stalled_run_is_moved},
 	{"a gang member that waits for the others is not stalled",
 	 a_gang_member_that_waits_for_the_others_is_not_stalled},
 	{"a run that is only slow is moved once",
 	 a_run_that_is_only_slow_is_moved_once},
+	{"a server of a low normal speed is not slow",
+	 a_server_of_a_low_normal_speed_is_not_slow},
 	{NULL, NULL},
 };
