work_lost: count the work that is lost, by cause

Cause: most of the lost core-seconds were in no event: run_preempted names the victims, but not the wait inside gangs, moved runs and broken gangs. Change: work_lost.c adds up the core-seconds of runs that are preempted or moved, of gangs that break, and of members that wait for their gang with all work done, in work_lost_core_seconds_total{cause} and the event work_lost, at most each 5 s. Work saved in a checkpoint, and that of cancelled jobs, does not count.

--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -278,13 +278,18 @@
 	mt_flush_changes(engine);
 }
 
-/** Adds TICK_MS of running time for each running task on the server. */
+/**
+ * Adds TICK_MS of running time for each running task on the server, and to the
+ * work lost if the task only waits for its gang.
+ */
 static void record_running_time(mt_engine_t *engine,
 				const mt_backend_t *backend)
 {
 	for (guint i = 0; i < backend->tasks->len; i++) {
 		const mt_dag_task_t *task = backend->tasks->pdata[i];
 
+		mt_work_lost_on_tick(&engine->work_lost, engine->deps.kernel,
+				     task, TICK_MS / 1000.0);
 		if (task->phase == MT_TASK_PHASE_RUNNING)
 			mt_survival_add_running_time(
 				&engine->survival,
@@ -309,6 +314,7 @@
 		mt_commands_tick(engine, value);
 		mt_relocation_tick(engine, value);
 	}
+	mt_work_lost_log(&engine->work_lost, engine->deps.kernel);
 	mt_sweep_ended(engine);
 	mt_engine_request_pass(engine);
 }
--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -20,6 +20,7 @@
 #include "dag/speed.h"
 #include "dag/survival.h"
 #include "dag/job_model.h"
+#include "dag/work_lost.h"
 #include "dag/writer.h"
 
 struct mt_engine_t {
@@ -42,6 +43,7 @@
 	/** Observed running time and preemptions, by priority. */
 	mt_survival_t survival;
 	mt_speed_model_t *speeds;
+	mt_work_lost_t work_lost;
 	mt_ms_t pass_started_at; /**< start of the last scheduling pass */
 	mt_ms_t last_sweep_at;	 /**< time of the last sweep, see sweep.c */
 	/** Time of the last search for slow servers, see relocation.c. */
--- a/lib/dag/job_model.c
+++ b/lib/dag/job_model.c
@@ -274,6 +274,20 @@
 		save_checkpoint(&task->step->tasks[i], checkpoint, now);
 }
 
+mt_ms_t mt_dag_task_unsaved_ms(const mt_dag_task_t *task, mt_ms_t now)
+{
+	mt_ms_t since = task->placed_at;
+
+	if (task->step->spec->checkpointing && task->checkpoint)
+		since = MAX(since, task->checkpoint_saved_at);
+	return now > since ? now - since : 0;
+}
+
+bool mt_dag_task_waits_for_gang(const mt_dag_task_t *task)
+{
+	return task->step->spec->gang && task->percent >= MT_DAG_PERCENT_MAX;
+}
+
 uint32_t mt_dag_job_n_placed(const mt_dag_job_t *job)
 {
 	uint32_t placed = 0;
--- a/lib/dag/job_model.h
+++ b/lib/dag/job_model.h
@@ -34,6 +34,9 @@
 typedef struct mt_dag_job_t mt_dag_job_t;
 typedef struct mt_dag_step_t mt_dag_step_t;
 
+/** Progress of a run that has done its work. */
+#define MT_DAG_PERCENT_MAX 100u
+
 /** A task. Times are local times. */
 typedef struct mt_dag_task_t {
 	mt_dag_step_t *step;
@@ -94,6 +97,9 @@
 	 * gangs, but not read there. */
 	mt_ms_t run_first_sent_at;
 	uint32_t failed_run; /**< number of the last run that failed; 0: none */
+	/** In a gang: number of the last run whose work was counted as lost,
+	 * see work_lost.h; 0: none. */
+	uint32_t work_lost_run;
 	/** Answers of the policy service; NULL: not requested. */
 	mt_advice_t *advice;
 	/** Local time of the first scheduling pass in which the step was a
@@ -198,6 +204,15 @@
 void mt_dag_task_save_checkpoint(mt_dag_task_t *task, mt_str_t checkpoint,
 				 mt_ms_t now);
 
+/**
+ * Time in ms whose work would be lost if the run ended now: since its placement
+ * or, if it writes checkpoints, since its newest checkpoint.
+ */
+mt_ms_t mt_dag_task_unsaved_ms(const mt_dag_task_t *task, mt_ms_t now);
+
+/** True for a member of a gang that has done its work and waits for others. */
+bool mt_dag_task_waits_for_gang(const mt_dag_task_t *task);
+
 /** Updates the job's state from its tasks; a final state does not change. */
 void mt_dag_job_update_state(mt_dag_job_t *job);
 
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -446,6 +446,8 @@
 		log_preempted(planner, task, planner->plan.victims[i].cost);
 		mt_survival_add_preemption(&engine->survival,
 					   task->step->job->queue.priority);
+		mt_work_lost_on_stop(&engine->work_lost, engine->deps.kernel,
+				     task, MT_WORK_LOST_PREEMPTED);
 		mt_commands_stop_task_or_gang(engine, task);
 	}
 }
--- a/lib/dag/relocation.c
+++ b/lib/dag/relocation.c
@@ -90,12 +90,6 @@
 	step->stalled_at = now;
 }
 
-/** True for a member of a gang that has done its work and waits for others. */
-static bool waits_for_gang(const mt_dag_task_t *task)
-{
-	return task->step->spec->gang && task->percent >= PERCENT_MAX;
-}
-
 static bool is_running(const mt_dag_task_t *task)
 {
 	return task->phase == MT_TASK_PHASE_RUNNING && !task->stop_wanted;
@@ -111,7 +105,8 @@
 	mt_ms_t since = MAX(task->start_settled_at, task->progressed_at);
 
 	return is_running(task) && !task->step->spec->lasting &&
-	       !waits_for_gang(task) && task->server->answered_at > since &&
+	       !mt_dag_task_waits_for_gang(task) &&
+	       task->server->answered_at > since &&
 	       task->server->answered_at - since >= stall_limit(task) &&
 	       mt_backend_is_responsive(task->server, now, STALL_MS);
 }
@@ -275,6 +270,8 @@
 			step->job->id, step->index, task->index, task->run,
 			task->server->info.target.id.text, task->percent,
 			reason);
+	mt_work_lost_on_stop(&engine->work_lost, engine->deps.kernel, task,
+			     MT_WORK_LOST_MOVED);
 	mt_commands_stop_task_or_gang(engine, task);
 }
 
--- a/lib/dag/reports.c
+++ b/lib/dag/reports.c
@@ -98,6 +98,9 @@
 		"\"reason\":\"%s\"",
 		step->job->id, step->index, task->index, task->run,
 		task->server ? task->server->info.target.id.text : "", why);
+	if (step->spec->gang && step->n_done < step->spec->count)
+		mt_work_lost_on_stop(&engine->work_lost, engine->deps.kernel,
+				     task, MT_WORK_LOST_GANG_BROKEN);
 	mt_dag_task_unplace(task);
 	if (step->spec->gang && step->n_done < step->spec->count)
 		mt_commands_stop_gang(engine, step);
@@ -142,6 +145,9 @@
 	job->begun = true;
 	if (reason == MT_END_DONE)
 		note_success(backend);
+	if (task->step->spec->gang && !finishes_task(task, reason))
+		mt_work_lost_on_stop(&engine->work_lost, engine->deps.kernel,
+				     task, MT_WORK_LOST_GANG_BROKEN);
 	if (finishes_task(task, reason)) {
 		mt_dag_task_finish(task);
 	} else if (reason == MT_END_FAILED) {
--- a/lib/dag/victims.c
+++ b/lib/dag/victims.c
@@ -32,8 +32,6 @@
 /** Runs that end later than this are not waited for. */
 #define ENDS_WITHIN_MS 2000
 
-#define PERCENT_MAX 100u
-
 /** Runs that are stopped together: those of a gang, or a single one. */
 typedef struct mt_stop_group_t {
 	uint32_t number;   /**< see mt_plan_victim_t.group */
@@ -75,12 +73,13 @@
 static double run_left_ms(const mt_planner_t *planner,
 			  const mt_dag_task_t *task)
 {
-	double percent_left = PERCENT_MAX - MIN(task->percent, PERCENT_MAX);
+	double percent_left =
+		MT_DAG_PERCENT_MAX - MIN(task->percent, MT_DAG_PERCENT_MAX);
 
 	if (task->phase == MT_TASK_PHASE_RUNNING && task->paced_at &&
 	    task->pace > 0)
 		return percent_left / task->pace * 1000.0;
-	return run_time_ms(planner, task) * percent_left / PERCENT_MAX;
+	return run_time_ms(planner, task) * percent_left / MT_DAG_PERCENT_MAX;
 }
 
 /**
@@ -90,14 +89,11 @@
  */
 static double unsaved_s(const mt_planner_t *planner, const mt_dag_task_t *task)
 {
-	mt_ms_t since = task->placed_at;
-	mt_ms_t restore_ms = 0;
+	mt_ms_t unsaved_ms = mt_dag_task_unsaved_ms(task, planner->now);
 
-	if (task->step->spec->checkpointing && task->checkpoint) {
-		since = MAX(since, task->checkpoint_saved_at);
-		restore_ms = planner->engine->deps.timings.restore_ms;
-	}
-	return (double)(planner->now - since + restore_ms) / 1000.0;
+	if (task->step->spec->checkpointing && task->checkpoint)
+		unsaved_ms += planner->engine->deps.timings.restore_ms;
+	return (double)unsaved_ms / 1000.0;
 }
 
 /**
@@ -123,7 +119,7 @@
 
 	if (gets_late(planner, task, left_ms))
 		seconds += run_time_ms(planner, task) / 1000.0;
-	if (task->percent > PERCENT_MAX - NEARLY_DONE_PERCENT)
+	if (task->percent > MT_DAG_PERCENT_MAX - NEARLY_DONE_PERCENT)
 		seconds *= NEARLY_DONE_FACTOR;
 	return seconds * (1 + task->n_preemptions);
 }
