--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -23,6 +23,7 @@
 #include "dag/survival.h"
 #include "dag/job_model.h"
 #include "dag/speed.h"
+#include "dag/work_lost.h"
 #include "dag/writer.h"
 
 struct mt_engine_t {
@@ -43,6 +44,7 @@
 	uint64_t tick_timer; /**< runs the ticks while this host leads */
 	/** Observed running time and preemptions, by priority. */
 	mt_survival_t survival;
+	mt_work_lost_t work_lost;
 	mt_ms_t pass_started_at; /**< start of the last scheduling pass */
 	mt_ms_t last_sweep_at;	 /**< time of the last sweep, see sweep.c */
 	/** Time of the last search for slow servers, see relocation.c. */
