dag: cold servers come last and get few tasks per second

After their start, servers are slow for cold_remaining_ms of their list entry. This was ignored, so that servers that came back after an evacuation were filled at once.

Cold servers come after all servers that are not suspect. If their service has cold_per_s, at most that many tasks, and at least one, are placed on each of them in any second. The limit also counts for reservations, so that single tasks do not use it up before a gang, and for preemption, so that no task is stopped where none may be placed.

--- a/lib/dag/backend.c
+++ b/lib/dag/backend.c
@@ -18,6 +18,21 @@
  */
 #define LEASE_MARGIN_MS 300u
 
+void mt_backend_note_cold(mt_backend_t *backend, const mt_backend_info_t *info,
+			  mt_ms_t now)
+{
+	if (!info->cold_remaining_ms) {
+		backend->cold_until = 0;
+		return;
+	}
+	/* A snapshot delivers the same entry again. */
+	if (backend->cold_until && info->born_ms &&
+	    info->born_ms == backend->info.born_ms &&
+	    info->cold_remaining_ms == backend->info.cold_remaining_ms)
+		return;
+	backend->cold_until = now + info->cold_remaining_ms;
+}
+
 uint64_t mt_backend_clock(const mt_backend_t *backend, mt_ms_t now)
 {
 	return backend->clock_ms + (now - backend->drift_start);
--- a/lib/dag/backend.h
+++ b/lib/dag/backend.h
@@ -8,6 +8,7 @@
 #define MT_DAG_BACKEND_H
 
 #include "dag/backend_port.h"
+#include "dag/cold_rate.h"
 #include "dag/plan.h"
 
 /** Maximum number of labels kept per server; further ones are ignored. */
@@ -22,6 +23,9 @@
 	/** While draining: minimum time until the server stops, counted from
 	 * the moment at which this host reads the entry. */
 	mt_ms_t remaining_ms;
+	/** Time for which the server is still cold, that is slow after its
+	 * start, counted from the moment at which this host reads the entry. */
+	mt_ms_t cold_remaining_ms;
 	mt_dag_resources_t capacity;
 	GQuark labels[MT_BACKEND_LABELS_MAX]; /**< unused elements are 0 */
 	GQuark rack;			      /**< 0: unknown */
@@ -95,7 +99,9 @@
 	/** Number of active runs in the last report that were not the present
 	 * run of a task placed here. */
 	unsigned n_stray_runs;
-	mt_ms_t avoid_until; /**< no placement before this local time */
+	mt_ms_t cold_until; /**< cold before this local time; 0: not cold */
+	mt_cold_rate_t cold_rate; /**< of the placements while it is cold */
+	mt_ms_t avoid_until;	  /**< no placement before this local time */
 	/** Runs have failed, stalled or been slow there. Before this local
 	 * time, only overdue steps are placed there, see OVERDUE_MS in
 	 * candidates.c. */
@@ -109,6 +115,13 @@
 	void *owner;	      /**< not used; always NULL */
 } mt_backend_t;
 
+/**
+ * Applies mt_backend_info_t.cold_remaining_ms of an entry that is about to
+ * replace `backend->info`.
+ */
+void mt_backend_note_cold(mt_backend_t *backend, const mt_backend_info_t *info,
+			  mt_ms_t now);
+
 /** Estimates the server's present clock; only valid if `clock_known`. */
 uint64_t mt_backend_clock(const mt_backend_t *backend, mt_ms_t now);
 
--- a/lib/dag/candidates.c
+++ b/lib/dag/candidates.c
@@ -45,6 +45,12 @@
 	return planner->now < backend->suspect_until;
 }
 
+bool mt_planner_is_cold(const mt_planner_t *planner,
+			const mt_backend_t *backend)
+{
+	return planner->now < backend->cold_until;
+}
+
 /**
  * True if the service is contended. Only the servers on which any task may be
  * placed now are counted.
--- a/lib/dag/catalog.c
+++ b/lib/dag/catalog.c
@@ -26,6 +26,7 @@
 	catalog->version = version;
 	catalog->queues = g_ptr_array_new_with_free_func(free_queue);
 	catalog->accounts = g_ptr_array_new_with_free_func(free_account);
+	catalog->services = g_array_new(FALSE, TRUE, sizeof(mt_service_t));
 	catalog->accounts_by_key = g_hash_table_new(g_str_hash, g_str_equal);
 	catalog->standby =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -40,6 +41,7 @@
 	g_hash_table_destroy(catalog->standby);
 	g_ptr_array_unref(catalog->queues);
 	g_ptr_array_unref(catalog->accounts);
+	g_array_unref(catalog->services);
 	g_free(catalog);
 }
 
@@ -119,6 +121,19 @@
 	return NULL;
 }
 
+double mt_catalog_cold_per_s(const mt_catalog_t *catalog,
+			     const mt_name_t *service)
+{
+	for (guint i = 0; i < catalog->services->len; i++) {
+		const mt_service_t *known =
+			&g_array_index(catalog->services, mt_service_t, i);
+
+		if (mt_name_equal(&known->name, service))
+			return known->cold_per_s;
+	}
+	return 0;
+}
+
 const mt_client_account_t *mt_catalog_account(const mt_catalog_t *catalog,
 					      const char *name)
 {
--- a/lib/dag/catalog.h
+++ b/lib/dag/catalog.h
@@ -46,10 +46,18 @@
 	uint32_t guaranteed_gpu; /**< number of guaranteed accelerators */
 } mt_client_account_t;
 
+typedef struct mt_service_t {
+	mt_name_t name;
+	/** Maximum number of tasks that are placed per second on a server of
+	 * the service while it is cold; 0: no limit. */
+	double cold_per_s;
+} mt_service_t;
+
 typedef struct mt_catalog_t {
 	uint64_t version;
 	GPtrArray *queues;   /**< mt_queue_t */
 	GPtrArray *accounts; /**< mt_client_account_t */
+	GArray *services;    /**< mt_service_t, only those with a limit */
 	/** Maps API keys to mt_client_account_t. */
 	GHashTable *accounts_by_key;
 	/** Names of the services that the configuration marks as standby: their
@@ -78,6 +86,10 @@
 /** Finds a queue by name; NULL when there is none. */
 const mt_queue_t *mt_catalog_queue(const mt_catalog_t *catalog,
 				   const char *name);
+/** See mt_service_t.cold_per_s; 0 for an unknown service. */
+double mt_catalog_cold_per_s(const mt_catalog_t *catalog,
+			     const mt_name_t *service);
+
 /** Finds an account by name; NULL when there is none. */
 const mt_client_account_t *mt_catalog_account(const mt_catalog_t *catalog,
 					      const char *name);
--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -138,6 +138,20 @@
 	return backend;
 }
 
+static void note_cold(mt_engine_t *engine, mt_backend_t *backend,
+		      const mt_backend_info_t *info)
+{
+	mt_ms_t now = mt_engine_now(engine);
+	bool was_cold = now < backend->cold_until;
+
+	mt_backend_note_cold(backend, info, now);
+	if (!was_cold && now < backend->cold_until)
+		mt_kernel_event(
+			engine->deps.kernel, "server_cold",
+			"\"server\":\"%s\",\"remaining_ms\":%" G_GUINT64_FORMAT,
+			info->target.id.text, info->cold_remaining_ms);
+}
+
 static void on_server(void *ctx, const mt_backend_info_t *info)
 {
 	mt_engine_t *engine = ctx;
@@ -154,6 +168,7 @@
 	}
 	if (!info->draining)
 		backend->drain_deadline = 0;
+	note_cold(engine, backend, info);
 	backend->info = *info;
 	backend->listed = true;
 	if (!backend->born_ms)
@@ -302,6 +317,26 @@
 	}
 }
 
+/** Sets the gauge of cold servers, which exists once there has been one. */
+static void count_cold_servers(mt_engine_t *engine)
+{
+	mt_ms_t now = mt_engine_now(engine);
+	unsigned n_cold = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, engine->backends);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const mt_backend_t *backend = value;
+
+		n_cold += backend->listed && now < backend->cold_until;
+	}
+	if (n_cold == engine->n_cold)
+		return;
+	engine->n_cold = n_cold;
+	*mt_kernel_counter(engine->deps.kernel, "cold_servers") = n_cold;
+}
+
 static void tick(void *ctx)
 {
 	mt_engine_t *engine = ctx;
@@ -319,6 +354,7 @@
 		mt_relocation_tick(engine, value);
 	}
 	mt_evacuation_log_tick(engine);
+	count_cold_servers(engine);
 	mt_sweep_ended(engine);
 	mt_engine_request_pass(engine);
 }
@@ -382,4 +418,5 @@
 	g_ptr_array_set_size(engine->flushes, 0);
 	g_hash_table_remove_all(engine->jobs);
 	g_hash_table_remove_all(engine->backends);
+	count_cold_servers(engine);
 }
--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -50,6 +50,7 @@
 	GHashTable *logged_zones;
 	/** The guarantees are logged as exceeding the capacity. */
 	bool guarantees_logged;
+	unsigned n_cold; /**< number of cold servers at the last tick */
 };
 
 /**
--- a/lib/dag/plan.c
+++ b/lib/dag/plan.c
@@ -8,6 +8,7 @@
 typedef struct mt_kept_t {
 	mt_dag_resources_t free;
 	mt_dag_resources_t releasing;
+	uint32_t tasks_left; /**< see mt_plan_server_t.tasks_left */
 } mt_kept_t;
 
 /** A plan that is being computed. */
@@ -115,6 +116,7 @@
 static uint32_t fit_count_on(const mt_scope_t *scope, uint32_t server)
 {
 	const mt_plan_unit_t *unit = scope->unit;
+	const mt_plan_server_t *plan_server = &scope->plan->servers[server];
 	mt_dag_resources_t available = available_on(scope, server);
 	uint32_t fit = mt_dag_resources_fit_count(&unit->need, &available);
 
@@ -125,6 +127,8 @@
 		fit = MIN(fit, subtract_clamped(unit->per_server_max,
 						already_placed));
 	}
+	if (plan_server->is_limited && scope->kind != MT_CAPACITY_ROOM)
+		fit = MIN(fit, plan_server->tasks_left);
 	return fit;
 }
 
@@ -224,6 +228,8 @@
 		mt_dag_resources_subtract(&lacking, &server->free);
 		mt_dag_resources_subtract(&server->free, &unit->need);
 		mt_dag_resources_subtract(&server->releasing, &lacking);
+		if (server->is_limited)
+			server->tasks_left--;
 	}
 }
 
@@ -325,6 +331,7 @@
 		return;
 	add_difference(&kept->free, &before.free, &after->free);
 	add_difference(&kept->releasing, &before.releasing, &after->releasing);
+	kept->tasks_left += before.tasks_left - after->tasks_left;
 }
 
 /**
@@ -500,6 +507,7 @@
 		mt_dag_resources_add(&server->free, &run->kept[i].free);
 		mt_dag_resources_add(&server->releasing,
 				     &run->kept[i].releasing);
+		server->tasks_left += run->kept[i].tasks_left;
 	}
 }
 
--- a/lib/dag/plan.h
+++ b/lib/dag/plan.h
@@ -58,9 +58,11 @@
 	bool runs_fillers;     /**< see mt_plan_unit_t.is_filler */
 	bool suspect;	       /**< only for units that are overdue */
 	/** Servers with a lower penalty are preferred. The planner sets this to
-	 * the server's number of consecutive failed runs, and higher for a
-	 * suspect server. */
+	 * the server's number of consecutive failed runs, and higher for a cold
+	 * server, and still higher for a suspect one. */
 	uint32_t penalty;
+	bool is_limited; /**< only `tasks_left` tasks may be placed there now */
+	uint32_t tasks_left;
 } mt_plan_server_t;
 
 /**
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -40,6 +40,9 @@
 /** Penalty of a suspect server, above that of all others. */
 #define SUSPECT_PENALTY 1000000u
 
+/** Penalty of a cold server, above that of failed runs. */
+#define COLD_PENALTY 1000u
+
 /* Servers. */
 
 /**
@@ -97,6 +100,23 @@
 	return mt_name_compare(&x->info.target.id, &y->info.target.id);
 }
 
+/** Applies to a cold server that it comes last, and the limit of its rate. */
+static void limit_cold(const mt_planner_t *planner, mt_plan_server_t *server,
+		       const mt_backend_t *backend)
+{
+	const mt_catalog_t *catalog = planner->engine->catalog;
+	double per_s =
+		catalog ? mt_catalog_cold_per_s(catalog, planner->service) : 0;
+
+	if (!mt_planner_is_cold(planner, backend))
+		return;
+	server->penalty += COLD_PENALTY;
+	server->is_limited = per_s > 0;
+	if (server->is_limited)
+		server->tasks_left = mt_cold_rate_left(&backend->cold_rate,
+						       per_s, planner->now);
+}
+
 static void collect_servers(mt_planner_t *planner)
 {
 	GHashTableIter iter;
@@ -123,6 +143,7 @@
 		server->suspect = mt_planner_is_suspect(planner, backend);
 		server->penalty = backend->fail_streak +
 				  (server->suspect ? SUSPECT_PENALTY : 0);
+		limit_cold(planner, server, backend);
 		mark_workload_kinds(server, backend);
 		memcpy(server->labels, backend->info.labels,
 		       sizeof(server->labels));
@@ -452,13 +473,16 @@
 	for (uint32_t i = 0; i < step->spec->count && next < unit->placed;
 	     i++) {
 		mt_dag_task_t *task = &step->tasks[i];
+		mt_backend_t *backend;
 
 		if (task->phase != MT_TASK_PHASE_WAITING)
 			continue;
-		mt_dag_task_place(
-			task, planner->backends->pdata[unit->chosen[next++]],
-			step->spec->gang ? gang_run : task->run + 1,
-			planner->now);
+		backend = planner->backends->pdata[unit->chosen[next++]];
+		mt_dag_task_place(task, backend,
+				  step->spec->gang ? gang_run : task->run + 1,
+				  planner->now);
+		if (mt_planner_is_cold(planner, backend))
+			mt_cold_rate_note(&backend->cold_rate, planner->now);
 	}
 	if (next) {
 		log_placed(planner, candidate, next);
--- a/lib/dag/planner_internal.h
+++ b/lib/dag/planner_internal.h
@@ -57,6 +57,10 @@
 bool mt_planner_is_suspect(const mt_planner_t *planner,
 			   const mt_backend_t *backend);
 
+/** See mt_backend_t.cold_until. */
+bool mt_planner_is_cold(const mt_planner_t *planner,
+			const mt_backend_t *backend);
+
 /** Fills `candidates` with the steps that may start, in scheduling order. */
 void mt_candidates_collect(mt_planner_t *planner);
 
--- a/lib/dag/wait_log.c
+++ b/lib/dag/wait_log.c
@@ -22,6 +22,7 @@
 	unsigned silent;    /**< no recent answer to a hold, or clock unknown */
 	unsigned avoided;   /**< see mt_backend_t.avoid_until */
 	unsigned suspect;   /**< of the usable ones, see suspect_until there */
+	unsigned cold;	    /**< of the usable ones, see cold_until there */
 	double cores;	    /**< see mt_dag_resources_cores() */
 	double cores_used;
 } mt_server_counts_t;
@@ -36,6 +37,7 @@
 	if (mt_planner_may_use(planner, backend)) {
 		counts->usable++;
 		counts->suspect += mt_planner_is_suspect(planner, backend);
+		counts->cold += mt_planner_is_cold(planner, backend);
 		return;
 	}
 	if (backend->info.draining)
@@ -63,19 +65,20 @@
 		    mt_name_equal(&backend->info.service, planner->service))
 			count_server(planner, backend, &counts);
 	}
-	mt_kernel_event(
-		planner->engine->deps.kernel, "service_waits",
-		"\"service\":\"%s\",\"candidates\":%u,\"held_back\":%u,"
-		"\"listed\":%u,"
-		"\"usable\":%u,\"draining\":%u,\"evacuated\":%u,"
-		"\"silent\":%u,"
-		"\"avoided\":%u,\"suspect\":%u,\"cores\":%.0f,\"used\":%.0f,"
-		"\"contended\":%s",
-		planner->service->text, planner->candidates->len,
-		planner->n_held_back, counts.listed, counts.usable,
-		counts.draining, counts.evacuated, counts.silent,
-		counts.avoided, counts.suspect, counts.cores, counts.cores_used,
-		planner->contended ? "true" : "false");
+	mt_kernel_event(planner->engine->deps.kernel, "service_waits",
+			"\"service\":\"%s\",\"candidates\":%u,\"held_back\":%u,"
+			"\"listed\":%u,"
+			"\"usable\":%u,\"draining\":%u,\"evacuated\":%u,"
+			"\"silent\":%u,"
+			"\"avoided\":%u,\"suspect\":%u,\"cold\":%u,\"cores\":%."
+			"0f,\"used\":%.0f,"
+			"\"contended\":%s",
+			planner->service->text, planner->candidates->len,
+			planner->n_held_back, counts.listed, counts.usable,
+			counts.draining, counts.evacuated, counts.silent,
+			counts.avoided, counts.suspect, counts.cold,
+			counts.cores, counts.cores_used,
+			planner->contended ? "true" : "false");
 }
 
 static const char *reason_text(mt_plan_wait_t reason)
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -86,6 +86,7 @@
 	add_suite("mutated input", mt_mutated_input_tests);
 	add_suite("odd entries", mt_odd_entries_tests);
 	add_suite("evacuations", mt_evacuations_tests);
+	add_suite("cold", mt_cold_tests);
 	CU_basic_set_mode(CU_BRM_NORMAL);
 	CU_basic_run_tests();
 	printf("%u passed, %u failed\n",
--- a/tests/unit/script_adapter.c
+++ b/tests/unit/script_adapter.c
@@ -28,7 +28,8 @@
  * Prints the decoded report, or "no server to use" if it is malformed: a host
  * then lists no server. The last numbers are the capacity in thousandths of a
  * core, MB and accelerators, and after "stays" the time in ms until a planned
- * shutdown of the server. "stays 0" means that no shutdown is announced.
+ * shutdown of the server. "stays 0" means that no shutdown is announced. "cold"
+ * follows only if the server is cold, with the time in ms for which it is.
  */
 static void show_report(const char *text, GString *out)
 {
@@ -42,18 +43,23 @@
 	g_string_append_printf(
 		out,
 		"%s at %s:%u in %s, %s, rack %s, born %" G_GINT64_FORMAT
-		", %u %u %u, stays %u\n",
+		", %u %u %u, stays %u",
 		info.service.text, info.target.address.text, info.target.port,
 		info.zone.text, info.draining ? "draining" : "ready",
 		info.rack ? g_quark_to_string(info.rack) : "-", info.born_ms,
 		info.capacity.cpu_milli, info.capacity.mem_mb,
 		info.capacity.gpu, (unsigned)info.remaining_ms);
+	if (info.cold_remaining_ms)
+		g_string_append_printf(out, ", cold %" G_GUINT64_FORMAT,
+				       info.cold_remaining_ms);
+	g_string_append(out, "\n");
 }
 
 /**
  * Prints the decoded configuration, a catalog of queues and accounts. A route
  * of the configuration is decoded to a queue. "x4 1.5+500" stands for at most 4
- * attempts per task, a slack factor of 1.5 and a latency target of 500 ms.
+ * attempts per task, a slack factor of 1.5 and a latency target of 500 ms. Of
+ * the services, those with a limit for cold servers are printed.
  */
 static void show_catalog(const char *text, GString *out)
 {
@@ -84,6 +90,13 @@
 				       account->name.text, account->keys->len,
 				       account->guaranteed_gpu);
 	}
+	for (guint i = 0; i < catalog->services->len; i++) {
+		const mt_service_t *service =
+			&g_array_index(catalog->services, mt_service_t, i);
+
+		g_string_append_printf(out, "service %s, cold %.1f/s\n",
+				       service->name.text, service->cold_per_s);
+	}
 	mt_catalog_free(catalog);
 }
 
