--- a/tests/unit/test_evacuations.c
+++ b/tests/unit/test_evacuations.c
@@ -228,6 +228,7 @@
 	set_up(&fixture);
 	put(&fixture, "evacuate/z1", "{}");
 	mt_evacuations_close(fixture.evacuations);
+	CU_ASSERT_FALSE(is_evacuated(&fixture, "z1"));
 	CU_ASSERT_FALSE(mt_evacuations_are_known(fixture.evacuations));
 	CU_ASSERT_FALSE(mt_evacuations_are_fresh(fixture.evacuations));
 	mt_fake_topic_fail(&fixture.topic, MT_STORE_REFUSED);
@@ -480,36 +481,51 @@
 
 /* Leadership. */
 
-/** Takes appends and answers none. */
-static void ignore_append(void *self, const mt_store_append_t *append,
-			  mt_store_append_cb cb, void *ctx)
+/** The store of a leader: the list of servers, and the last append. */
+typedef struct mt_leader_store_t {
+	mt_fake_topic_t
+		servers; /**< first, as its port passes on its address */
+	mt_store_append_cb append_cb;
+	void *append_ctx;
+} mt_leader_store_t;
+
+/** Answers no append before the leader has stepped down. */
+static void keep_append(void *self, const mt_store_append_t *append,
+			mt_store_append_cb cb, void *ctx)
 {
+	mt_leader_store_t *store = self;
+
+	store->append_cb = cb;
+	store->append_ctx = ctx;
 }
 
 /** Makes the engine the leader; no topic is read before the test answers. */
-static void lead(mt_evacuated_engine_t *fixture, mt_fake_topic_t *servers)
+static void lead(mt_evacuated_engine_t *fixture, mt_leader_store_t *store)
 {
 	static const mt_directory_format_t format = {"servers", NULL};
 	mt_engine_t *engine = fixture->engine.engine;
 
-	mt_fake_topic_open(servers);
-	servers->port.append = ignore_append;
-	engine->deps.store = &servers->port;
+	*store = (mt_leader_store_t){0};
+	mt_fake_topic_open(&store->servers);
+	store->servers.port.append = keep_append;
+	engine->deps.store = &store->servers.port;
 	engine->deps.table = mt_table_new(fixture->engine.kernel);
-	engine->deps.directory = mt_directory_new(fixture->engine.kernel,
-						  &servers->port, &format);
+	engine->deps.directory = mt_directory_new(
+		fixture->engine.kernel, &store->servers.port, &format);
 	mt_engine_become_leader(engine, 7);
 }
 
 static void stop_leading(mt_evacuated_engine_t *fixture,
-			 mt_fake_topic_t *servers)
+			 mt_leader_store_t *store)
 {
 	mt_engine_t *engine = fixture->engine.engine;
 
 	mt_engine_step_down(engine);
+	if (store->append_cb)
+		store->append_cb(store->append_ctx, MT_STORE_REFUSED, 0);
 	mt_table_free(engine->deps.table);
 	mt_directory_free(engine->deps.directory);
-	mt_fake_topic_close(servers);
+	mt_fake_topic_close(&store->servers);
 }
 
 /**
@@ -520,13 +536,13 @@
 static void a_take_over_during_an_evacuation(void)
 {
 	mt_evacuated_engine_t fixture;
-	mt_fake_topic_t servers;
+	mt_leader_store_t store;
 	mt_dag_task_t *former;
 	mt_dag_task_t *task;
 
 	open_engine(&fixture);
 	mt_fake_topic_put(&fixture.topic, "evacuate/z1", "{}");
-	lead(&fixture, &servers);
+	lead(&fixture, &store);
 	former = &add_placed_step(&fixture.engine, 1)->tasks[0];
 	fixture.engine.servers[0]->leases_expire_at = 99999;
 	task = &mt_engine_fixture_add_job(&fixture.engine, 2, 0, 1)
@@ -540,7 +556,7 @@
 	CU_ASSERT_PTR_EQUAL(task->server, fixture.engine.servers[1]);
 	CU_ASSERT_PTR_EQUAL(former->server, fixture.engine.servers[0]);
 	CU_ASSERT_EQUAL(fixture.engine.starts + fixture.engine.stops, 0);
-	stop_leading(&fixture, &servers);
+	stop_leading(&fixture, &store);
 	close_engine(&fixture);
 }
 
@@ -557,14 +573,14 @@
 static void gauges_show_evacuations_and_missing_guarantees(void)
 {
 	mt_evacuated_engine_t fixture;
-	mt_fake_topic_t servers;
+	mt_leader_store_t store;
 	mt_catalog_t *catalog = mt_catalog_new(1);
 
 	mt_catalog_add_account(catalog)->guaranteed_gpu =
 		MT_ENGINE_FIXTURE_GPU + 3;
 	open_engine(&fixture);
-	lead(&fixture, &servers);
-	mt_fake_topic_answer(&servers);
+	lead(&fixture, &store);
+	mt_fake_topic_answer(&store.servers);
 	mt_engine_fixture_add_running_task(&fixture.engine);
 	fixture.engine.servers[0]->leases_expire_at = 99999;
 	evacuate(&fixture, "z1");
@@ -581,7 +597,7 @@
 	CU_ASSERT_EQUAL(gauge(&fixture, "evacuated_zones"), 1);
 	CU_ASSERT_EQUAL(gauge(&fixture, "evacuated_zone_tasks"), 0);
 	CU_ASSERT_EQUAL(gauge(&fixture, "guaranteed_gpu_missing"), 0);
-	stop_leading(&fixture, &servers);
+	stop_leading(&fixture, &store);
 	CU_ASSERT_EQUAL(gauge(&fixture, "evacuated_zones"), 0);
 	mt_catalog_free(catalog);
 	close_engine(&fixture);
