--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -139,6 +139,20 @@
 	return backend;
 }
 
+static void note_cold(mt_engine_t *engine, mt_backend_t *backend,
+		      const mt_backend_info_t *info)
+{
+	mt_ms_t now = mt_engine_now(engine);
+	bool was_cold = now < backend->cold_until;
+
+	mt_backend_note_cold(backend, info, now);
+	if (!was_cold && now < backend->cold_until)
+		mt_kernel_event(
+			engine->deps.kernel, "server_cold",
+			"\"server\":\"%s\",\"remaining_ms\":%" G_GUINT64_FORMAT,
+			info->target.id.text, info->cold_remaining_ms);
+}
+
 static void on_server(void *ctx, const mt_backend_info_t *info)
 {
 	mt_engine_t *engine = ctx;
@@ -155,6 +169,7 @@
 	}
 	if (!info->draining)
 		backend->drain_deadline = 0;
+	note_cold(engine, backend, info);
 	backend->info = *info;
 	backend->listed = true;
 	if (!backend->born_ms)
@@ -309,6 +324,26 @@
 	}
 }
 
+/** Sets the gauge of cold servers, which exists once there has been one. */
+static void count_cold_servers(mt_engine_t *engine)
+{
+	mt_ms_t now = mt_engine_now(engine);
+	unsigned n_cold = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, engine->backends);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const mt_backend_t *backend = value;
+
+		n_cold += backend->listed && now < backend->cold_until;
+	}
+	if (n_cold == engine->n_cold)
+		return;
+	engine->n_cold = n_cold;
+	*mt_kernel_counter(engine->deps.kernel, "cold_servers") = n_cold;
+}
+
 static void tick(void *ctx)
 {
 	mt_engine_t *engine = ctx;
@@ -327,6 +362,7 @@
 	}
 	mt_evacuation_log_tick(engine);
 	mt_work_lost_log(&engine->work_lost, engine->deps.kernel);
+	count_cold_servers(engine);
 	mt_sweep_ended(engine);
 	mt_engine_request_pass(engine);
 }
@@ -390,4 +426,5 @@
 	g_hash_table_remove_all(engine->jobs);
 	g_hash_table_remove_all(engine->backends);
 	mt_server_speeds_clear(engine);
+	count_cold_servers(engine);
 }
--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -60,6 +60,7 @@
 	mt_ms_t speeds_logged_at; /**< 0: none */
 	mt_speed_summary_t speeds_logged;
 	bool speeds_logged_uneven;
+	unsigned n_cold; /**< number of cold servers at the last tick */
 };
 
 /**
