dag: keep the speeds of servers across a change of the leader

A new leader knew no speeds and would mix servers of different speed in gangs until it had learned them anew.

The table keeps the newest record per service; a new leader uses a stored speed as the prior of a server once the platform's list shows the same process of it. A write that the store refuses is given up after some attempts and made again later, so that it does not hold up the records of jobs.

Samples age more slowly (variance 0.0003 instead of 0.001 per second), as speeds were forgotten within a minute without load.

--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -75,6 +75,7 @@
 		mt_name_hash, mt_name_key_equal, NULL, free_backend);
 	engine->flushes = g_ptr_array_new_with_free_func(mt_flush_free);
 	engine->speeds = mt_speed_model_new();
+	engine->speeds_stored = mt_speed_records_new();
 	return engine;
 }
 
@@ -151,6 +152,7 @@
 		backend->born_ms = info->born_ms;
 	else if (info->born_ms && info->born_ms > backend->born_ms)
 		mt_reports_server_restarted(engine, backend, info->born_ms);
+	mt_speed_records_take(engine, backend);
 	mt_commands_hold(engine, backend);
 	mt_engine_request_pass(engine);
 }
@@ -338,6 +340,7 @@
 	engine->term = term;
 	engine->leading_since = mt_engine_now(engine);
 	engine->writer = mt_writer_new(&writer_deps);
+	mt_speed_records_read(engine);
 	mt_table_each(engine->deps.table, add_job, engine);
 	mt_table_watch(engine->deps.table, &job_watcher);
 	mt_directory_open(engine->deps.directory, &server_watcher);
@@ -369,4 +372,5 @@
 	g_hash_table_remove_all(engine->jobs);
 	g_hash_table_remove_all(engine->backends);
 	mt_server_speeds_clear(engine);
+	mt_speed_records_clear(engine);
 }
--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -5,7 +5,8 @@
  * within their accounts' guarantees), advice_requests.c (advice requests, that
  * is requests to the policy service), commands.c (sends commands to servers),
  * reports.c (applies what servers report), relocation.c (moves runs to other
- * servers), server_speeds.c (learns the speeds of servers), flush.c (writes
+ * servers), server_speeds.c (learns the speeds of servers),
+ * speed_records.c (keeps them in the store), flush.c (writes
  * changes to the store), sweep.c (deletes the records of ended jobs) and
  * wait_log.c (logs why steps wait).
  *
@@ -53,6 +54,11 @@
 	mt_ms_t speeds_logged_at; /**< 0: none */
 	mt_speed_summary_t speeds_logged;
 	bool speeds_logged_uneven;
+	/** The speeds in the store, by server, see speed_records.c. */
+	GHashTable *speeds_stored;
+	bool speeds_write_pending; /**< a write of speeds has no outcome */
+	bool speeds_write_refused; /**< the last write was refused */
+	mt_ms_t speeds_written_at; /**< time of the last one; 0: none */
 };
 
 /**
@@ -230,6 +236,27 @@
 /** Forgets all speeds. */
 void mt_server_speeds_clear(mt_engine_t *engine);
 
+/* speed_records.c */
+
+/** Makes an empty mt_engine_t.speeds_stored. */
+GHashTable *mt_speed_records_new(void);
+
+/** Reads the speeds that an earlier leader has stored. */
+void mt_speed_records_read(mt_engine_t *engine);
+
+/**
+ * Called for each entry of the platform's list of servers: if an earlier leader
+ * has stored the speed of this server process, the model takes it over. Has no
+ * effect after the first call for a server.
+ */
+void mt_speed_records_take(mt_engine_t *engine, const mt_backend_t *backend);
+
+/** Stores the speeds, if they have changed and the last write is not recent. */
+void mt_speed_records_write(mt_engine_t *engine);
+
+/** Forgets which speeds are in the store. */
+void mt_speed_records_clear(mt_engine_t *engine);
+
 /* reports.c */
 
 /**
--- a/lib/dag/flush.c
+++ b/lib/dag/flush.c
@@ -207,6 +207,7 @@
 
 	if (engine->flushes->len >= FLUSHES_MAX)
 		return;
+	mt_speed_records_write(engine);
 	g_hash_table_iter_init(&iter, engine->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		mt_dag_job_t *job = value;
--- a/lib/dag/speed.c
+++ b/lib/dag/speed.c
@@ -29,8 +29,11 @@
 /** A sample is dropped at this age. */
 #define SAMPLE_AGE_MAX_MS 300000u
 
-/** Variance of a log rate per second of age, as speeds change over time. */
-#define DRIFT_PER_S 0.001
+/**
+ * Variance of a log rate per second of age, as speeds change over time: after a
+ * minute, a sample is uncertain by another 13%.
+ */
+#define DRIFT_PER_S 0.0003
 
 /** Standard deviation of the prior of a log speed. */
 #define PRIOR_DEVIATION 0.4
--- a/lib/dag/table.c
+++ b/lib/dag/table.c
@@ -6,8 +6,24 @@
 	GHashTable *jobs; /**< id to mt_table_job_t */
 	mt_table_watcher_t watcher;
 	unsigned n_absent_cancels; /**< see mt_table_n_absent_cancels() */
+	/** Records of speeds: hash of the service to mt_speeds_record_t. */
+	GHashTable *speeds;
 };
 
+typedef struct mt_speeds_record_t {
+	uint64_t service_hash;
+	uint64_t offset;
+	GBytes *packed; /**< MtDag__Speeds */
+} mt_speeds_record_t;
+
+static void free_speeds(gpointer data)
+{
+	mt_speeds_record_t *speeds = data;
+
+	g_bytes_unref(speeds->packed);
+	g_free(speeds);
+}
+
 static void free_job(gpointer data)
 {
 	mt_table_job_t *job = data;
@@ -24,18 +40,22 @@
 	table->kernel = kernel;
 	table->jobs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					    free_job);
+	table->speeds = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					      free_speeds);
 	return table;
 }
 
 void mt_table_free(mt_table_t *table)
 {
 	g_hash_table_destroy(table->jobs);
+	g_hash_table_destroy(table->speeds);
 	g_free(table);
 }
 
 void mt_table_clear(mt_table_t *table)
 {
 	g_hash_table_remove_all(table->jobs);
+	g_hash_table_remove_all(table->speeds);
 	table->n_absent_cancels = 0;
 }
 
@@ -181,13 +201,36 @@
 		apply_progress(table, id, record->value, record->offset);
 }
 
+static void apply_speeds(mt_table_t *table, uint64_t service_hash,
+			 const mt_store_record_t *record)
+{
+	mt_speeds_record_t *speeds =
+		g_hash_table_lookup(table->speeds, &service_hash);
+
+	/* A newer record may have been read before, in a snapshot. */
+	if (speeds && record->offset < speeds->offset)
+		return;
+	if (!record->value.len) {
+		g_hash_table_remove(table->speeds, &service_hash);
+		return;
+	}
+	speeds = g_new0(mt_speeds_record_t, 1);
+	speeds->service_hash = service_hash;
+	speeds->offset = record->offset;
+	speeds->packed = g_bytes_new(record->value.data, record->value.len);
+	g_hash_table_replace(table->speeds, &speeds->service_hash, speeds);
+}
+
 void mt_table_apply(mt_table_t *table, const mt_store_record_t *record)
 {
 	mt_record_kind_t kind;
 	uint64_t id;
 
-	if (!mt_record_parse_key(record->key, &kind, &id) ||
-	    !mt_record_is_of_job(kind))
+	if (!mt_record_parse_key(record->key, &kind, &id))
+		return;
+	if (kind == MT_RECORD_SPEEDS)
+		apply_speeds(table, id, record);
+	if (!mt_record_is_of_job(kind))
 		return;
 	table->n_absent_cancels -= mt_table_is_absent_cancelled(table, id);
 	apply_record_of_job(table, kind, id, record);
@@ -253,6 +296,20 @@
 	each_job(table, true, cb, ctx);
 }
 
+void mt_table_each_speeds(const mt_table_t *table, mt_table_speeds_cb cb,
+			  void *ctx)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->speeds);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const mt_speeds_record_t *speeds = value;
+
+		cb(ctx, mt_bytes_view(speeds->packed));
+	}
+}
+
 void mt_table_each_absent_cancel(const mt_table_t *table, mt_table_cb cb,
 				 void *ctx)
 {
--- a/lib/dag/table.h
+++ b/lib/dag/table.h
@@ -2,7 +2,8 @@
  * @file table.h
  * Table of all accepted jobs, built from the records in the store. The leader
  * and the standbys keep such a table to answer calls about jobs. A new leader
- * makes its job models (job_model.h) from its table.
+ * makes its job models (job_model.h) from its table, and takes from it the
+ * speeds of servers that the former leader has stored.
  */
 #ifndef MT_DAG_TABLE_H
 #define MT_DAG_TABLE_H
@@ -48,16 +49,16 @@
 mt_table_t *mt_table_new(mt_kernel_t *kernel);
 void mt_table_free(mt_table_t *table);
 
-/** Removes all jobs, without a callback. */
+/** Removes all jobs and speeds, without a callback. */
 void mt_table_clear(mt_table_t *table);
 
 /** Sets the only watcher; NULL removes it. */
 void mt_table_watch(mt_table_t *table, const mt_table_watcher_t *watcher);
 
 /**
- * Applies a job, cancel or progress record; others are ignored. The records
- * of one job may come in any order. An empty value of any of these records
- * removes the whole job from the table.
+ * Applies a job, cancel or progress record, or a record of speeds; others are
+ * ignored. The records of one job may come in any order. An empty value of any
+ * of the first three removes the whole job from the table.
  */
 void mt_table_apply(mt_table_t *table, const mt_store_record_t *record);
 
@@ -93,6 +94,12 @@
 /** Calls `cb` for each job whose job record has been read. */
 void mt_table_each(const mt_table_t *table, mt_table_cb cb, void *ctx);
 
+typedef void (*mt_table_speeds_cb)(void *ctx, mt_str_t packed);
+
+/** Calls `cb` for each record of speeds, with its packed MtDag__Speeds. */
+void mt_table_each_speeds(const mt_table_t *table, mt_table_speeds_cb cb,
+			  void *ctx);
+
 /** Calls `cb` for each job for which mt_table_is_absent_cancelled() is true. */
 void mt_table_each_absent_cancel(const mt_table_t *table, mt_table_cb cb,
 				 void *ctx);
--- a/tests/unit/engine_fixture.c
+++ b/tests/unit/engine_fixture.c
@@ -110,6 +110,7 @@
 	g_hash_table_destroy(fixture->engine->backends);
 	g_ptr_array_unref(fixture->engine->flushes);
 	mt_speed_model_free(fixture->engine->speeds);
+	g_hash_table_destroy(fixture->engine->speeds_stored);
 	g_free(fixture->engine);
 	mt_kernel_free(fixture->kernel);
 	mt_timers_free(fixture->timers);
