dag: predict run times from those of earlier tasks

The only user so far is the estimate of the end of a run on a draining server. The latest start of a step still uses the estimates, as the objective of a job does.

--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -76,6 +76,7 @@
 	engine->flushes = g_ptr_array_new_with_free_func(mt_flush_free);
 	engine->speeds = mt_speed_model_new();
 	engine->speeds_stored = mt_speed_records_new();
+	engine->run_times = mt_run_times_new();
 	return engine;
 }
 
@@ -373,4 +374,5 @@
 	g_hash_table_remove_all(engine->backends);
 	mt_server_speeds_clear(engine);
 	mt_speed_records_clear(engine);
+	mt_run_times_clear(engine->run_times);
 }
--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -6,9 +6,9 @@
  * is requests to the policy service), commands.c (sends commands to servers),
  * reports.c (applies what servers report), relocation.c (moves runs to other
  * servers), server_speeds.c (learns the speeds of servers),
- * speed_records.c (keeps them in the store), flush.c (writes
- * changes to the store), sweep.c (deletes the records of ended jobs) and
- * wait_log.c (logs why steps wait).
+ * speed_records.c (keeps them in the store), step_times.c (learns the run times
+ * of tasks), flush.c (writes changes to the store), sweep.c (deletes the
+ * records of ended jobs) and wait_log.c (logs why steps wait).
  *
  * A scheduling pass plans placements and stores changed jobs. It runs after
  * each tick and soon after a change. A tick handles time-outs and repeats
@@ -21,6 +21,7 @@
 #include "dag/follower.h"
 #include "dag/survival.h"
 #include "dag/job_model.h"
+#include "dag/run_times.h"
 #include "dag/speed.h"
 #include "dag/writer.h"
 
@@ -54,6 +55,7 @@
 	mt_ms_t speeds_logged_at; /**< 0: none */
 	mt_speed_summary_t speeds_logged;
 	bool speeds_logged_uneven;
+	mt_run_times_t *run_times; /**< see step_times.c; never NULL */
 	/** The speeds in the store, by server, see speed_records.c. */
 	GHashTable *speeds_stored;
 	bool speeds_write_pending; /**< a write of speeds has no outcome */
@@ -230,12 +232,35 @@
 			     const mt_dag_task_t *task, bool has_ended,
 			     mt_speed_sample_t *sample);
 
+/**
+ * Makes a sample of the mean rate of a run outside a gang that has just ended
+ * with success.
+ * @return false if its rate is not known or depends on other things as well
+ */
+bool mt_server_speeds_sample_end(const mt_engine_t *engine,
+				 const mt_dag_task_t *task,
+				 mt_speed_sample_t *sample);
+
 /** Called before each scheduling pass: computes the speeds now and then. */
 void mt_server_speeds_update(mt_engine_t *engine);
 
 /** Forgets all speeds. */
 void mt_server_speeds_clear(mt_engine_t *engine);
 
+/* step_times.c */
+
+/** Called when a run has ended with success, before the task is finished. */
+void mt_step_times_note_end(mt_engine_t *engine, const mt_dag_task_t *task);
+
+/**
+ * Predicts the run time of a task of the step on a server of speed 1, in
+ * milliseconds. It is the client's estimate if that agrees with the run times
+ * of such tasks, if too few have ended since this host began to lead, or if the
+ * servers are not uneven.
+ */
+double mt_step_times_predict_ms(const mt_engine_t *engine,
+				const mt_dag_step_t *step);
+
 /* speed_records.c */
 
 /** Makes an empty mt_engine_t.speeds_stored. */
--- a/lib/dag/job_model.c
+++ b/lib/dag/job_model.c
@@ -174,6 +174,7 @@
 	task->paced_at = 0;
 	task->measured_from_at = 0;
 	task->measured_from_percent = 0;
+	task->measured_rate = 0;
 	if (run > task->step->run) {
 		task->step->run = run;
 		task->step->run_first_sent_at = 0;
--- a/lib/dag/job_model.h
+++ b/lib/dag/job_model.h
@@ -72,6 +72,7 @@
 	/* Begin of the measurement of its mean rate, see server_speeds.c. */
 	mt_ms_t measured_from_at;	/**< 0: not yet */
 	uint32_t measured_from_percent; /**< progress at `measured_from_at` */
+	double measured_rate;		/**< percent per second; 0: not known */
 	char *checkpoint;		/**< newest checkpoint, or NULL */
 	/** Time at which `checkpoint` was received; before that, the time of
 	 * the placement. Written, but never read. */
--- a/lib/dag/relocation.c
+++ b/lib/dag/relocation.c
@@ -241,12 +241,12 @@
 static mt_ms_t time_left(const mt_engine_t *engine, const mt_dag_task_t *task)
 {
 	uint32_t percent = MIN(task->percent, PERCENT_MAX);
-	mt_ms_t left_at_speed_1 = (mt_ms_t)task->step->spec->estimate_ms *
-				  (PERCENT_MAX - percent) / PERCENT_MAX;
+	double run_ms = mt_step_times_predict_ms(engine, task->step);
 	double speed = mt_speed_model_speed(engine->speeds,
 					    &task->server->info.target.id);
 
-	return (mt_ms_t)((double)left_at_speed_1 / speed);
+	return (mt_ms_t)(run_ms * (PERCENT_MAX - percent) / PERCENT_MAX /
+			 speed);
 }
 
 /**
--- a/lib/dag/reports.c
+++ b/lib/dag/reports.c
@@ -145,6 +145,7 @@
 		note_success(backend);
 	if (finishes_task(task, reason)) {
 		mt_server_speeds_note_end(engine, task);
+		mt_step_times_note_end(engine, task);
 		mt_dag_task_finish(task);
 	} else if (reason == MT_END_FAILED) {
 		record_failure(engine, backend);
--- a/lib/dag/server_speeds.c
+++ b/lib/dag/server_speeds.c
@@ -40,20 +40,23 @@
 /* Samples. */
 
 /**
- * True if the rate of the run can be compared with those of its siblings.
- * Fillers depend on the load of their servers, and tasks on the distance to
- * their data.
+ * True if the rate of the run depends only on its work and its server. Fillers
+ * depend on the load of their servers, and tasks on the distance to their data.
  */
-static bool is_comparable(const mt_dag_task_t *task)
+static bool is_measurable(const mt_dag_task_t *task)
 {
 	const mt_dag_step_t *step = task->step;
 
 	return task->phase == MT_TASK_PHASE_RUNNING && !task->stop_wanted &&
-	       step->spec->count > 1 && !step->spec->lasting &&
-	       !step->spec->fills &&
+	       !step->spec->lasting && !step->spec->fills &&
 	       (!step->data_rack || task->server->info.rack == step->data_rack);
 }
 
+static bool has_siblings(const mt_dag_task_t *task)
+{
+	return task->step->spec->count > 1;
+}
+
 /**
  * Time at which the last member of the gang was confirmed; 0: not all are. The
  * members make no progress before.
@@ -153,23 +156,35 @@
 		return;
 	}
 	/* A task outside a gang ends at 100%. */
-	if (progressed && is_comparable(task) &&
-	    (task->percent < PERCENT_MAX || task->step->spec->gang) &&
-	    mt_server_speeds_sample(engine, task, false, &sample))
+	if (!progressed || !is_measurable(task) ||
+	    (task->percent >= PERCENT_MAX && !task->step->spec->gang) ||
+	    !mt_server_speeds_sample(engine, task, false, &sample))
+		return;
+	if (!sample.is_minimum)
+		task->measured_rate = sample.rate;
+	if (has_siblings(task))
 		mt_speed_model_observe(engine->speeds, &sample);
 }
 
-void mt_server_speeds_note_end(mt_engine_t *engine, const mt_dag_task_t *task)
+bool mt_server_speeds_sample_end(const mt_engine_t *engine,
+				 const mt_dag_task_t *task,
+				 mt_speed_sample_t *sample)
 {
 	mt_ms_t now = mt_engine_now(engine);
-	mt_speed_sample_t sample;
 
 	/* The members of a gang end together. */
-	if (task->step->spec->gang || !task->measured_from_at ||
-	    !task->server || !is_comparable(task) ||
-	    now - task->server->reported_at > END_REPORT_MAX_MS)
-		return;
-	if (mt_server_speeds_sample(engine, task, true, &sample))
+	return !task->step->spec->gang && task->measured_from_at &&
+	       task->server && is_measurable(task) &&
+	       now - task->server->reported_at <= END_REPORT_MAX_MS &&
+	       mt_server_speeds_sample(engine, task, true, sample);
+}
+
+void mt_server_speeds_note_end(mt_engine_t *engine, const mt_dag_task_t *task)
+{
+	mt_speed_sample_t sample;
+
+	if (has_siblings(task) &&
+	    mt_server_speeds_sample_end(engine, task, &sample))
 		mt_speed_model_observe(engine->speeds, &sample);
 }
 
--- a/lib/dag/speed.c
+++ b/lib/dag/speed.c
@@ -16,7 +16,6 @@
 #include <glib.h>
 #include <math.h>
 #include <stdlib.h>
-#include <string.h>
 
 /** Bounds the memory, and the time of an update; the oldest one is replaced. */
 #define SAMPLES_PER_SERVER_MAX 12u
--- a/tests/unit/engine_fixture.c
+++ b/tests/unit/engine_fixture.c
@@ -111,6 +111,7 @@
 	g_ptr_array_unref(fixture->engine->flushes);
 	mt_speed_model_free(fixture->engine->speeds);
 	g_hash_table_destroy(fixture->engine->speeds_stored);
+	mt_run_times_free(fixture->engine->run_times);
 	g_free(fixture->engine);
 	mt_kernel_free(fixture->kernel);
 	mt_timers_free(fixture->timers);
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -81,6 +81,7 @@
 	add_suite("job model", mt_job_model_tests);
 	add_suite("pace", mt_pace_tests);
 	add_suite("speed", mt_speed_tests);
+	add_suite("run times", mt_run_times_tests);
 	add_suite("speed records", mt_speed_records_tests);
 	add_suite("config relay", mt_config_relay_tests);
 	add_suite("leadership", mt_leadership_tests);
--- a/tests/unit/tests.h
+++ b/tests/unit/tests.h
@@ -20,6 +20,7 @@
 extern const mt_test_t mt_job_model_tests[];
 extern const mt_test_t mt_pace_tests[];
 extern const mt_test_t mt_speed_tests[];
+extern const mt_test_t mt_run_times_tests[];
 extern const mt_test_t mt_speed_records_tests[];
 extern const mt_test_t mt_config_relay_tests[];
 extern const mt_test_t mt_leadership_tests[];
