--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -85,6 +85,8 @@
 	engine->logged_zones = g_hash_table_new_full(
 		mt_name_hash, mt_name_key_equal, g_free, NULL);
 	engine->speeds = mt_speed_model_new();
+	engine->speeds_stored = mt_speed_records_new();
+	engine->run_times = mt_run_times_new();
 	return engine;
 }
 
@@ -176,6 +178,7 @@
 		backend->born_ms = info->born_ms;
 	else if (info->born_ms && info->born_ms > backend->born_ms)
 		mt_reports_server_restarted(engine, backend, info->born_ms);
+	mt_speed_records_take(engine, backend);
 	mt_commands_hold(engine, backend);
 	mt_engine_request_pass(engine);
 }
@@ -390,6 +393,7 @@
 	engine->generation++;
 	engine->term = term;
 	engine->writer = mt_writer_new(&writer_deps);
+	mt_speed_records_read(engine);
 	mt_table_each(engine->deps.table, add_job, engine);
 	mt_table_watch(engine->deps.table, &job_watcher);
 	mt_directory_open(engine->deps.directory, &server_watcher);
@@ -427,4 +431,6 @@
 	g_hash_table_remove_all(engine->backends);
 	mt_server_speeds_clear(engine);
 	count_cold_servers(engine);
+	mt_speed_records_clear(engine);
+	mt_run_times_clear(engine->run_times);
 }
--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -5,9 +5,10 @@
  * within their accounts' guarantees), advice_requests.c (advice requests, that
  * is requests to the policy service), commands.c (sends commands to servers),
  * reports.c (applies what servers report), relocation.c (moves runs to other
- * servers), server_speeds.c (learns the speeds of servers), flush.c (writes
- * changes to the store), sweep.c (deletes the records of ended jobs),
- * wait_log.c (logs why steps wait) and evacuation_log.c (logs which data
+ * servers), server_speeds.c (learns the speeds of servers), speed_records.c
+ * (keeps them in the store), step_times.c (learns the run times of tasks),
+ * flush.c (writes changes to the store), sweep.c (deletes the records of ended
+ * jobs), wait_log.c (logs why steps wait) and evacuation_log.c (logs which data
  * centres are evacuated, and what is left for the guarantees).
  *
  * A scheduling pass plans placements and stores changed jobs. It runs after
@@ -22,6 +23,7 @@
 #include "dag/speed.h"
 #include "dag/survival.h"
 #include "dag/job_model.h"
+#include "dag/run_times.h"
 #include "dag/speed.h"
 #include "dag/work_lost.h"
 #include "dag/writer.h"
@@ -61,6 +63,12 @@
 	mt_speed_summary_t speeds_logged;
 	bool speeds_logged_uneven;
 	unsigned n_cold; /**< number of cold servers at the last tick */
+	mt_run_times_t *run_times; /**< see step_times.c; never NULL */
+	/** The speeds in the store, by server, see speed_records.c. */
+	GHashTable *speeds_stored;
+	bool speeds_write_pending; /**< a write of speeds has no outcome */
+	bool speeds_write_refused; /**< the last write was refused */
+	mt_ms_t speeds_written_at; /**< time of the last one; 0: none */
 };
 
 /**
@@ -252,12 +260,56 @@
 			     const mt_dag_task_t *task, bool has_ended,
 			     mt_speed_sample_t *sample);
 
+/**
+ * Makes a sample of the mean rate of a run outside a gang that has just ended
+ * with success.
+ * @return false if its rate is not known or depends on other things as well
+ */
+bool mt_server_speeds_sample_end(const mt_engine_t *engine,
+				 const mt_dag_task_t *task,
+				 mt_speed_sample_t *sample);
+
 /** Called before each scheduling pass: computes the speeds now and then. */
 void mt_server_speeds_update(mt_engine_t *engine);
 
 /** Forgets all speeds. */
 void mt_server_speeds_clear(mt_engine_t *engine);
 
+/* step_times.c */
+
+/** Called when a run has ended with success, before the task is finished. */
+void mt_step_times_note_end(mt_engine_t *engine, const mt_dag_task_t *task);
+
+/**
+ * Predicts the run time of a task of the step on a server of speed 1, in
+ * milliseconds. It is the client's estimate if that agrees with the run times
+ * of such tasks, if too few have ended since this host began to lead, or if the
+ * servers are not uneven.
+ */
+double mt_step_times_predict_ms(const mt_engine_t *engine,
+				const mt_dag_step_t *step);
+
+/* speed_records.c */
+
+/** Makes an empty mt_engine_t.speeds_stored. */
+GHashTable *mt_speed_records_new(void);
+
+/** Reads the speeds that an earlier leader has stored. */
+void mt_speed_records_read(mt_engine_t *engine);
+
+/**
+ * Called for each entry of the platform's list of servers: if an earlier leader
+ * has stored the speed of this server process, the model takes it over. Has no
+ * effect after the first call for a server.
+ */
+void mt_speed_records_take(mt_engine_t *engine, const mt_backend_t *backend);
+
+/** Stores the speeds, if they have changed and the last write is not recent. */
+void mt_speed_records_write(mt_engine_t *engine);
+
+/** Forgets which speeds are in the store. */
+void mt_speed_records_clear(mt_engine_t *engine);
+
 /* reports.c */
 
 /**
--- a/lib/dag/speed.c
+++ b/lib/dag/speed.c
@@ -16,7 +16,6 @@
 #include <glib.h>
 #include <math.h>
 #include <stdlib.h>
-#include <string.h>
 
 /** Bounds the memory, and the time of an update; the oldest one is replaced. */
 #define SAMPLES_PER_SERVER_MAX 12u
@@ -29,8 +28,11 @@
 /** A sample is dropped at this age. */
 #define SAMPLE_AGE_MAX_MS 300000u
 
-/** Variance of a log rate per second of age, as speeds change over time. */
-#define DRIFT_PER_S 0.001
+/**
+ * Variance of a log rate per second of age, as speeds change over time: after a
+ * minute, a sample is uncertain by another 13%.
+ */
+#define DRIFT_PER_S 0.0003
 
 /** Standard deviation of the prior of a log speed. */
 #define PRIOR_DEVIATION 0.4
@@ -68,13 +70,15 @@
 
 /**
  * The spread of the speeds is the distance between these quantiles of their
- * logarithms.
+ * logarithms. The lower one is further inside, so that a small share of servers
+ * that are slowed for a part of their runs does not make the others uneven.
+ * Nothing makes a server faster for a time.
  */
-#define SPREAD_LOW 0.1
+#define SPREAD_LOW 0.2
 #define SPREAD_HIGH 0.9
 
 /** Distance between these quantiles of a standard normal distribution. */
-#define NORMAL_SPREAD 2.563
+#define NORMAL_SPREAD 2.123
 
 /* The servers become uneven above the first spread, and are no longer uneven
  * below the second one. */
