dag: admission control: refusals by a summary of the load

When the capacity was too small, every job was accepted, and all of them were late.

The leader summarizes the load of contended services once a second and sends it in its records. A refusal is stored first, as another host may still be storing the same job; acceptances are confirmed for the same reason.

--- a/lib/dag/absent_cancels.c
+++ b/lib/dag/absent_cancels.c
@@ -76,7 +76,7 @@
 			g_array_index(group, mt_absent_cancel_t, i).job);
 
 		mt_writer_add(cancels->writer, mt_str_from(key.text),
-			      MT_STR("1"));
+			      MT_STR(MT_CANCEL_BY_CLIENT));
 	}
 	mt_writer_commit(cancels->writer, MT_WRITER_REPORTS_REFUSAL,
 			 on_group_written, group);
--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -40,6 +40,14 @@
 	return engine->leading;
 }
 
+size_t mt_engine_list_pressure(const mt_engine_t *engine,
+			       MtDag__Pressure ***list)
+{
+	return engine->load_summary
+		       ? mt_load_summary_list(engine->load_summary, list)
+		       : 0;
+}
+
 void mt_engine_request_pass(mt_engine_t *engine)
 {
 	mt_ms_t now = mt_engine_now(engine);
@@ -309,6 +317,7 @@
 		mt_relocation_tick(engine, value);
 	}
 	mt_sweep_ended(engine);
+	mt_load_summary_update(engine->load_summary, engine);
 	mt_engine_request_pass(engine);
 }
 
@@ -336,6 +345,7 @@
 	engine->term = term;
 	engine->leading_since = mt_engine_now(engine);
 	engine->writer = mt_writer_new(&writer_deps);
+	engine->load_summary = mt_load_summary_new();
 	mt_table_each(engine->deps.table, add_job, engine);
 	mt_table_watch(engine->deps.table, &job_watcher);
 	mt_directory_open(engine->deps.directory, &server_watcher);
@@ -363,6 +373,7 @@
 	mt_directory_close(engine->deps.directory);
 	mt_writer_close(engine->writer);
 	engine->writer = NULL;
+	g_clear_pointer(&engine->load_summary, mt_load_summary_free);
 	g_ptr_array_set_size(engine->flushes, 0);
 	g_hash_table_remove_all(engine->jobs);
 	g_hash_table_remove_all(engine->backends);
--- a/lib/dag/engine.h
+++ b/lib/dag/engine.h
@@ -66,4 +66,12 @@
 
 bool mt_engine_is_leading(const mt_engine_t *engine);
 
+/**
+ * Lists the load of the contended services, see load_summary.h. The list is
+ * valid until the next event.
+ * @return number of elements of `list`; 0 unless this host leads
+ */
+size_t mt_engine_list_pressure(const mt_engine_t *engine,
+			       MtDag__Pressure ***list);
+
 #endif
--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -17,6 +17,7 @@
 
 #include "dag/engine.h"
 #include "dag/follower.h"
+#include "dag/load_summary.h"
 #include "dag/survival.h"
 #include "dag/job_model.h"
 #include "dag/writer.h"
@@ -45,6 +46,8 @@
 	/** Time of the last search for slow servers, see relocation.c. */
 	mt_ms_t slow_search_at;
 	mt_ms_t wait_logged_at; /**< time of the last log, see wait_log.c */
+	/** Load of the services; NULL unless this host leads. */
+	mt_load_summary_t *load_summary;
 };
 
 /**
@@ -94,6 +97,17 @@
  */
 void mt_sweep_ended(mt_engine_t *engine);
 
+/* account_use.c */
+
+/**
+ * Finds what each account uses of a service beyond its guarantee, in cores (see
+ * mt_dag_resources_cores()): keys are names of accounts, owned by the set of
+ * jobs, and values are of type double. Accounts with unfinished jobs of the
+ * service are listed even if they use nothing. The caller destroys the result.
+ */
+GHashTable *mt_account_use_find(const mt_engine_t *engine,
+				const mt_name_t *service);
+
 /* planner.c */
 
 /** Places tasks that can start, and stops the tasks preempted for them. */
--- a/lib/dag/front.c
+++ b/lib/dag/front.c
@@ -2,6 +2,7 @@
 #include "dag/front.h"
 
 #include "dag/absent_cancels.h"
+#include "dag/refusals.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -60,6 +61,8 @@
 	const mt_catalog_t *catalog;
 	unsigned open_calls; /**< number of calls not replied to yet */
 	mt_absent_cancels_t *absent_cancels;
+	mt_refusals_t *refusals;
+	mt_load_shedding_t *load_shedding;
 };
 
 /** An operation: a call that waits for the store or for another host. */
@@ -76,12 +79,32 @@
 	 * later state. */
 	bool exact;
 	/* Of a call that is passed on to another host. */
-	mt_name_t queue;    /**< of a call about a queue; empty otherwise */
-	bool forwarded;	    /**< the call is passed on */
-	unsigned next_peer; /**< index of the next host in the list of hosts */
-	bool maybe_done;    /**< an attempt to cancel got no reply */
+	mt_name_t queue;     /**< of a call about a queue; empty otherwise */
+	bool forwarded;	     /**< the call is passed on */
+	unsigned next_peer;  /**< index of the next host in the list of hosts */
+	bool maybe_done;     /**< an attempt to cancel got no reply */
+	mt_verb_t peer_verb; /**< verb of the call */
+	/* Of a submission. */
+	GBytes *job_record; /**< the packed job; NULL: not to be stored */
+	uint32_t priority;
+	mt_admission_t admission; /**< why it is refused */
 } mt_front_op_t;
 
+static void make_admission(mt_dag_front_t *front)
+{
+	const mt_dag_front_deps_t *own = &front->deps;
+	mt_refusals_deps_t deps = {own->kernel, own->store, own->table, {0}};
+	mt_load_shedding_deps_t shedding_deps = {
+		own->kernel, own->admission_mode, own->pressure,
+		own->pressure_ctx};
+	char *producer = g_strdup_printf("%s-r", own->incarnation.text);
+
+	deps.producer = mt_name(producer);
+	g_free(producer);
+	front->refusals = mt_refusals_new(&deps);
+	front->load_shedding = mt_load_shedding_new(&shedding_deps);
+}
+
 mt_dag_front_t *mt_dag_front_new(const mt_dag_front_deps_t *deps)
 {
 	mt_dag_front_t *front = g_new0(mt_dag_front_t, 1);
@@ -89,12 +112,15 @@
 	front->deps = *deps;
 	front->absent_cancels =
 		mt_absent_cancels_new(deps->kernel, deps->table, deps->writer);
+	make_admission(front);
 	return front;
 }
 
 void mt_dag_front_free(mt_dag_front_t *front)
 {
 	mt_absent_cancels_free(front->absent_cancels);
+	mt_refusals_free(front->refusals);
+	mt_load_shedding_free(front->load_shedding);
 	g_free(front);
 }
 
@@ -127,6 +153,7 @@
 void mt_dag_front_set_records(mt_dag_front_t *front, mt_follower_t *follower)
 {
 	front->records_follower = follower;
+	mt_refusals_set_follower(front->refusals, follower);
 }
 
 /** True when this host has the records of all jobs. */
@@ -256,14 +283,29 @@
 	return op;
 }
 
+static void free_op(mt_front_op_t *op)
+{
+	if (op->job_record)
+		g_bytes_unref(op->job_record);
+	g_free(op);
+}
+
+static void confirm(mt_front_op_t *op);
+
 /**
  * Replies with the outcome of a write, unless on_op_timeout() has replied, and
- * frees the operation.
+ * frees the operation. If submissions have to be confirmed, a stored one is
+ * replied to later.
  */
 static void on_written(void *ctx, mt_store_result_t result)
 {
 	mt_front_op_t *op = ctx;
 
+	if (result == MT_STORE_DONE && op->cb && op->verb == MT_VERB_SUBMIT &&
+	    mt_load_shedding_confirms(op->front->load_shedding)) {
+		confirm(op);
+		return;
+	}
 	if (result == MT_STORE_DONE)
 		reply_op(op, op->verb == MT_VERB_SUBMIT
 				     ? MT_FRONT_OUTCOME_ACCEPTED
@@ -272,28 +314,167 @@
 		reply_op(op, MT_FRONT_OUTCOME_NOT_DONE);
 	else
 		reply_op(op, MT_FRONT_OUTCOME_UNKNOWN);
-	g_free(op);
+	free_op(op);
 }
 
-/** @param bytes the packed job */
-static void write_job(mt_dag_front_t *front, GBytes *bytes, mt_front_op_t *op)
+/** Writes the job record of a submission. */
+static void write_job(mt_front_op_t *op)
 {
 	mt_record_key_t key = mt_record_key(MT_RECORD_JOB, op->job);
+	mt_writer_t *writer = op->front->deps.writer;
 
-	mt_writer_add(front->deps.writer, mt_str_from(key.text),
-		      mt_bytes_view(bytes));
-	mt_writer_commit(front->deps.writer, MT_WRITER_EXPIRES, on_written, op);
+	mt_writer_add(writer, mt_str_from(key.text),
+		      mt_bytes_view(op->job_record));
+	g_clear_pointer(&op->job_record, g_bytes_unref);
+	mt_writer_commit(writer, MT_WRITER_EXPIRES, on_written, op);
 }
 
 static void write_cancel(mt_dag_front_t *front, uint64_t id, mt_front_op_t *op)
 {
 	mt_record_key_t key = mt_record_key(MT_RECORD_CANCEL, id);
 
-	mt_writer_add(front->deps.writer, mt_str_from(key.text), MT_STR("1"));
+	mt_writer_add(front->deps.writer, mt_str_from(key.text),
+		      MT_STR(MT_CANCEL_BY_CLIENT));
 	mt_writer_commit(front->deps.writer, MT_WRITER_REPORTS_REFUSAL,
 			 on_written, op);
 }
 
+/* Refusals of submissions, and confirmations that a stored one is not refused.
+ * See refusals.h. */
+
+static void reply_refused(mt_front_op_t *op)
+{
+	mt_front_reply_t reply = {MT_FRONT_OUTCOME_NOT_DONE,
+				  MT_DAG__STATE__QUEUED, 0,
+				  op->admission.retry_after_s};
+
+	if (!finish_op(op, &reply))
+		return;
+	log_answered(op, reply.outcome);
+	mt_load_shedding_note_refused(op->front->load_shedding, &op->admission,
+				      op->priority);
+}
+
+/**
+ * Handles the outcome of a refusal. If it is uncertain, the job is stored
+ * instead, unless on_op_timeout() has replied, or the job was stored before.
+ */
+static void on_refusal(void *ctx, mt_refusal_result_t result)
+{
+	mt_front_op_t *op = ctx;
+
+	if (result == MT_REFUSAL_UNCERTAIN && op->job_record && op->cb) {
+		mt_kernel_count(op->front->deps.kernel,
+				"admission_uncertain_total");
+		write_job(op);
+		return;
+	}
+	if (result == MT_REFUSAL_REFUSED)
+		reply_refused(op);
+	else if (result == MT_REFUSAL_STORED)
+		reply_op(op, MT_FRONT_OUTCOME_ACCEPTED);
+	else
+		reply_op(op, MT_FRONT_OUTCOME_UNKNOWN);
+	free_op(op);
+}
+
+static void on_peer_refusal(void *ctx, const MtDag__PeerReply *reply)
+{
+	mt_refusal_result_t result = MT_REFUSAL_UNCERTAIN;
+
+	if (reply && reply->outcome == MT_FRONT_OUTCOME_CANCELLED)
+		result = MT_REFUSAL_REFUSED;
+	else if (reply && reply->outcome == MT_FRONT_OUTCOME_ACCEPTED)
+		result = MT_REFUSAL_STORED;
+	on_refusal(ctx, result);
+}
+
+/**
+ * Refuses a submission, here or at the first host that has the records. No
+ * other host is asked if that one does not answer: it may be refusing the job.
+ */
+static void refuse_submission(mt_front_op_t *op)
+{
+	const mt_dag_front_deps_t *deps = &op->front->deps;
+	MtDag__PeerCall call = MT_DAG__PEER_CALL__INIT;
+	mt_endpoint_t endpoints[MT_INFORMED_HOSTS_MAX];
+
+	if (has_records(op->front)) {
+		mt_refusals_add(op->front->refusals, op->job, on_refusal, op);
+		return;
+	}
+	if (!deps->list_informed(deps->list_informed_ctx, endpoints)) {
+		on_refusal(op, MT_REFUSAL_UNCERTAIN);
+		return;
+	}
+	call.verb = MT_VERB_REFUSE;
+	call.job = op->job;
+	deps->peers->call(deps->peers->self, &endpoints[0], &call,
+			  on_peer_refusal, op);
+}
+
+/** Refuses a submission of a job that was refused before. */
+static void refuse_again(mt_front_op_t *op)
+{
+	op->admission = (mt_admission_t){false, MT_ADMISSION_REFUSED_BEFORE, 0,
+					 MT_RETRY_AFTER_MAX_S};
+	refuse_submission(op);
+}
+
+static void forward(void *ctx);
+
+/**
+ * Handles the answer whether the stored job of a submission is refused.
+ * @param outcome see MT_VERB_CONFIRM
+ */
+static void on_confirmation(mt_front_op_t *op, mt_front_outcome_t outcome)
+{
+	if (outcome == MT_FRONT_OUTCOME_CANCELLED) {
+		refuse_again(op);
+		return;
+	}
+	reply_op(op, outcome == MT_FRONT_OUTCOME_ACCEPTED
+			     ? MT_FRONT_OUTCOME_ACCEPTED
+			     : MT_FRONT_OUTCOME_UNKNOWN);
+	free_op(op);
+}
+
+/** See MT_VERB_CONFIRM; this host's copy of the records is current. */
+static mt_front_outcome_t confirmation(const mt_dag_front_t *front, uint64_t id)
+{
+	if (mt_table_find_refused(front->deps.table, id))
+		return MT_FRONT_OUTCOME_CANCELLED;
+	return mt_table_find(front->deps.table, id) ? MT_FRONT_OUTCOME_ACCEPTED
+						    : MT_FRONT_OUTCOME_UNKNOWN;
+}
+
+static void on_caught_up_to_confirm(void *ctx, bool current)
+{
+	mt_front_op_t *op = ctx;
+
+	/* The table may have been cleared meanwhile. */
+	if (current && has_records(op->front))
+		on_confirmation(op, confirmation(op->front, op->job));
+	else
+		mt_timers_after(mt_kernel_timers(op->front->deps.kernel),
+				FORWARD_RETRY_MS, forward, op);
+}
+
+/**
+ * Finds out whether the job that this host has just stored was refused by
+ * another host before. The client is told that it is accepted only if it was
+ * not.
+ */
+static void confirm(mt_front_op_t *op)
+{
+	op->peer_verb = MT_VERB_CONFIRM;
+	if (has_records(op->front))
+		mt_follower_catch_up(op->front->records_follower,
+				     on_caught_up_to_confirm, op);
+	else
+		forward(op);
+}
+
 /* Submissions. */
 
 /**
@@ -344,8 +525,16 @@
 		   void *ctx)
 {
 	MtDag__Job *job;
+	mt_front_op_t *op;
+	mt_admission_t admission;
 	GBytes *bytes;
 
+	if (has_records(front) &&
+	    mt_table_find_refused(front->deps.table, id)) {
+		refuse_again(new_op(front, call->verb, call->timeout_ms, id, cb,
+				    ctx));
+		return;
+	}
 	if (has_records(front) && mt_table_find(front->deps.table, id)) {
 		reply_now(cb, ctx, MT_FRONT_OUTCOME_ACCEPTED);
 		return;
@@ -361,14 +550,21 @@
 	}
 	copy_queue_settings(job, id, queue, account);
 	bytes = mt_dag_pack(&job->base);
+	admission = mt_load_shedding_decide(front->load_shedding, job, account);
 	mt_dag__job__free_unpacked(job, NULL);
-	if (fits_into_record(front, bytes))
-		write_job(front, bytes,
-			  new_op(front, call->verb, call->timeout_ms, id, cb,
-				 ctx));
-	else
+	if (!fits_into_record(front, bytes)) {
 		reply_now(cb, ctx, MT_FRONT_OUTCOME_BAD_REQUEST);
-	g_bytes_unref(bytes);
+		g_bytes_unref(bytes);
+		return;
+	}
+	op = new_op(front, call->verb, call->timeout_ms, id, cb, ctx);
+	op->job_record = bytes;
+	op->priority = queue->priority;
+	op->admission = admission;
+	if (admission.accepted)
+		write_job(op);
+	else
+		refuse_submission(op);
 }
 
 /* Queries and cancellations. */
@@ -391,7 +587,7 @@
 	} else {
 		reply_state(op, job);
 	}
-	g_free(op);
+	free_op(op);
 }
 
 static void on_absent_cancel_written(void *ctx, mt_store_result_t result)
@@ -404,7 +600,7 @@
 		reply_op(op, MT_FRONT_OUTCOME_NOT_DONE);
 	else
 		reply_op(op, MT_FRONT_OUTCOME_UNKNOWN);
-	g_free(op);
+	free_op(op);
 }
 
 /**
@@ -419,7 +615,7 @@
 	if (!op->cb ||
 	    mt_table_is_absent_cancelled(front->deps.table, op->job)) {
 		reply_op(op, MT_FRONT_OUTCOME_NO_JOB);
-		g_free(op);
+		free_op(op);
 		return;
 	}
 	if (mt_absent_cancels_add(front->absent_cancels, op->job,
@@ -430,7 +626,7 @@
 			"x\",\"reason\":\"too many of unknown jobs\"",
 			op->job);
 	reply_op(op, MT_FRONT_OUTCOME_NOT_DONE);
-	g_free(op);
+	free_op(op);
 }
 
 static void on_caught_up(void *ctx, bool current)
@@ -451,7 +647,7 @@
 	}
 	reply_op(op,
 		 current ? MT_FRONT_OUTCOME_NO_JOB : MT_FRONT_OUTCOME_NOT_DONE);
-	g_free(op);
+	free_op(op);
 }
 
 /**
@@ -508,8 +704,6 @@
 
 /* Calls that are passed on to a host with the records of all jobs. */
 
-static void forward(void *ctx);
-
 /** True if the call may have been carried out although it got no such reply. */
 static bool is_maybe_done(const mt_front_op_t *op,
 			  const MtDag__PeerReply *reply)
@@ -537,12 +731,16 @@
 		forward(op);
 		return;
 	}
+	if (op->verb == MT_VERB_SUBMIT) {
+		on_confirmation(op, (mt_front_outcome_t)peer_reply->outcome);
+		return;
+	}
 	reply.outcome = (mt_front_outcome_t)peer_reply->outcome;
 	reply.state = peer_reply->state;
 	reply.pending = peer_reply->pending;
 	if (finish_op(op, &reply) && op->verb == MT_VERB_CANCEL)
 		log_answered(op, reply.outcome);
-	g_free(op);
+	free_op(op);
 }
 
 /**
@@ -559,7 +757,7 @@
 	unsigned n_endpoints;
 
 	if (!op->cb) {
-		g_free(op);
+		free_op(op);
 		return;
 	}
 	n_endpoints = deps->list_informed(deps->list_informed_ctx, endpoints);
@@ -569,20 +767,74 @@
 				FORWARD_RETRY_MS, forward, op);
 		return;
 	}
-	call.verb = op->verb;
+	call.verb = op->peer_verb;
 	call.job = op->job;
 	call.queue = op->queue.text;
 	deps->peers->call(deps->peers->self, &endpoints[op->next_peer++], &call,
 			  on_peer_reply, op);
 }
 
+/** A call of another host with MT_VERB_REFUSE or MT_VERB_CONFIRM. */
+typedef struct mt_admission_call_t {
+	mt_dag_front_t *front;
+	uint64_t job;
+	mt_front_cb cb;
+	void *ctx;
+} mt_admission_call_t;
+
+static void answer_admission_call(mt_admission_call_t *call,
+				  mt_front_outcome_t outcome)
+{
+	reply_now(call->cb, call->ctx, outcome);
+	g_free(call);
+}
+
+static void on_refusal_for_peer(void *ctx, mt_refusal_result_t result)
+{
+	mt_front_outcome_t outcome = MT_FRONT_OUTCOME_UNKNOWN;
+
+	if (result == MT_REFUSAL_REFUSED)
+		outcome = MT_FRONT_OUTCOME_CANCELLED;
+	else if (result == MT_REFUSAL_STORED)
+		outcome = MT_FRONT_OUTCOME_ACCEPTED;
+	answer_admission_call(ctx, outcome);
+}
+
+static void on_caught_up_for_peer(void *ctx, bool current)
+{
+	mt_admission_call_t *call = ctx;
+
+	answer_admission_call(call,
+			      current && has_records(call->front)
+				      ? confirmation(call->front, call->job)
+				      : MT_FRONT_OUTCOME_NOT_DONE);
+}
+
+static void peer_admission_call(mt_dag_front_t *front,
+				const MtDag__PeerCall *peer_call,
+				mt_front_cb cb, void *ctx)
+{
+	mt_admission_call_t *call = g_new0(mt_admission_call_t, 1);
+
+	*call = (mt_admission_call_t){front, peer_call->job, cb, ctx};
+	if (peer_call->verb == MT_VERB_REFUSE)
+		mt_refusals_add(front->refusals, call->job, on_refusal_for_peer,
+				call);
+	else
+		mt_follower_catch_up(front->records_follower,
+				     on_caught_up_for_peer, call);
+}
+
 void mt_dag_front_peer_call(mt_dag_front_t *front, const MtDag__PeerCall *call,
 			    mt_front_cb cb, void *ctx)
 {
 	mt_name_t queue = mt_name(call->queue);
 
-	if (!has_records(front) ||
-	    (call->verb != MT_VERB_SHOW && call->verb != MT_VERB_CANCEL))
+	if (!has_records(front))
+		reply_now(cb, ctx, MT_FRONT_OUTCOME_NOT_DONE);
+	else if (call->verb == MT_VERB_REFUSE || call->verb == MT_VERB_CONFIRM)
+		peer_admission_call(front, call, cb, ctx);
+	else if (call->verb != MT_VERB_SHOW && call->verb != MT_VERB_CANCEL)
 		reply_now(cb, ctx, MT_FRONT_OUTCOME_NOT_DONE);
 	else if (queue.len)
 		show_queue(front, &queue, cb, ctx);
@@ -627,6 +879,7 @@
 	}
 	op = new_op(front, call->verb, call->timeout_ms, id, cb, ctx);
 	op->forwarded = true;
+	op->peer_verb = call->verb;
 	if (queue)
 		op->queue = queue->name;
 	forward(op);
--- a/lib/dag/front.h
+++ b/lib/dag/front.h
@@ -11,6 +11,7 @@
 #include "dag/catalog.h"
 #include "dag/follower.h"
 #include "dag/leadership.h"
+#include "dag/load_shedding.h"
 #include "dag/peer_port.h"
 #include "dag/table.h"
 #include "dag/writer.h"
@@ -21,6 +22,14 @@
 	MT_VERB_SHOW,
 	MT_VERB_CANCEL,
 	MT_VERB_OTHER, /**< none of these; not supported */
+	/* Only between hosts. Hosts of earlier versions answer
+	 * MT_FRONT_OUTCOME_NOT_DONE. */
+	/** Refuse the job, see refusals.h. Answers: ACCEPTED (the job is
+	 * stored), CANCELLED (it is refused), or another one (uncertain). */
+	MT_VERB_REFUSE,
+	/** Is the stored job refused? Answers: ACCEPTED (it is not), CANCELLED
+	 * (it is, and so never runs), or another one (not known). */
+	MT_VERB_CONFIRM,
 } mt_verb_t;
 
 /**
@@ -52,7 +61,8 @@
 	/** Number of pending jobs of the queue, that is of unfinished jobs of
 	 * which no task has started. */
 	unsigned pending;
-	unsigned retry_after_s; /**< valid with MT_FRONT_OUTCOME_NOT_DONE */
+	/** Valid with MT_FRONT_OUTCOME_NOT_DONE. */
+	unsigned retry_after_s;
 } mt_front_reply_t;
 
 /** Called exactly once, possibly before mt_dag_front_call() returns. */
@@ -87,6 +97,13 @@
 	/** Calls are refused while mt_follower_age() of `config_follower`
 	 * exceeds this, as API keys may have been revoked meanwhile. */
 	mt_ms_t config_age_max_ms;
+	const mt_store_port_t *store; /**< for refusals */
+	mt_name_t incarnation;	      /**< id of this process */
+	mt_admission_mode_t admission_mode;
+	/** See mt_load_shedding_deps_t. */
+	const MtDag__Pressure *(*pressure)(void *ctx, const char *service,
+					   mt_ms_t *age_ms);
+	void *pressure_ctx;
 } mt_dag_front_deps_t;
 
 typedef struct mt_dag_front_t mt_dag_front_t;
--- a/lib/dag/host.c
+++ b/lib/dag/host.c
@@ -94,7 +94,10 @@
 static void on_record(void *ctx, const mt_store_record_t *record)
 {
 	mt_dag_host_t *host = ctx;
+	mt_ms_t age = mt_follower_age(host->records_follower);
+	mt_ms_t now = mt_kernel_now(host->deps.kernel);
 
+	mt_table_set_current_as_of(host->table, age < now ? now - age : 0);
 	mt_table_apply(host->table, record);
 }
 
@@ -331,13 +334,24 @@
 	host->writer = mt_writer_new(&deps);
 }
 
+static size_t list_pressure(void *ctx, MtDag__Pressure ***list)
+{
+	const mt_dag_host_t *host = ctx;
+
+	return mt_engine_list_pressure(host->engine, list);
+}
+
 static void make_leadership(mt_dag_host_t *host)
 {
-	mt_leadership_deps_t deps = {
-		host->deps.kernel,	host->deps.store,
-		host->deps.host,	host->deps.dc,
-		host->deps.incarnation, host->deps.cores_milli,
-		host->deps.endpoint};
+	mt_leadership_deps_t deps = {host->deps.kernel,
+				     host->deps.store,
+				     host->deps.host,
+				     host->deps.dc,
+				     host->deps.incarnation,
+				     host->deps.cores_milli,
+				     host->deps.endpoint,
+				     list_pressure,
+				     host};
 	mt_leadership_handler_t handler = {host, on_elected, on_deposed,
 					   on_standby, on_relay};
 
@@ -376,6 +390,14 @@
 	return mt_leadership_list_informed(host->leadership, endpoints);
 }
 
+static const MtDag__Pressure *find_pressure(void *ctx, const char *service,
+					    mt_ms_t *age_ms)
+{
+	const mt_dag_host_t *host = ctx;
+
+	return mt_leadership_pressure(host->leadership, service, age_ms);
+}
+
 static void make_front(mt_dag_host_t *host)
 {
 	mt_dag_front_deps_t deps = {0};
@@ -390,6 +412,11 @@
 	deps.list_informed_ctx = host;
 	deps.decode_job = host->deps.decode_job;
 	deps.config_age_max_ms = host->deps.config_age_max_ms;
+	deps.store = host->deps.store;
+	deps.incarnation = host->deps.incarnation;
+	deps.admission_mode = host->deps.admission_mode;
+	deps.pressure = find_pressure;
+	deps.pressure_ctx = host;
 	host->front = mt_dag_front_new(&deps);
 }
 
--- a/lib/dag/host.h
+++ b/lib/dag/host.h
@@ -38,6 +38,7 @@
 	mt_endpoint_t endpoint; /**< where this host takes calls of others */
 	uint32_t cores_milli; /**< size of this host in thousandths of a core */
 	mt_ms_t config_age_max_ms; /**< see mt_dag_front_deps_t */
+	mt_admission_mode_t admission_mode;
 	mt_engine_timing_t timings;
 	int64_t (*wall_ms)(void); /**< Unix time in milliseconds */
 } mt_dag_host_deps_t;
--- a/lib/dag/leadership.c
+++ b/lib/dag/leadership.c
@@ -1,6 +1,8 @@
 /** @file leadership.c Claims and keeps the leadership and slots. */
 #include "dag/leadership.h"
 
+#include <string.h>
+
 #include "dag/duty.h"
 #include "dag/election.h"
 #include "dag/follower.h"
@@ -61,6 +63,9 @@
 	mt_writer_t *writer;	    /**< host and slot records */
 	mt_writer_t *leader_writer; /**< heartbeats; NULL: not elected */
 	mt_ms_t heartbeat_at;	    /**< of the last heartbeat */
+	/** Newest leader record of the newest term; NULL: none was read. */
+	MtDag__Leader *leader;
+	mt_ms_t leader_read_at;
 	bool claims_allowed;
 	bool claiming;	 /**< the append of a claim has no answer yet */
 	bool delays_set; /**< the delays of claims are set */
@@ -137,6 +142,9 @@
 		leader_record(leadership, leadership->election.term);
 
 	leadership->heartbeat_at = now_of(leadership);
+	if (leadership->deps.list_pressure)
+		leader.n_pressure = leadership->deps.list_pressure(
+			leadership->deps.list_pressure_ctx, &leader.pressure);
 	add_record(leadership->leader_writer,
 		   mt_record_key(MT_RECORD_LEADER, 0), &leader.base);
 	mt_writer_commit(leadership->leader_writer, MT_WRITER_ALWAYS_RETRIES,
@@ -181,6 +189,20 @@
 
 /* Records that were read. */
 
+/** Keeps the record, or frees it if it is of an older term. */
+static void keep_newest_leader(mt_leadership_t *leadership,
+			       MtDag__Leader *leader)
+{
+	if (leader->term < leadership->election.term) {
+		mt_dag__leader__free_unpacked(leader, NULL);
+		return;
+	}
+	if (leadership->leader)
+		mt_dag__leader__free_unpacked(leadership->leader, NULL);
+	leadership->leader = leader;
+	leadership->leader_read_at = now_of(leadership);
+}
+
 static void on_leader_record(mt_leadership_t *leadership, mt_str_t value)
 {
 	MtDag__Leader *leader = mt_dag__leader__unpack(
@@ -193,7 +215,7 @@
 	}
 	mt_election_on_leader(&leadership->election, leader,
 			      now_of(leadership));
-	mt_dag__leader__free_unpacked(leader, NULL);
+	keep_newest_leader(leadership, leader);
 }
 
 /**
@@ -537,6 +559,20 @@
 	return mt_duty_is_held(leadership->standby);
 }
 
+const MtDag__Pressure *mt_leadership_pressure(const mt_leadership_t *leadership,
+					      const char *service,
+					      mt_ms_t *age_ms)
+{
+	const MtDag__Leader *leader = leadership->leader;
+
+	*age_ms = now_of(leadership) - leadership->leader_read_at;
+	for (size_t i = 0; leader && i < leader->n_pressure; i++) {
+		if (!strcmp(leader->pressure[i]->service, service))
+			return leader->pressure[i];
+	}
+	return NULL;
+}
+
 mt_ms_t mt_leadership_age(const mt_leadership_t *leadership)
 {
 	return mt_follower_age(leadership->follower);
--- a/lib/dag/leadership.h
+++ b/lib/dag/leadership.h
@@ -13,6 +13,7 @@
 #ifndef MT_DAG_LEADERSHIP_H
 #define MT_DAG_LEADERSHIP_H
 
+#include "dag/dag.pb-c.h"
 #include "dag/slots.h"
 #include "dag/store_port.h"
 #include "kernel/kernel.h"
@@ -45,6 +46,14 @@
 	mt_name_t incarnation;	/**< id of this process */
 	uint32_t cores_milli;	/**< size of this host */
 	mt_endpoint_t endpoint; /**< where this host takes calls of others */
+	/**
+	 * While this host leads: lists what the leader record says about the
+	 * load of the services, see MtDag__Leader.pressure. The list is valid
+	 * until the next event. NULL: says nothing.
+	 * @return number of elements of `list`
+	 */
+	size_t (*list_pressure)(void *ctx, MtDag__Pressure ***list);
+	void *list_pressure_ctx;
 } mt_leadership_deps_t;
 
 typedef struct mt_leadership_t mt_leadership_t;
@@ -86,6 +95,16 @@
 /** True if this host is a standby. */
 bool mt_leadership_is_standby(const mt_leadership_t *leadership);
 
+/**
+ * Load of a service, by the newest leader record.
+ * @param age_ms time since that record was read
+ * @return NULL when the record says nothing about the service; otherwise valid
+ * until the next event
+ */
+const MtDag__Pressure *mt_leadership_pressure(const mt_leadership_t *leadership,
+					      const char *service,
+					      mt_ms_t *age_ms);
+
 /** Age of this host's copy of the topic, see mt_follower_age(). */
 mt_ms_t mt_leadership_age(const mt_leadership_t *leadership);
 
--- a/lib/dag/records.h
+++ b/lib/dag/records.h
@@ -37,6 +37,13 @@
 	MT_RECORD_SPEEDS = 'v',	 /**< speeds of servers, see speed.h */
 } mt_record_kind_t;
 
+/**
+ * Values of cancel records: a client has cancelled the job, or its submission
+ * was refused (refusals.h).
+ */
+#define MT_CANCEL_BY_CLIENT "1"
+#define MT_CANCEL_REFUSED "r"
+
 /** Hexadecimal digits of a job id. */
 #define MT_JOB_ID_DIGITS 16
 
--- a/lib/dag/reports.c
+++ b/lib/dag/reports.c
@@ -133,6 +133,17 @@
 	return reason == MT_END_DONE && !task->step->spec->lasting;
 }
 
+/** Sets the task, or its whole gang, to done, and counts the work. */
+static void finish_task(mt_engine_t *engine, mt_dag_task_t *task)
+{
+	uint32_t n_done = task->step->n_done;
+
+	mt_dag_task_finish(task);
+	if (engine->load_summary)
+		mt_load_summary_note_done(engine->load_summary, task->step,
+					  task->step->n_done - n_done);
+}
+
 /** Applies the end of the task's last run. */
 static void apply_end(mt_engine_t *engine, mt_backend_t *backend,
 		      mt_dag_task_t *task, mt_end_reason_t reason)
@@ -143,7 +154,7 @@
 	if (reason == MT_END_DONE)
 		note_success(backend);
 	if (finishes_task(task, reason)) {
-		mt_dag_task_finish(task);
+		finish_task(engine, task);
 	} else if (reason == MT_END_FAILED) {
 		record_failure(engine, backend);
 		if (!mt_dag_task_fail(task))
@@ -180,7 +191,7 @@
 	    task->server->info.target.port)
 		mt_commands_stop_stray(engine, task->server, &key, task->run);
 	task->step->job->begun = true;
-	mt_dag_task_finish(task);
+	finish_task(engine, task);
 	mt_dag_job_update_state(task->step->job);
 }
 
--- a/lib/dag/sweep.c
+++ b/lib/dag/sweep.c
@@ -3,6 +3,7 @@
  * cancellations of jobs that were never stored.
  */
 #include "dag/engine_internal.h"
+#include "dag/refusals.h"
 
 /** Minimum interval between sweeps. */
 #define SWEEP_INTERVAL_MS 5000u
@@ -39,6 +40,23 @@
 	mt_writer_add(engine->writer, mt_str_from(key.text), (mt_str_t){0});
 }
 
+/** Local time from which the records of an ended or cancelled job are kept. */
+static mt_ms_t keep_from(const mt_table_job_t *job)
+{
+	return job->refused ? MAX(job->ended_at, job->cancelled_at)
+			    : job->ended_at;
+}
+
+/**
+ * How long they are kept. A refused job may be submitted again when its records
+ * are deleted, so that these are not kept any longer than they are needed.
+ */
+static mt_ms_t keep_ms(const mt_engine_t *engine, const mt_table_job_t *job)
+{
+	return job->refused ? MT_REFUSAL_KEEP_MS
+			    : engine->deps.timings.keep_ended_ms;
+}
+
 /**
  * Deletes the records of a job if it ended at least `keep_ended_ms` ago. All
  * deletions are in one group, which is written as a whole, see writer.h. The
@@ -50,11 +68,9 @@
 {
 	mt_sweep_t *sweep = ctx;
 	mt_engine_t *engine = sweep->engine;
-	mt_ms_t ended_at = job->ended_at;
 
-	if (!ended_at || sweep->n_swept >= SWEEP_MAX_JOBS ||
-	    mt_engine_now(engine) - ended_at <
-		    engine->deps.timings.keep_ended_ms)
+	if (!job->ended_at || sweep->n_swept >= SWEEP_MAX_JOBS ||
+	    mt_engine_now(engine) - keep_from(job) < keep_ms(engine, job))
 		return;
 	sweep->n_swept++;
 	delete_record(engine, MT_RECORD_PROGRESS, job->id);
@@ -70,8 +86,7 @@
 
 	if (sweep->n_absent_cancels >= SWEEP_MAX_ABSENT_CANCELS ||
 	    mt_engine_now(engine) - job->cancelled_at <
-		    MAX(engine->deps.timings.keep_ended_ms,
-			ABSENT_CANCEL_KEEP_MIN_MS))
+		    MAX(keep_ms(engine, job), ABSENT_CANCEL_KEEP_MIN_MS))
 		return;
 	sweep->n_absent_cancels++;
 	delete_record(engine, MT_RECORD_CANCEL, job->id);
--- a/lib/dag/table.c
+++ b/lib/dag/table.c
@@ -6,6 +6,7 @@
 	GHashTable *jobs; /**< id to mt_table_job_t */
 	mt_table_watcher_t watcher;
 	unsigned n_absent_cancels; /**< see mt_table_n_absent_cancels() */
+	mt_ms_t current_as_of;	   /**< see mt_table_set_current_as_of() */
 };
 
 static void free_job(gpointer data)
@@ -39,6 +40,11 @@
 	table->n_absent_cancels = 0;
 }
 
+void mt_table_set_current_as_of(mt_table_t *table, mt_ms_t as_of)
+{
+	table->current_as_of = as_of;
+}
+
 void mt_table_watch(mt_table_t *table, const mt_table_watcher_t *watcher)
 {
 	table->watcher = watcher ? *watcher : (mt_table_watcher_t){0};
@@ -107,10 +113,27 @@
 		table->watcher.on_accepted(table->watcher.ctx, job);
 }
 
-static void apply_cancel(mt_table_t *table, uint64_t id, uint64_t offset)
+/** Notes whether the newest cancel record of the job is a refusal. */
+static void note_refusal(const mt_table_t *table, mt_table_job_t *job,
+			 mt_str_t value, uint64_t offset)
+{
+	/* A snapshot delivers the same record again. */
+	if (job->refused && offset == job->refused_offset)
+		return;
+	job->refused = mt_str_equal(value, MT_STR(MT_CANCEL_REFUSED));
+	if (!job->refused)
+		return;
+	job->refused_offset = offset;
+	job->refused_after = table->current_as_of;
+	job->cancelled_at = MAX(1, mt_kernel_now(table->kernel));
+}
+
+static void apply_cancel(mt_table_t *table, uint64_t id, mt_str_t value,
+			 uint64_t offset)
 {
 	mt_table_job_t *job = find_or_add(table, id);
 
+	note_refusal(table, job, value, offset);
 	if (job->cancelled)
 		return;
 	/* The job had ended before it was cancelled. */
@@ -163,6 +186,14 @@
 	return job && job->cancelled && !job->queue.len;
 }
 
+const mt_table_job_t *mt_table_find_refused(const mt_table_t *table,
+					    uint64_t id)
+{
+	const mt_table_job_t *job = g_hash_table_lookup(table->jobs, &id);
+
+	return job && job->refused ? job : NULL;
+}
+
 unsigned mt_table_n_absent_cancels(const mt_table_t *table)
 {
 	return table->n_absent_cancels;
@@ -176,7 +207,7 @@
 	else if (kind == MT_RECORD_JOB)
 		apply_job(table, id, record->value);
 	else if (kind == MT_RECORD_CANCEL)
-		apply_cancel(table, id, record->offset);
+		apply_cancel(table, id, record->value, record->offset);
 	else
 		apply_progress(table, id, record->value, record->offset);
 }
--- a/lib/dag/table.h
+++ b/lib/dag/table.h
@@ -28,6 +28,13 @@
 	uint64_t cancel_offset;	  /**< offset of the cancel record */
 	/** Local time at which the cancel record was read; 0: none was. */
 	mt_ms_t cancelled_at;
+	/** The newest cancel record is a refusal, see refusals.h. It came
+	 * before any job record, so that the job never runs. */
+	bool refused;
+	/** Valid with `refused`: its cancel record was stored after this local
+	 * time; 0: not known. */
+	mt_ms_t refused_after;
+	uint64_t refused_offset; /**< of its cancel record, if it is refused */
 	/** Local time at which this host read that the job has ended; 0: not
 	 * ended. */
 	mt_ms_t ended_at;
@@ -54,6 +61,12 @@
 /** Sets the only watcher; NULL removes it. */
 void mt_table_watch(mt_table_t *table, const mt_table_watcher_t *watcher);
 
+/**
+ * Tells how recent the table is: records that are applied from now on were
+ * stored after this local time; 0: not known.
+ */
+void mt_table_set_current_as_of(mt_table_t *table, mt_ms_t as_of);
+
 /**
  * Applies a job, cancel or progress record; others are ignored. The records
  * of one job may come in any order. An empty value of any of these records
@@ -64,6 +77,13 @@
 /** True if a cancel record has been read of a job without a job record. */
 bool mt_table_is_absent_cancelled(const mt_table_t *table, uint64_t id);
 
+/**
+ * Finds a job that was refused, whether or not a job record has been read; NULL
+ * otherwise.
+ */
+const mt_table_job_t *mt_table_find_refused(const mt_table_t *table,
+					    uint64_t id);
+
 /** Number of jobs without a job record of which a cancel record was read. */
 unsigned mt_table_n_absent_cancels(const mt_table_t *table);
 
--- a/programs/entryd/main.c
+++ b/programs/entryd/main.c
@@ -210,6 +210,7 @@
 	deps.cores_milli = settings->cores_milli;
 	deps.config_age_max_ms = settings->config_age_max_ms;
 	deps.timings = settings->timings;
+	deps.admission_mode = settings->admission_mode;
 	deps.wall_ms = wall_ms;
 	entryd->host = mt_dag_host_new(&deps);
 }
--- a/programs/entryd/settings.c
+++ b/programs/entryd/settings.c
@@ -161,6 +161,29 @@
 	return true;
 }
 
+/** Leaves the mode at MT_ADMISSION_OFF if the field is missing. */
+static bool get_admission_mode(const json_t *json, mt_admission_mode_t *mode,
+			       GError **error)
+{
+	static const char *const names[] = {
+		[MT_ADMISSION_OFF] = "off",
+		[MT_ADMISSION_CONFIRMS] = "confirm",
+		[MT_ADMISSION_REFUSES] = "on",
+	};
+	const json_t *value = json_object_get(json, "admission_control");
+	const char *text = json_string_value(value);
+
+	if (!value)
+		return true;
+	for (size_t i = 0; text && i < G_N_ELEMENTS(names); i++) {
+		if (!strcmp(text, names[i])) {
+			*mode = (mt_admission_mode_t)i;
+			return true;
+		}
+	}
+	return fail(error, "admission_control", "not off, confirm or on");
+}
+
 static bool get_fields(const json_t *json, mt_entry_settings_t *settings,
 		       GError **error)
 {
@@ -175,6 +198,7 @@
 	       get_optional_endpoint(json, "advice", &settings->advice,
 				     error) &&
 	       get_store_limits(json, &settings->store_limits, error) &&
+	       get_admission_mode(json, &settings->admission_mode, error) &&
 	       get_durations(json, settings, error);
 }
 
--- a/programs/entryd/settings.h
+++ b/programs/entryd/settings.h
@@ -6,6 +6,7 @@
 #ifndef MT_ENTRYD_SETTINGS_H
 #define MT_ENTRYD_SETTINGS_H
 
+#include "dag/admission.h"
 #include "dag/engine.h"
 #include "kernel/name.h"
 #include "platform/store_http.h"
@@ -36,6 +37,7 @@
 	mt_ms_t drain_ms; /**< time from the signal to the end of a graceful
 		       shutdown, including DRAIN_LINGER_MS */
 	mt_engine_timing_t timings;
+	mt_admission_mode_t admission_mode;
 } mt_entry_settings_t;
 
 /** Reads and validates the file; the error names the file or the field. */
