fleet: runs with too many jobs and admission control

No test submitted more jobs than the servers can run, and none repeated a submission that another host may still be storing and that is then refused.

It checks that no job runs that was refused for lack of capacity, and that no accepted job ends as cancelled unless a client has cancelled it; the latter also without the option.

--- a/tests/fleet/fake_servers.c
+++ b/tests/fleet/fake_servers.c
@@ -106,6 +106,7 @@
 	GHashTable *jobs; /**< serialized job (GBytes) by id */
 	/** Time (mt_ms_t) by job id: no task of the job must start after it. */
 	GHashTable *forbidden;
+	GHashTable *started_jobs; /**< set of job ids */
 	/** Names of tasks that have succeeded. */
 	GHashTable *succeeded_tasks;
 	/** Of these, those whose end was acknowledged under a valid lease. */
@@ -432,6 +433,8 @@
 {
 	mt_ms_t *from = g_hash_table_lookup(fleet->forbidden, &run->key.job);
 
+	g_hash_table_add(fleet->started_jobs,
+			 g_memdup2(&run->key.job, sizeof(run->key.job)));
 	if (from && fleet_now(fleet) > *from + CANCEL_GRACE_MS)
 		mt_sim_breach(
 			fleet->sim,
@@ -1133,6 +1136,8 @@
 	fleet->servers = g_new0(mt_fake_server_t, count);
 	fleet->jobs = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					    (GDestroyNotify)g_bytes_unref);
+	fleet->started_jobs = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						    g_free, NULL);
 	fleet->forbidden = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						 g_free, g_free);
 	fleet->succeeded_tasks =
@@ -1174,6 +1179,16 @@
 			    g_memdup2(&from, sizeof(from)));
 }
 
+void mt_fake_fleet_permit_starts(mt_fake_fleet_t *fleet, uint64_t job)
+{
+	g_hash_table_remove(fleet->forbidden, &job);
+}
+
+bool mt_fake_fleet_has_started(const mt_fake_fleet_t *fleet, uint64_t job)
+{
+	return g_hash_table_contains(fleet->started_jobs, &job);
+}
+
 unsigned mt_fake_fleet_incomplete_gangs(const mt_fake_fleet_t *fleet)
 {
 	return fleet->incomplete_gangs;
--- a/tests/fleet/fake_servers.h
+++ b/tests/fleet/fake_servers.h
@@ -32,6 +32,12 @@
 void mt_fake_fleet_forbid_starts(mt_fake_fleet_t *fleet, uint64_t job,
 				 mt_ms_t from);
 
+/** Reverses mt_fake_fleet_forbid_starts(). */
+void mt_fake_fleet_permit_starts(mt_fake_fleet_t *fleet, uint64_t job);
+
+/** True if a task of the job has started. */
+bool mt_fake_fleet_has_started(const mt_fake_fleet_t *fleet, uint64_t job);
+
 /** Stops a server, which loses its runs, and restarts it after `down_ms`. */
 void mt_fake_fleet_crash(mt_fake_fleet_t *fleet, unsigned server_index,
 			 mt_ms_t down_ms);
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -2,7 +2,8 @@
  * @file main.c
  * Simulates entry hosts on virtual time with random faults. A seed passes when
  * no invariant was violated, every host shows every accepted job as ended, and
- * ended jobs are deleted in time.
+ * ended jobs are deleted in time. With --overload, jobs come faster than they
+ * can be run, and no job may run that was refused for lack of capacity.
  */
 #include <argtable2.h>
 #include <stdio.h>
@@ -19,9 +20,11 @@
 #define WARM_UP_MS 4000u
 #define TRAFFIC_MS 40000u
 #define SETTLE_MS 120000u
+#define SETTLE_OVERLOAD_MS 150000u
 
 /* Mean intervals, approximately. */
 #define JOB_INTERVAL_MS 350
+#define JOB_INTERVAL_OVERLOAD_MS 110
 #define FAULT_INTERVAL_MS 2500
 
 #define SUBMIT_ATTEMPTS_MAX 4u
@@ -50,9 +53,12 @@
 /** Longer than a simulation: the server is not restarted. */
 #define NEVER_MS 10000000u
 
+typedef struct mt_workload_t mt_workload_t;
+
 /** A job as its client knows it. */
 typedef struct mt_submitted_job_t {
 	mt_sim_t *sim;
+	mt_workload_t *workload;
 	uint64_t id;
 	const char *queue;
 	GBytes *body;
@@ -60,16 +66,20 @@
 	bool accepted;
 	bool maybe_stored; /**< some attempt without an answer may be stored */
 	bool cancelled;
+	bool cancel_sent; /**< a client has tried to cancel it */
+	bool refused;	  /**< at the last attempt, for lack of capacity */
 } mt_submitted_job_t;
 
 /** The jobs and faults of one simulation. */
-typedef struct mt_workload_t {
+struct mt_workload_t {
 	mt_sim_t *sim;
 	GPtrArray *jobs; /**< mt_submitted_job_t */
 	uint64_t last_id;
 	bool settling;	    /**< no further jobs and faults */
 	mt_ms_t revoked_at; /**< when the API key "revoked" was removed */
-} mt_workload_t;
+	int job_interval_ms;
+	unsigned n_refused; /**< refusals for lack of capacity */
+};
 
 /**
  * Returns a random host that is ready. If there is none, returns any, which may
@@ -134,14 +144,53 @@
 
 static void cancel(void *ctx)
 {
+	mt_submitted_job_t *job = ctx;
+
+	job->cancel_sent = true;
 	send_call(ctx, MT_VERB_CANCEL, on_cancelled);
 }
 
+/** True for a refusal for lack of capacity; other replies have 1 s. */
+static bool is_load_shed(const mt_front_reply_t *reply)
+{
+	return reply->outcome == MT_FRONT_OUTCOME_NOT_DONE &&
+	       reply->retry_after_s > 1;
+}
+
+/**
+ * Such a refusal says that the job has not run and never will, whatever became
+ * of earlier attempts. Some clients return after the time that they are given.
+ */
+static void on_load_shed(mt_submitted_job_t *job, unsigned retry_after_s)
+{
+	mt_sim_t *sim = job->sim;
+
+	job->workload->n_refused++;
+	job->refused = true;
+	if (job->accepted || mt_fake_fleet_has_started(sim->fleet, job->id))
+		mt_sim_breach(sim,
+			      "job %" G_GINT64_MODIFIER
+			      "x was refused after it was accepted or started",
+			      job->id);
+	mt_fake_fleet_forbid_starts(sim->fleet, job->id, 0);
+	if (job->attempts < SUBMIT_ATTEMPTS_MAX && mt_sim_chance(sim, 0.5))
+		mt_timers_after(sim->timers, (mt_ms_t)retry_after_s * 1000,
+				submit, job);
+}
+
 static void on_submitted(void *ctx, const mt_front_reply_t *reply)
 {
 	mt_submitted_job_t *job = ctx;
 	mt_sim_t *sim = job->sim;
 
+	if (is_load_shed(reply)) {
+		on_load_shed(job, reply->retry_after_s);
+		return;
+	}
+	if (job->refused && reply->outcome != MT_FRONT_OUTCOME_NOT_DONE) {
+		job->refused = false;
+		mt_fake_fleet_permit_starts(sim->fleet, job->id);
+	}
 	if (reply->outcome == MT_FRONT_OUTCOME_ACCEPTED) {
 		job->accepted = true;
 		if (mt_sim_chance(sim, FOLLOW_UP_SHARE))
@@ -219,6 +268,7 @@
 	spec = make_job(workload, urgent);
 	job = g_new0(mt_submitted_job_t, 1);
 	job->sim = sim;
+	job->workload = workload;
 	job->id = spec->id;
 	job->queue = urgent		       ? "urgent"
 		     : mt_sim_chance(sim, 0.3) ? "advised"
@@ -230,10 +280,10 @@
 	mt_fake_fleet_register_job(sim->fleet, spec);
 	mt_dag__job__free_unpacked(spec, NULL);
 	submit(job);
-	mt_timers_after(
-		sim->timers,
-		(mt_ms_t)g_rand_int_range(sim->rand, 20, 2 * JOB_INTERVAL_MS),
-		submit_next_job, workload);
+	mt_timers_after(sim->timers,
+			(mt_ms_t)g_rand_int_range(
+				sim->rand, 20, 2 * workload->job_interval_ms),
+			submit_next_job, workload);
 }
 
 /* Revocation of an API key. */
@@ -538,7 +588,9 @@
 	 * the queues allow 50 attempts per task, and few runs fail. */
 	if (view->outcome != MT_FRONT_OUTCOME_STATE ||
 	    !mt_state_is_final(view->state) ||
-	    (view->job->cancelled && view->state == MT_DAG__STATE__FAILED))
+	    (view->job->cancelled && view->state == MT_DAG__STATE__FAILED) ||
+	    (!view->job->cancel_sent &&
+	     view->state == MT_DAG__STATE__CANCELLED))
 		mt_sim_breach(sim,
 			      "job %" G_GINT64_MODIFIER
 			      "x: host %u replies outcome %d, state %d",
@@ -577,11 +629,18 @@
 }
 
 /** @return true when no invariant was violated */
-static bool run_seed(guint32 seed, bool verbose)
+static bool run_seed(guint32 seed, bool verbose, bool overload)
 {
-	mt_sim_t *sim = mt_sim_new(seed, verbose);
-	mt_workload_t workload = {sim, g_ptr_array_new(), 0, false, 0};
+	mt_sim_t *sim =
+		mt_sim_new(seed, verbose,
+			   overload ? MT_ADMISSION_REFUSES : MT_ADMISSION_OFF);
+	mt_workload_t workload = {.sim = sim,
+				  .jobs = g_ptr_array_new(),
+				  .job_interval_ms =
+					  overload ? JOB_INTERVAL_OVERLOAD_MS
+						   : JOB_INTERVAL_MS};
 	mt_ms_t started_at = mt_sim_now(sim);
+	mt_ms_t settle_ms = overload ? SETTLE_OVERLOAD_MS : SETTLE_MS;
 	unsigned accepted = 0;
 
 	mt_fake_store_put(sim->store, "keyed.op", "config", MT_STR("1"));
@@ -591,7 +650,7 @@
 	mt_timers_after(sim->timers, REVOCATION_AT_MS, revoke_key, &workload);
 	mt_sim_run(sim, started_at + WARM_UP_MS + TRAFFIC_MS);
 	begin_settling(&workload);
-	mt_sim_run(sim, started_at + WARM_UP_MS + TRAFFIC_MS + SETTLE_MS);
+	mt_sim_run(sim, started_at + WARM_UP_MS + TRAFFIC_MS + settle_ms);
 	for (guint i = 0; i < workload.jobs->len; i++) {
 		const mt_submitted_job_t *job = workload.jobs->pdata[i];
 
@@ -604,9 +663,13 @@
 			mt_sim_breach(sim, "host %u still has %u jobs", k,
 				      mt_dag_host_n_jobs(sim->hosts[k]->host));
 	}
-	printf("seed %u: %s, %u jobs, %u accepted, %u incomplete gangs\n", seed,
+	printf("seed %u: %s, %u jobs, %u accepted, ", seed,
 	       sim->breaches ? "FAILED" : "passed", workload.jobs->len,
-	       accepted, mt_fake_fleet_incomplete_gangs(sim->fleet));
+	       accepted);
+	if (overload)
+		printf("%u refusals, ", workload.n_refused);
+	printf("%u incomplete gangs\n",
+	       mt_fake_fleet_incomplete_gangs(sim->fleet));
 	return !sim->breaches;
 }
 
@@ -615,8 +678,10 @@
 	struct arg_int *seed = arg_int0(NULL, "seed", "N", "first seed");
 	struct arg_int *seeds = arg_int0(NULL, "seeds", "N", "number of seeds");
 	struct arg_lit *verbose = arg_lit0("v", "verbose", "show events");
+	struct arg_lit *overload = arg_lit0(
+		NULL, "overload", "too many jobs, with admission control");
 	struct arg_end *end = arg_end(4);
-	void *table[] = {seed, seeds, verbose, end};
+	void *table[] = {seed, seeds, verbose, overload, end};
 	int first;
 	int count;
 	int failed = 0;
@@ -629,7 +694,8 @@
 	first = seed->count ? seed->ival[0] : 1;
 	count = seeds->count ? seeds->ival[0] : 1;
 	for (int i = 0; i < count; i++)
-		failed += !run_seed((guint32)(first + i), verbose->count);
+		failed += !run_seed((guint32)(first + i), verbose->count,
+				    overload->count);
 	printf("%d passed, %d failed\n", count - failed, failed);
 	return failed != 0;
 }
--- a/tests/fleet/sim.c
+++ b/tests/fleet/sim.c
@@ -140,6 +140,7 @@
 	/* lease_ms, stop_ms, restore_ms, keep_ended_ms, start_early_ms */
 	deps.timings = (mt_engine_timing_t){6000, 10000, 400, 100, 200000, 0};
 	deps.wall_ms = wall_ms;
+	deps.admission_mode = sim->admission_mode;
 	host->host = mt_dag_host_new(&deps);
 }
 
@@ -163,7 +164,7 @@
 		run_event(event);
 }
 
-mt_sim_t *mt_sim_new(guint32 seed, bool verbose)
+mt_sim_t *mt_sim_new(guint32 seed, bool verbose, mt_admission_mode_t mode)
 {
 	mt_sim_t *sim = g_new0(mt_sim_t, 1);
 
@@ -171,6 +172,7 @@
 	sim->timers = mt_timers_new(START_MS);
 	sim->rand = g_rand_new_with_seed(seed);
 	sim->verbose = verbose;
+	sim->admission_mode = mode;
 	sim->store = mt_fake_store_new(sim);
 	sim->fleet = mt_fake_fleet_new(sim, SIM_SERVERS);
 	for (unsigned i = 0; i < SIM_HOSTS; i++)
--- a/tests/fleet/sim.h
+++ b/tests/fleet/sim.h
@@ -52,6 +52,7 @@
 	unsigned breaches;
 	unsigned lost_servers; /**< servers that will not come back */
 	bool verbose;
+	mt_admission_mode_t admission_mode; /**< of the hosts */
 	/* Active faults, named as in platformd's /test/faults query, which
 	 * lacks `order_unsent`. An order is a command to a server. */
 	bool store_down;
@@ -65,7 +66,7 @@
 	struct mt_fake_fleet_t *fleet;
 };
 
-mt_sim_t *mt_sim_new(guint32 seed, bool verbose);
+mt_sim_t *mt_sim_new(guint32 seed, bool verbose, mt_admission_mode_t mode);
 
 /**
  * Creates a store and servers, but no hosts. The caller advances
