--- a/lib/dag/refusals.c
+++ b/lib/dag/refusals.c
@@ -2,7 +2,7 @@
 #include "dag/refusals.h"
 
 /** Number of attempts to append before other records come in between. */
-#define ATTEMPTS_MAX 4u
+#define ATTEMPTS_MAX 6u
 
 /** Maximum number of refusals in one append; the others wait for the next. */
 #define GROUP_MAX 200u
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -75,6 +75,7 @@
 	add_suite("planner", mt_planner_tests);
 	add_suite("relocation", mt_relocation_tests);
 	add_suite("front", mt_front_tests);
+	add_suite("admission", mt_admission_tests);
 	add_suite("writer", mt_writer_tests);
 	add_suite("runner", mt_runner_tests);
 	add_suite("survival", mt_survival_tests);
--- a/tests/unit/test_front.c
+++ b/tests/unit/test_front.c
@@ -16,7 +16,8 @@
 	GArray *calls; /**< mt_pending_call_t, oldest first */
 	/** The pending append: its records, as the keys with a space each. */
 	GString *append_keys;
-	unsigned n_appends; /**< number of appends so far */
+	unsigned n_appends;    /**< number of appends so far */
+	uint64_t expected_end; /**< condition of the pending append */
 	mt_store_append_cb append_cb;
 	void *append_ctx;
 } mt_unresponsive_store_t;
@@ -53,6 +54,7 @@
 	mt_unresponsive_store_t *store = self;
 
 	store->n_appends++;
+	store->expected_end = append->expected_end;
 	store->append_cb = cb;
 	store->append_ctx = ctx;
 	g_string_truncate(store->append_keys, 0);
@@ -617,7 +619,419 @@
 	tear_down(&fixture);
 }
 
+/* Refusals for lack of capacity. */
+
+/** A service with so much waiting work that each job is refused. */
+typedef struct mt_full_service_t {
+	MtDag__Pressure message;
+	MtDag__PriorityLoad load;
+	MtDag__PriorityLoad *loads[1];
+	mt_ms_t age_ms; /**< of the summary */
+} mt_full_service_t;
+
+static const MtDag__Pressure *full_service(void *ctx, const char *service,
+					   mt_ms_t *age_ms)
+{
+	mt_full_service_t *full = ctx;
+
+	CU_ASSERT_STRING_EQUAL(service, "service");
+	*age_ms = full->age_ms;
+	return &full->message;
+}
+
+/** Lets the front end refuse jobs; the waiting work takes 100 s. */
+static void refuse_all(mt_front_fixture_t *fixture, mt_full_service_t *full)
+{
+	bool has_records =
+		fixture->deps.table && mt_table_size(fixture->deps.table);
+
+	*full = (mt_full_service_t){0};
+	mt_dag__pressure__init(&full->message);
+	mt_dag__priority_load__init(&full->load);
+	full->load.waiting_core_ms = 100000000;
+	full->load.drained_core_ms_per_s = 1000000;
+	full->loads[0] = &full->load;
+	full->message.capacity_millicores = 1000000;
+	full->message.n_loads = 1;
+	full->message.loads = full->loads;
+	fixture->deps.decode_job = decode_any_job;
+	fixture->deps.store = &fixture->store.port;
+	fixture->deps.incarnation = mt_name("host-1");
+	fixture->deps.admission_mode = MT_ADMISSION_REFUSES;
+	fixture->deps.pressure = full_service;
+	fixture->deps.pressure_ctx = full;
+	fixture->deps.config_age_max_ms = 100000;
+	mt_dag_front_free(fixture->front);
+	fixture->front = mt_dag_front_new(&fixture->deps);
+	mt_dag_front_set_catalog(fixture->front, fixture->catalog);
+	if (has_records)
+		mt_dag_front_set_records(fixture->front,
+					 fixture->records_follower);
+}
+
+static void submit(mt_front_fixture_t *fixture, const char *path)
+{
+	mt_front_call_t call = {0};
+
+	call.verb = MT_VERB_SUBMIT;
+	call.url_host = MT_STR("jobs.example");
+	call.path = mt_str_from(path);
+	call.timeout_ms = 2000;
+	mt_dag_front_call(fixture->front, &call, keep_reply, fixture);
+}
+
+/** Answers the oldest call that was passed on, with this outcome. */
+static mt_pending_peer_call_t answer_outcome(mt_front_fixture_t *fixture,
+					     mt_front_outcome_t outcome)
+{
+	MtDag__PeerReply reply = MT_DAG__PEER_REPLY__INIT;
+
+	CU_ASSERT_TRUE_FATAL(fixture->peer_calls->len > 0);
+	reply.outcome = outcome;
+	return answer_peer(fixture, &reply);
+}
+
+/** Applies the record of a refusal of job b2, which was stored just before. */
+static void apply_refusal(mt_front_fixture_t *fixture, uint64_t offset)
+{
+	mt_record_key_t key = mt_record_key(MT_RECORD_CANCEL, 0xb2);
+	mt_store_record_t record = {mt_str_from(key.text),
+				    MT_STR(MT_CANCEL_REFUSED), offset};
+
+	mt_table_set_current_as_of(fixture->deps.table,
+				   mt_timers_now(fixture->timers));
+	mt_table_apply(fixture->deps.table, &record);
+}
+
+/**
+ * Guards against: a job runs after its submission was refused, since another
+ * host was still trying to store it for an earlier attempt. The record that
+ * excludes this is stored first, on the condition that nothing was stored since
+ * this host has read that the job is not stored.
+ */
+static void a_refusal_is_stored_before_it_is_told(void)
+{
+	mt_front_fixture_t fixture;
+	mt_full_service_t full;
+
+	set_up(&fixture);
+	refuse_all(&fixture, &full);
+	submit(&fixture, "/urgent/00000000000000b2");
+	catch_up(&fixture);
+	CU_ASSERT_EQUAL(fixture.replies, 0);
+	CU_ASSERT_STRING_EQUAL_FATAL(fixture.store.append_keys->str,
+				     "c00000000000000b2 ");
+	CU_ASSERT_EQUAL(fixture.store.expected_end, 0);
+	answer_append(&fixture.store, MT_STORE_DONE);
+	CU_ASSERT_EQUAL(fixture.replies, 1);
+	CU_ASSERT_EQUAL(fixture.reply.outcome, MT_FRONT_OUTCOME_NOT_DONE);
+	CU_ASSERT_TRUE(fixture.reply.retry_after_s >= 15);
+	CU_ASSERT_TRUE(fixture.reply.retry_after_s <= 30);
+	CU_ASSERT_EQUAL(fixture.store.n_appends, 1);
+	tear_down(&fixture);
+}
+
+/** Guards against: a stored job is called refused when it is submitted again.
+ */
+static void a_stored_job_is_not_refused(void)
+{
+	mt_front_fixture_t fixture;
+	mt_full_service_t full;
+
+	set_up(&fixture);
+	refuse_all(&fixture, &full);
+	submit(&fixture, "/urgent/" JOB_ID);
+	CU_ASSERT_EQUAL(fixture.replies, 1);
+	CU_ASSERT_EQUAL(fixture.reply.outcome, MT_FRONT_OUTCOME_ACCEPTED);
+	tear_down(&fixture);
+	set_up_without_records(&fixture, 2);
+	refuse_all(&fixture, &full);
+	submit(&fixture, "/urgent/" JOB_ID);
+	CU_ASSERT_EQUAL(
+		answer_outcome(&fixture, MT_FRONT_OUTCOME_ACCEPTED).verb,
+		MT_VERB_REFUSE);
+	CU_ASSERT_EQUAL(fixture.reply.outcome, MT_FRONT_OUTCOME_ACCEPTED);
+	CU_ASSERT_EQUAL(fixture.store.n_appends, 0);
+	tear_down(&fixture);
+}
+
+/**
+ * Pattern: other hosts store records again and again between the read and the
+ * append.
+ * Guards against: the job is refused although an earlier attempt may be among
+ * these records, or the client gets no answer.
+ */
+static void a_job_is_stored_if_the_refusal_is_not(void)
+{
+	mt_front_fixture_t fixture;
+	mt_full_service_t full;
+
+	set_up(&fixture);
+	refuse_all(&fixture, &full);
+	submit(&fixture, "/urgent/00000000000000b2");
+	for (unsigned i = 0; i < 6; i++) {
+		run_timers(&fixture, 20);
+		catch_up(&fixture);
+		CU_ASSERT_STRING_EQUAL_FATAL(fixture.store.append_keys->str,
+					     "c00000000000000b2 ");
+		answer_append(&fixture.store, MT_STORE_WRONG_OFFSET);
+	}
+	CU_ASSERT_EQUAL(fixture.replies, 0);
+	CU_ASSERT_STRING_EQUAL_FATAL(fixture.store.append_keys->str,
+				     "a00000000000000b2 ");
+	tear_down(&fixture);
+}
+
+/** A host without the records lets the leader refuse. */
+static void a_host_without_records_asks_the_leader_to_refuse(void)
+{
+	mt_front_fixture_t fixture;
+	mt_full_service_t full;
+	mt_pending_peer_call_t call;
+
+	set_up_without_records(&fixture, 3);
+	refuse_all(&fixture, &full);
+	submit(&fixture, "/urgent/00000000000000b2");
+	call = answer_outcome(&fixture, MT_FRONT_OUTCOME_CANCELLED);
+	CU_ASSERT_EQUAL(call.port, 1);
+	CU_ASSERT_EQUAL(call.verb, MT_VERB_REFUSE);
+	CU_ASSERT_EQUAL(call.job, 0xb2);
+	CU_ASSERT_EQUAL(fixture.reply.outcome, MT_FRONT_OUTCOME_NOT_DONE);
+	CU_ASSERT_EQUAL(fixture.store.n_appends, 0);
+	tear_down(&fixture);
+}
+
+/**
+ * Pattern: the leader gets the call, stores the refusal, and its reply is lost.
+ * Guards against: the client is told that the job is accepted, which never
+ * runs. The job is stored, and its acceptance is confirmed: it is not, so that
+ * the refusal holds.
+ */
+static void a_refusal_whose_reply_is_lost_is_found(void)
+{
+	mt_front_fixture_t fixture;
+	mt_full_service_t full;
+	mt_pending_peer_call_t call;
+
+	set_up_without_records(&fixture, 2);
+	refuse_all(&fixture, &full);
+	submit(&fixture, "/urgent/00000000000000b2");
+	answer_peer(&fixture, NULL);
+	CU_ASSERT_STRING_EQUAL_FATAL(fixture.store.append_keys->str,
+				     "a00000000000000b2 ");
+	answer_append(&fixture.store, MT_STORE_DONE);
+	CU_ASSERT_EQUAL(fixture.replies, 0);
+	call = answer_peer(&fixture, NULL);
+	CU_ASSERT_EQUAL(call.verb, MT_VERB_CONFIRM);
+	call = answer_outcome(&fixture, MT_FRONT_OUTCOME_CANCELLED);
+	CU_ASSERT_EQUAL(call.verb, MT_VERB_CONFIRM);
+	CU_ASSERT_EQUAL(call.port, 2);
+	CU_ASSERT_EQUAL(fixture.replies, 0);
+	call = answer_outcome(&fixture, MT_FRONT_OUTCOME_CANCELLED);
+	CU_ASSERT_EQUAL(call.verb, MT_VERB_REFUSE);
+	CU_ASSERT_EQUAL(fixture.reply.outcome, MT_FRONT_OUTCOME_NOT_DONE);
+	tear_down(&fixture);
+}
+
+/**
+ * Guards against: a job that was refused and stored later is called refused
+ * although the leader cannot say that the refusal still holds.
+ */
+static void an_uncertain_refusal_of_a_stored_job_is_unknown(void)
+{
+	mt_front_fixture_t fixture;
+	mt_full_service_t full;
+
+	set_up_without_records(&fixture, 1);
+	refuse_all(&fixture, &full);
+	full.age_ms = 5001;
+	submit(&fixture, "/urgent/00000000000000b2");
+	answer_append(&fixture.store, MT_STORE_DONE);
+	answer_outcome(&fixture, MT_FRONT_OUTCOME_CANCELLED);
+	answer_peer(&fixture, NULL);
+	CU_ASSERT_EQUAL(fixture.reply.outcome, MT_FRONT_OUTCOME_UNKNOWN);
+	CU_ASSERT_EQUAL(fixture.store.n_appends, 1);
+	tear_down(&fixture);
+}
+
+/** Without a recent summary, the job is stored, confirmed and accepted. */
+static void without_a_recent_summary_a_job_is_accepted(void)
+{
+	mt_front_fixture_t fixture;
+	mt_full_service_t full;
+
+	set_up_without_records(&fixture, 1);
+	refuse_all(&fixture, &full);
+	full.age_ms = 5001;
+	submit(&fixture, "/urgent/00000000000000b2");
+	CU_ASSERT_STRING_EQUAL_FATAL(fixture.store.append_keys->str,
+				     "a00000000000000b2 ");
+	answer_append(&fixture.store, MT_STORE_DONE);
+	CU_ASSERT_EQUAL(fixture.replies, 0);
+	answer_outcome(&fixture, MT_FRONT_OUTCOME_ACCEPTED);
+	CU_ASSERT_EQUAL(fixture.reply.outcome, MT_FRONT_OUTCOME_ACCEPTED);
+	tear_down(&fixture);
+}
+
+/**
+ * Guards against: a job is stored after its client was answered, which has
+ * repeated the submission since.
+ */
+static void nothing_is_stored_after_the_answer(void)
+{
+	mt_front_fixture_t fixture;
+	mt_full_service_t full;
+
+	set_up_without_records(&fixture, 1);
+	refuse_all(&fixture, &full);
+	submit(&fixture, "/urgent/00000000000000b2");
+	run_timers(&fixture, 2000);
+	CU_ASSERT_EQUAL(fixture.reply.outcome, MT_FRONT_OUTCOME_UNKNOWN);
+	answer_peer(&fixture, NULL);
+	CU_ASSERT_EQUAL(fixture.store.n_appends, 0);
+	tear_down(&fixture);
+}
+
+/** Age of a refusal, and what becomes of a further submission of the job. */
+typedef struct mt_refusal_age_t {
+	mt_ms_t age_ms;
+	unsigned n_appends; /**< 1: the record is stored again first */
+	mt_front_outcome_t outcome;
+} mt_refusal_age_t;
+
+static const mt_refusal_age_t refusal_ages[] = {
+	{24000, 0, MT_FRONT_OUTCOME_NOT_DONE},
+	{26000, 1, MT_FRONT_OUTCOME_NOT_DONE},
+	{49000, 1, MT_FRONT_OUTCOME_NOT_DONE},
+	{51000, 0, MT_FRONT_OUTCOME_UNKNOWN},
+};
+
+/**
+ * Pattern: a client whose job was refused submits it again.
+ * Guards against: the job is refused by a record that the leader deletes before
+ * a late attempt of another host is over, or accepted although that record
+ * keeps it from running.
+ */
+static void a_refused_job_stays_refused_for_a_while(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(refusal_ages); i++) {
+		const mt_refusal_age_t *age = &refusal_ages[i];
+		mt_front_fixture_t fixture;
+		mt_full_service_t full;
+
+		set_up(&fixture);
+		refuse_all(&fixture, &full);
+		full.age_ms = 5001;
+		apply_refusal(&fixture, 7);
+		run_timers(&fixture, age->age_ms);
+		submit(&fixture, "/urgent/00000000000000b2");
+		catch_up(&fixture);
+		CU_ASSERT_EQUAL(fixture.store.n_appends, age->n_appends);
+		if (age->n_appends)
+			answer_append(&fixture.store, MT_STORE_DONE);
+		CU_ASSERT_EQUAL(fixture.reply.outcome, age->outcome);
+		tear_down(&fixture);
+	}
+}
+
+/**
+ * Guards against: the age of a refusal counts from when a snapshot was read,
+ * and not from when it was stored.
+ */
+static void a_refusal_of_unknown_age_is_uncertain(void)
+{
+	mt_front_fixture_t fixture;
+	mt_full_service_t full;
+	mt_record_key_t key = mt_record_key(MT_RECORD_CANCEL, 0xb2);
+	mt_store_record_t record = {mt_str_from(key.text),
+				    MT_STR(MT_CANCEL_REFUSED), 7};
+
+	set_up(&fixture);
+	refuse_all(&fixture, &full);
+	mt_table_set_current_as_of(fixture.deps.table, 0);
+	mt_table_apply(fixture.deps.table, &record);
+	/* It is delivered again, for example in another snapshot. */
+	apply_refusal(&fixture, 7);
+	submit(&fixture, "/urgent/00000000000000b2");
+	catch_up(&fixture);
+	CU_ASSERT_EQUAL(fixture.reply.outcome, MT_FRONT_OUTCOME_UNKNOWN);
+	tear_down(&fixture);
+}
+
+/** A host with the records refuses and confirms for another one. */
+static void a_host_with_records_refuses_for_others(void)
+{
+	mt_front_fixture_t fixture;
+	mt_full_service_t full;
+	MtDag__PeerCall call = MT_DAG__PEER_CALL__INIT;
+
+	set_up(&fixture);
+	refuse_all(&fixture, &full);
+	call.verb = MT_VERB_REFUSE;
+	call.job = 0xa1;
+	mt_dag_front_peer_call(fixture.front, &call, keep_reply, &fixture);
+	catch_up(&fixture);
+	CU_ASSERT_EQUAL(fixture.reply.outcome, MT_FRONT_OUTCOME_ACCEPTED);
+	call.job = 0xb2;
+	mt_dag_front_peer_call(fixture.front, &call, keep_reply, &fixture);
+	run_timers(&fixture, 20);
+	catch_up(&fixture);
+	answer_append(&fixture.store, MT_STORE_DONE);
+	CU_ASSERT_EQUAL(fixture.reply.outcome, MT_FRONT_OUTCOME_CANCELLED);
+	apply_refusal(&fixture, 7);
+	call.verb = MT_VERB_CONFIRM;
+	mt_dag_front_peer_call(fixture.front, &call, keep_reply, &fixture);
+	run_timers(&fixture, 20);
+	catch_up(&fixture);
+	CU_ASSERT_EQUAL(fixture.replies, 3);
+	CU_ASSERT_EQUAL(fixture.reply.outcome, MT_FRONT_OUTCOME_CANCELLED);
+	tear_down(&fixture);
+}
+
+/** Guards against: the setting changes what hosts do that do not have it. */
+static void without_the_setting_nothing_is_refused(void)
+{
+	mt_front_fixture_t fixture;
+	mt_full_service_t full;
+
+	set_up_without_records(&fixture, 1);
+	fixture.deps.admission_mode = MT_ADMISSION_OFF;
+	refuse_all(&fixture, &full);
+	mt_dag_front_free(fixture.front);
+	fixture.deps.admission_mode = MT_ADMISSION_OFF;
+	fixture.front = mt_dag_front_new(&fixture.deps);
+	mt_dag_front_set_catalog(fixture.front, fixture.catalog);
+	submit(&fixture, "/urgent/00000000000000b2");
+	answer_append(&fixture.store, MT_STORE_DONE);
+	CU_ASSERT_EQUAL(fixture.reply.outcome, MT_FRONT_OUTCOME_ACCEPTED);
+	CU_ASSERT_EQUAL(fixture.peer_calls->len, 0);
+	tear_down(&fixture);
+}
+
 const mt_test_t mt_front_tests[] = {
+	{"a refusal is stored before it is told",
+	 a_refusal_is_stored_before_it_is_told},
+	{"a stored job is not refused", a_stored_job_is_not_refused},
+	{"a job is stored if the refusal is not",
+	 a_job_is_stored_if_the_refusal_is_not},
+	{"a host without records asks the leader to refuse",
+	 a_host_without_records_asks_the_leader_to_refuse},
+	{"a refusal whose reply is lost is found",
+	 a_refusal_whose_reply_is_lost_is_found},
+	{"an uncertain refusal of a stored job is unknown",
+	 an_uncertain_refusal_of_a_stored_job_is_unknown},
+	{"without a recent summary a job is accepted",
+	 without_a_recent_summary_a_job_is_accepted},
+	{"nothing is stored after the answer",
+	 nothing_is_stored_after_the_answer},
+	{"a refused job stays refused for a while",
+	 a_refused_job_stays_refused_for_a_while},
+	{"a refusal of unknown age is uncertain",
+	 a_refusal_of_unknown_age_is_uncertain},
+	{"a host with records refuses for others",
+	 a_host_with_records_refuses_for_others},
+	{"without the setting nothing is refused",
+	 without_the_setting_nothing_is_refused},
 	{"a job that cannot be stored is refused at once",
 	 a_job_that_cannot_be_stored_is_refused_at_once},
 	{"a cancellation of an unknown job is stored first",
--- a/tests/unit/test_leadership.c
+++ b/tests/unit/test_leadership.c
@@ -30,6 +30,9 @@
 	unsigned elections;
 	unsigned depositions;
 	bool drained;
+	/** What the leader record is to say about the load. */
+	MtDag__Pressure *pressure[1];
+	size_t n_pressure;
 } mt_leadership_fixture_t;
 
 static void keep_read(void *self, const char *topic, uint64_t from,
@@ -128,6 +131,14 @@
 	return append.value;
 }
 
+static size_t list_pressure(void *ctx, MtDag__Pressure ***list)
+{
+	mt_leadership_fixture_t *fixture = ctx;
+
+	*list = fixture->pressure;
+	return fixture->n_pressure;
+}
+
 /** Makes a host that is elected, in the term that its claim began. */
 static void set_up(mt_leadership_fixture_t *fixture)
 {
@@ -149,6 +160,8 @@
 	deps.dc = mt_name("dc");
 	deps.incarnation = mt_name("host-1");
 	deps.cores_milli = 500;
+	deps.list_pressure = list_pressure;
+	deps.list_pressure_ctx = fixture;
 	fixture->end = 41;
 	fixture->leadership = mt_leadership_new(&deps, &handler);
 	mt_leadership_allow_claims(fixture->leadership);
@@ -232,7 +245,126 @@
 	tear_down(&fixture);
 }
 
+/** The leader record in the oldest append, which it answers. */
+static GBytes *heartbeat(mt_leadership_fixture_t *fixture)
+{
+	CU_ASSERT_EQUAL_FATAL(fixture->appends->len, 1);
+	return answer_append(fixture, MT_STORE_DONE);
+}
+
+static void set_pressure(mt_leadership_fixture_t *fixture,
+			 MtDag__Pressure *pressure)
+{
+	mt_dag__pressure__init(pressure);
+	pressure->service = (char *)"service";
+	pressure->capacity_millicores = 5000;
+	fixture->pressure[0] = pressure;
+	fixture->n_pressure = 1;
+}
+
+/** Delivers the claim of another host, which has led since. */
+static void deliver_claim_of_other(mt_leadership_fixture_t *fixture)
+{
+	MtDag__Leader leader = MT_DAG__LEADER__INIT;
+	GBytes *bytes;
+
+	leader.host = (char *)"other";
+	leader.incarnation = (char *)"other-1";
+	leader.term = fixture->end + 1;
+	bytes = mt_dag_pack(&leader.base);
+	deliver(fixture, bytes);
+	g_bytes_unref(bytes);
+}
+
+/**
+ * Guards against: hosts never see the load, take an old summary for a new one,
+ * or see that of a service for another.
+ */
+static void the_load_travels_in_the_leader_record(void)
+{
+	mt_leadership_fixture_t fixture;
+	MtDag__Pressure sent;
+	const MtDag__Pressure *read;
+	mt_ms_t age_ms;
+	GBytes *record;
+
+	set_up(&fixture);
+	CU_ASSERT_PTR_NULL(
+		mt_leadership_pressure(fixture.leadership, "service", &age_ms));
+	set_pressure(&fixture, &sent);
+	advance(&fixture, 350);
+	record = heartbeat(&fixture);
+	deliver(&fixture, record);
+	g_bytes_unref(record);
+	advance(&fixture, 200);
+	read = mt_leadership_pressure(fixture.leadership, "service", &age_ms);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(read);
+	CU_ASSERT_EQUAL(read->capacity_millicores, 5000);
+	CU_ASSERT_EQUAL(age_ms, 200);
+	CU_ASSERT_PTR_NULL(
+		mt_leadership_pressure(fixture.leadership, "other", &age_ms));
+	tear_down(&fixture);
+}
+
+/** Guards against: the leader record grows on a service that is not contended.
+ */
+static void without_contention_the_record_is_as_small_as_before(void)
+{
+	mt_leadership_fixture_t fixture;
+	MtDag__Leader leader = MT_DAG__LEADER__INIT;
+	GBytes *expected;
+	GBytes *record;
+
+	set_up(&fixture);
+	advance(&fixture, 350);
+	record = heartbeat(&fixture);
+	leader.host = (char *)"host";
+	leader.incarnation = (char *)"host-1";
+	leader.term = 42;
+	expected = mt_dag_pack(&leader.base);
+	CU_ASSERT_TRUE(g_bytes_equal(record, expected));
+	g_bytes_unref(expected);
+	g_bytes_unref(record);
+	tear_down(&fixture);
+}
+
+/**
+ * Pattern: the leader is lost, and another host begins a term.
+ * Guards against: jobs are refused by the summary of a leader that is gone, or
+ * a late record of it replaces that of the new one.
+ */
+static void a_new_leader_starts_without_a_summary(void)
+{
+	mt_leadership_fixture_t fixture;
+	MtDag__Pressure sent;
+	mt_ms_t age_ms;
+	GBytes *record;
+
+	set_up(&fixture);
+	set_pressure(&fixture, &sent);
+	advance(&fixture, 350);
+	record = heartbeat(&fixture);
+	deliver(&fixture, record);
+	CU_ASSERT_PTR_NOT_NULL(
+		mt_leadership_pressure(fixture.leadership, "service", &age_ms));
+	deliver_claim_of_other(&fixture);
+	CU_ASSERT_PTR_NULL(
+		mt_leadership_pressure(fixture.leadership, "service", &age_ms));
+	advance(&fixture, 500);
+	deliver(&fixture, record);
+	CU_ASSERT_PTR_NULL(
+		mt_leadership_pressure(fixture.leadership, "service", &age_ms));
+	g_bytes_unref(record);
+	tear_down(&fixture);
+}
+
 const mt_test_t mt_leadership_tests[] = {
+	{"the load travels in the leader record",
+	 the_load_travels_in_the_leader_record},
+	{"without contention the record is as small as before",
+	 without_contention_the_record_is_as_small_as_before},
+	{"a new leader starts without a summary",
+	 a_new_leader_starts_without_a_summary},
 	{"a claim that is read back begins a term",
 	 a_claim_that_is_read_back_begins_a_term},
 	{"a fenced leader stops and stays out",
