planner: late jobs and accounts over their share give way under contention

On a contended service, jobs that were late already came first, and made the others late, too; few large accounts could fill the service.

Of equal priority and guarantee, steps that can still meet their objective now come first, and then those of accounts that use no more than an even share beyond the guarantees. Both ends after 30 s. Without contention the order is the same as before.

--- a/lib/dag/candidates.c
+++ b/lib/dag/candidates.c
@@ -29,6 +29,14 @@
  */
 #define SURVIVAL_PROBABILITY_MIN 0.85
 
+/**
+ * On a contended service, steps of jobs that can no longer meet their objective
+ * come after the others of their priority, and so do those of accounts that use
+ * more than their share. Once a job is late by this much, or a step has waited
+ * this long, the usual order applies again, so that none waits for ever.
+ */
+#define DEFER_MAX_MS 30000u
+
 bool mt_planner_may_use(const mt_planner_t *planner,
 			const mt_backend_t *backend)
 {
@@ -172,12 +180,45 @@
 	       planner->now - step->held_back_since <= OVERDUE_MS;
 }
 
+/**
+ * True if the job would miss its objective even if it started now, by
+ * DEFER_MAX_MS at most.
+ */
+static bool is_late(const mt_planner_t *planner, const mt_dag_job_t *job)
+{
+	mt_ms_t deadline = job->known_since + mt_dag_job_objective_ms(job);
+	mt_ms_t end = planner->now + mt_dag_job_critical_path_left_ms(job);
+
+	return end > deadline && end - deadline <= DEFER_MAX_MS;
+}
+
+static bool is_over_share(const mt_planner_t *planner, const mt_dag_job_t *job)
+{
+	const double *cores =
+		g_hash_table_lookup(planner->account_use, job->spec->account);
+
+	return cores && *cores > planner->even_share_cores;
+}
+
+/** Marks a step that comes after others of its priority. */
+static void defer_if_contended(const mt_planner_t *planner,
+			       mt_candidate_step_t *candidate)
+{
+	const mt_dag_job_t *job = candidate->step->job;
+
+	if (!planner->contended || candidate->guaranteed)
+		return;
+	candidate->late = is_late(planner, job);
+	candidate->over_share = candidate->waited_ms <= DEFER_MAX_MS &&
+				is_over_share(planner, job);
+}
+
 /** Adds the steps of the job that have waiting tasks which may start now. */
 static void add_steps(mt_planner_t *planner, mt_dag_job_t *job)
 {
 	for (uint32_t i = 0; i < job->n_steps_total; i++) {
 		mt_dag_step_t *step = &job->steps[i];
-		mt_candidate_step_t candidate = {step, 0, false, 0, 0, false};
+		mt_candidate_step_t candidate = {.step = step};
 
 		if (step->n_done == step->spec->count ||
 		    !is_due(planner, step) || !mt_dag_step_is_ready(step))
@@ -198,11 +239,15 @@
 		candidate.overdue = planner->underused &&
 				    candidate.waited_ms > OVERDUE_MS &&
 				    !mt_dag_job_n_placed(job);
+		defer_if_contended(planner, &candidate);
 		g_array_append_val(planner->candidates, candidate);
 	}
 }
 
-/** Sorts guaranteed jobs first, then by priority, then by latest start. */
+/**
+ * Sorts guaranteed jobs first, then by priority, then by `late` and
+ * `over_share`, then by latest start.
+ */
 static gint compare_candidates(gconstpointer a, gconstpointer b)
 {
 	const mt_candidate_step_t *x = a;
@@ -214,6 +259,10 @@
 		return x->guaranteed ? -1 : 1;
 	if (px != py)
 		return px < py ? -1 : 1;
+	if (x->late != y->late)
+		return x->late ? 1 : -1;
+	if (x->over_share != y->over_share)
+		return x->over_share ? 1 : -1;
 	if (x->latest_start_ms != y->latest_start_ms)
 		return x->latest_start_ms < y->latest_start_ms ? -1 : 1;
 	if (x->step->job->id != y->step->job->id)
@@ -221,6 +270,23 @@
 	return x->step < y->step ? -1 : x->step > y->step;
 }
 
+/** Finds what the accounts use and their even share, if it is contended. */
+static void find_account_use(mt_planner_t *planner)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!planner->contended)
+		return;
+	planner->account_use =
+		mt_account_use_find(planner->engine, planner->service);
+	g_hash_table_iter_init(&iter, planner->account_use);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		planner->even_share_cores +=
+			*(const double *)value /
+			g_hash_table_size(planner->account_use);
+}
+
 void mt_candidates_collect(mt_planner_t *planner)
 {
 	GHashTableIter iter;
@@ -228,6 +294,7 @@
 
 	planner->contended = is_contended(planner);
 	planner->underused = is_underused(planner);
+	find_account_use(planner);
 	g_hash_table_iter_init(&iter, planner->engine->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		mt_dag_job_t *job = value;
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -522,6 +522,7 @@
 	g_ptr_array_unref(planner->backends);
 	g_ptr_array_unref(planner->victims);
 	g_hash_table_destroy(planner->backend_index);
+	g_clear_pointer(&planner->account_use, g_hash_table_destroy);
 }
 
 static void plan_service(mt_engine_t *engine, const mt_name_t *service,
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -4,6 +4,7 @@
  * refused clients return, and the leader's summary of the load.
  */
 #include <CUnit/Basic.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "dag/admission.h"
--- a/tests/unit/test_planner.c
+++ b/tests/unit/test_planner.c
@@ -4,6 +4,8 @@
  * Each server has MT_ENGINE_FIXTURE_GPU accelerators; each task needs all.
  */
 #include <CUnit/Basic.h>
+#include <stdlib.h>
+#include <string.h>
 
 #include "unit/engine_fixture.h"
 #include "unit/tests.h"
@@ -215,7 +217,162 @@
 	mt_engine_fixture_close(&fixture);
 }
 
+/**
+ * Two steps that wait for the same accelerators. Only one server is listed; 5
+ * of its 8 accelerators are in use, or 6 if it is contended.
+ */
+typedef struct mt_rivals_t {
+	mt_engine_fixture_t fixture;
+	mt_dag_job_t *running; /**< of account "large" */
+	/** Known for longer, and so first in the usual order. */
+	mt_dag_job_t *older;
+	mt_dag_job_t *newer;
+} mt_rivals_t;
+
+#define RIVALS_NOW_MS 100000u
+
+/** Adds a job of priority 2 with an objective of 15 s, which takes 5 s. */
+static mt_dag_job_t *add_rival(mt_rivals_t *rivals, uint64_t id, uint32_t gpu,
+			       mt_ms_t known_since)
+{
+	mt_dag_job_t *job =
+		mt_engine_fixture_add_job(&rivals->fixture, id, 2, 1);
+
+	((MtDag__Step *)job->steps[0].spec)->gpu = gpu;
+	job->queue.slack_factor = 3;
+	job->known_since = known_since;
+	return job;
+}
+
+static void set_account(mt_dag_job_t *job, const char *name)
+{
+	free(job->spec->account != protobuf_c_empty_string ? job->spec->account
+							   : NULL);
+	job->spec->account = strdup(name);
+}
+
+/** @param older_for_ms how long the older job has been known */
+static void open_rivals(mt_rivals_t *rivals, bool contended,
+			mt_ms_t older_for_ms)
+{
+	uint32_t gpu_used = contended ? 6 : 5;
+
+	mt_engine_fixture_open(&rivals->fixture);
+	mt_timers_advance(rivals->fixture.timers, RIVALS_NOW_MS);
+	rivals->fixture.servers[1]->listed = false;
+	rivals->running = add_rival(rivals, 1, gpu_used, RIVALS_NOW_MS);
+	mt_dag_task_place(&rivals->running->steps[0].tasks[0],
+			  rivals->fixture.servers[0], 1, RIVALS_NOW_MS);
+	rivals->older = add_rival(rivals, 2, MT_ENGINE_FIXTURE_GPU - gpu_used,
+				  RIVALS_NOW_MS - older_for_ms);
+	rivals->newer = add_rival(rivals, 3, MT_ENGINE_FIXTURE_GPU - gpu_used,
+				  RIVALS_NOW_MS - 1000);
+}
+
+/** Runs a pass, and tells whether the older job was placed; closes them. */
+static bool older_comes_first(mt_rivals_t *rivals)
+{
+	bool first = is_placed_next(&rivals->fixture, rivals->older);
+
+	CU_ASSERT_EQUAL(rivals->newer->steps[0].tasks[0].phase,
+			first ? MT_TASK_PHASE_WAITING : MT_TASK_PHASE_STARTING);
+	mt_engine_fixture_close(&rivals->fixture);
+	return first;
+}
+
+/** When a job with an objective of 15 s, which takes 5 s, comes first. */
+typedef struct mt_lateness_t {
+	bool contended;
+	mt_ms_t known_ms; /**< since when it is known */
+	bool comes_first; /**< before one that can meet its objective */
+} mt_lateness_t;
+
+static const mt_lateness_t lateness[] = {
+	{false, 9000, true}, {false, 20000, true}, {false, 50000, true},
+	{true, 9000, true},  {true, 11000, false}, {true, 39000, false},
+	{true, 41000, true},
+};
+
+/**
+ * Guards against: on a contended service, jobs that are late already make all
+ * others late; late jobs never run; the order changes on other services.
+ */
+static void late_jobs_give_way_on_a_contended_service(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(lateness); i++) {
+		mt_rivals_t rivals;
+
+		open_rivals(&rivals, lateness[i].contended,
+			    lateness[i].known_ms);
+		CU_ASSERT_EQUAL(older_comes_first(&rivals),
+				lateness[i].comes_first);
+	}
+}
+
+/** Guards against: a late job does not run although there is room. */
+static void a_late_job_runs_when_there_is_room(void)
+{
+	mt_rivals_t rivals;
+
+	open_rivals(&rivals, true, 20000);
+	((MtDag__Step *)rivals.older->steps[0].spec)->gpu = 1;
+	((MtDag__Step *)rivals.newer->steps[0].spec)->gpu = 1;
+	CU_ASSERT_TRUE(is_placed_next(&rivals.fixture, rivals.older));
+	CU_ASSERT_EQUAL(rivals.newer->steps[0].tasks[0].phase,
+			MT_TASK_PHASE_STARTING);
+	mt_engine_fixture_close(&rivals.fixture);
+}
+
+/**
+ * Pattern: few large accounts fill the service.
+ * Guards against: they keep out the other accounts for as long as they have
+ * older jobs, or they are kept out for ever themselves.
+ */
+static void accounts_that_use_more_give_way_on_a_contended_service(void)
+{
+	for (unsigned i = 0; i < 3; i++) {
+		mt_rivals_t rivals;
+
+		open_rivals(&rivals, i > 0, 2000);
+		set_account(rivals.running, "large");
+		set_account(rivals.older, "large");
+		set_account(rivals.newer, "small");
+		if (i == 2)
+			rivals.older->steps[0].waiting_since =
+				RIVALS_NOW_MS - 31000;
+		CU_ASSERT_EQUAL(older_comes_first(&rivals), i != 1);
+	}
+}
+
+/** Guards against: a guaranteed job gives way to others. */
+static void a_guaranteed_job_does_not_give_way(void)
+{
+	mt_rivals_t rivals;
+	mt_catalog_t *catalog = mt_catalog_new(1);
+	mt_client_account_t *account = mt_catalog_add_account(catalog);
+
+	account->name = mt_name("large");
+	account->guaranteed_gpu = 2;
+	open_rivals(&rivals, true, 20000);
+	rivals.fixture.engine->catalog = catalog;
+	rivals.older->queue.priority = 0;
+	rivals.newer->queue.priority = 0;
+	set_account(rivals.running, "large");
+	set_account(rivals.older, "large");
+	set_account(rivals.newer, "small");
+	CU_ASSERT_TRUE(older_comes_first(&rivals));
+	mt_catalog_free(catalog);
+}
+
 const mt_test_t mt_planner_tests[] = {
+	{"late jobs give way on a contended service",
+	 late_jobs_give_way_on_a_contended_service},
+	{"a late job runs when there is room",
+	 a_late_job_runs_when_there_is_room},
+	{"accounts that use more give way on a contended service",
+	 accounts_that_use_more_give_way_on_a_contended_service},
+	{"a guaranteed job does not give way",
+	 a_guaranteed_job_does_not_give_way},
 	{"no tickets are requested for a gang that never fits",
 	 no_tickets_are_requested_for_a_gang_that_never_fits},
 	{"a gang that never fits keeps no server",
