admission: refusals are renewed only while the service is full; docs

A job that was refused was refused again for as long as its client returned, even if there was room by then: each refusal renewed its record.

A record is now renewed only when the job would be refused anyhow. The confirmation of a stored job says whether its refusal is certain, so that no second call is needed.

--- a/lib/dag/front.c
+++ b/lib/dag/front.c
@@ -413,37 +413,34 @@
 			  on_peer_refusal, op);
 }
 
-/** Refuses a submission of a job that was refused before. */
-static void refuse_again(mt_front_op_t *op)
-{
-	op->admission = (mt_admission_t){false, MT_ADMISSION_REFUSED_BEFORE, 0,
-					 MT_RETRY_AFTER_MAX_S};
-	refuse_submission(op);
-}
-
 static void forward(void *ctx);
 
 /**
- * Handles the answer whether the stored job of a submission is refused.
+ * Handles the answer whether the job of a submission is refused.
  * @param outcome see MT_VERB_CONFIRM
  */
 static void on_confirmation(mt_front_op_t *op, mt_front_outcome_t outcome)
 {
-	if (outcome == MT_FRONT_OUTCOME_CANCELLED) {
-		refuse_again(op);
-		return;
+	if (outcome == MT_FRONT_OUTCOME_ACCEPTED) {
+		reply_op(op, MT_FRONT_OUTCOME_ACCEPTED);
+	} else if (outcome == MT_FRONT_OUTCOME_CANCELLED) {
+		op->admission =
+			(mt_admission_t){false, MT_ADMISSION_REFUSED_BEFORE, 0,
+					 MT_RETRY_AFTER_MAX_S};
+		reply_refused(op);
+	} else {
+		reply_op(op, MT_FRONT_OUTCOME_UNKNOWN);
 	}
-	reply_op(op, outcome == MT_FRONT_OUTCOME_ACCEPTED
-			     ? MT_FRONT_OUTCOME_ACCEPTED
-			     : MT_FRONT_OUTCOME_UNKNOWN);
 	free_op(op);
 }
 
 /** See MT_VERB_CONFIRM; this host's copy of the records is current. */
 static mt_front_outcome_t confirmation(const mt_dag_front_t *front, uint64_t id)
 {
-	if (mt_table_find_refused(front->deps.table, id))
+	if (mt_refusals_is_certain(front->refusals, id))
 		return MT_FRONT_OUTCOME_CANCELLED;
+	if (mt_table_find_refused(front->deps.table, id))
+		return MT_FRONT_OUTCOME_NO_JOB;
 	return mt_table_find(front->deps.table, id) ? MT_FRONT_OUTCOME_ACCEPTED
 						    : MT_FRONT_OUTCOME_UNKNOWN;
 }
@@ -528,14 +525,12 @@
 	mt_front_op_t *op;
 	mt_admission_t admission;
 	GBytes *bytes;
+	bool is_refused;
 
-	if (has_records(front) &&
-	    mt_table_find_refused(front->deps.table, id)) {
-		refuse_again(new_op(front, call->verb, call->timeout_ms, id, cb,
-				    ctx));
-		return;
-	}
-	if (has_records(front) && mt_table_find(front->deps.table, id)) {
+	is_refused = has_records(front) &&
+		     mt_table_find_refused(front->deps.table, id);
+	if (!is_refused && has_records(front) &&
+	    mt_table_find(front->deps.table, id)) {
 		reply_now(cb, ctx, MT_FRONT_OUTCOME_ACCEPTED);
 		return;
 	}
@@ -561,10 +556,12 @@
 	op->job_record = bytes;
 	op->priority = queue->priority;
 	op->admission = admission;
-	if (admission.accepted)
-		write_job(op);
-	else
+	if (!admission.accepted)
 		refuse_submission(op);
+	else if (is_refused)
+		on_confirmation(op, confirmation(front, id));
+	else
+		write_job(op);
 }
 
 /* Queries and cancellations. */
--- a/lib/dag/front.h
+++ b/lib/dag/front.h
@@ -28,7 +28,8 @@
 	 * stored), CANCELLED (it is refused), or another one (uncertain). */
 	MT_VERB_REFUSE,
 	/** Is the stored job refused? Answers: ACCEPTED (it is not), CANCELLED
-	 * (it is, and so never runs), or another one (not known). */
+	 * (it is, and never runs), NO_JOB (it is, but may be stored again), or
+	 * another one (not known). */
 	MT_VERB_CONFIRM,
 } mt_verb_t;
 
--- a/lib/dag/refusals.c
+++ b/lib/dag/refusals.c
@@ -12,12 +12,17 @@
 
 #define APPEND_TIMEOUT_MS 1000u
 
+/**
+ * The store carries out an append at most this long after the host has given it
+ * up.
+ */
+#define STORE_DELAY_MAX_MS 10000u
+
 /**
  * A refusal whose record is not older than this is repeated without a new
- * record: the record stays long enough for a submission that a host has just
- * received, see MT_REFUSAL_KEEP_MS.
+ * record, which outlasts a submission that another host has just received.
  */
-#define VALID_MS (MT_REFUSAL_KEEP_MS - MT_WRITER_EXPIRY_MS - 5000u)
+#define VALID_MS (MT_REFUSAL_KEEP_MS - MT_WRITER_EXPIRY_MS - STORE_DELAY_MAX_MS)
 
 /**
  * The record is not renewed when it is older than this, as the leader may be
@@ -84,15 +89,23 @@
 	begin_round(refusals);
 }
 
-/** True if the refusal can be repeated without a new record. */
-static bool is_valid(const mt_refusals_t *refusals, const mt_table_job_t *job,
-		     mt_ms_t max_age_ms)
+/** True if the record of the refusal is certainly not older than that. */
+static bool is_recent(const mt_refusals_t *refusals, const mt_table_job_t *job,
+		      mt_ms_t max_age_ms)
 {
 	return job->refused_after &&
 	       mt_kernel_now(refusals->deps.kernel) - job->refused_after <=
 		       max_age_ms;
 }
 
+bool mt_refusals_is_certain(const mt_refusals_t *refusals, uint64_t job)
+{
+	const mt_table_job_t *refused =
+		mt_table_find_refused(refusals->deps.table, job);
+
+	return refused && is_recent(refusals, refused, VALID_MS);
+}
+
 /**
  * Result for a job by this host's copy of the records, which is current.
  * @return false when the record of a refusal has to be stored
@@ -104,10 +117,10 @@
 	const mt_table_job_t *refused = mt_table_find_refused(table, id);
 
 	*result = MT_REFUSAL_UNCERTAIN;
-	if (refused && is_valid(refusals, refused, VALID_MS))
+	if (mt_refusals_is_certain(refusals, id))
 		*result = MT_REFUSAL_REFUSED;
 	else if (refused)
-		return !is_valid(refusals, refused, RENEW_MAX_MS);
+		return !is_recent(refusals, refused, RENEW_MAX_MS);
 	else if (mt_table_find(table, id))
 		*result = MT_REFUSAL_STORED;
 	else if (!mt_table_is_absent_cancelled(table, id))
--- a/lib/dag/refusals.h
+++ b/lib/dag/refusals.h
@@ -22,10 +22,9 @@
 #include "dag/writer.h"
 
 /**
- * How long the leader keeps the record of a refusal. Until then, submissions of
- * the same job are refused. Twice the time after which a host gives up the
- * write of a submission, as the store may carry out its last append seconds
- * later.
+ * How long the leader keeps the record of a refusal. Until then, the same job
+ * is not accepted. Twice the time after which a host gives up the write of a
+ * submission, as the store may carry out its last append seconds later.
  */
 #define MT_REFUSAL_KEEP_MS (2 * MT_WRITER_EXPIRY_MS)
 
@@ -57,6 +56,12 @@
 /** Sets the follower of the table's records; NULL: there is none. */
 void mt_refusals_set_follower(mt_refusals_t *refusals, mt_follower_t *follower);
 
+/**
+ * True if the job is refused, and it is certain without a new record that it
+ * never runs. This host's copy of the records must be current.
+ */
+bool mt_refusals_is_certain(const mt_refusals_t *refusals, uint64_t job);
+
 /** Refuses a job, unless it is stored. `cb` is called exactly once. */
 void mt_refusals_add(mt_refusals_t *refusals, uint64_t job, mt_refusal_cb cb,
 		     void *ctx);
