--- a/lib/dag/host.c
+++ b/lib/dag/host.c
@@ -334,10 +334,13 @@
 	host->writer = mt_writer_new(&deps);
 }
 
+/** Lists the load for the leader record, if hosts may decide by it. */
 static size_t list_pressure(void *ctx, MtDag__Pressure ***list)
 {
 	const mt_dag_host_t *host = ctx;
 
+	if (host->deps.admission_mode == MT_ADMISSION_OFF)
+		return 0;
 	return mt_engine_list_pressure(host->engine, list);
 }
 
