--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -48,6 +48,14 @@
 				      &backend->info.zone);
 }
 
+size_t mt_engine_list_pressure(const mt_engine_t *engine,
+			       MtDag__Pressure ***list)
+{
+	return engine->load_summary
+		       ? mt_load_summary_list(engine->load_summary, list)
+		       : 0;
+}
+
 void mt_engine_request_pass(mt_engine_t *engine)
 {
 	mt_ms_t now = mt_engine_now(engine);
@@ -367,6 +375,7 @@
 	mt_work_lost_log(&engine->work_lost, engine->deps.kernel);
 	count_cold_servers(engine);
 	mt_sweep_ended(engine);
+	mt_load_summary_update(engine->load_summary, engine);
 	mt_engine_request_pass(engine);
 }
 
@@ -394,6 +403,7 @@
 	engine->term = term;
 	engine->writer = mt_writer_new(&writer_deps);
 	mt_speed_records_read(engine);
+	engine->load_summary = mt_load_summary_new();
 	mt_table_each(engine->deps.table, add_job, engine);
 	mt_table_watch(engine->deps.table, &job_watcher);
 	mt_directory_open(engine->deps.directory, &server_watcher);
@@ -426,6 +436,7 @@
 	mt_evacuation_log_reset(engine);
 	mt_writer_close(engine->writer);
 	engine->writer = NULL;
+	g_clear_pointer(&engine->load_summary, mt_load_summary_free);
 	g_ptr_array_set_size(engine->flushes, 0);
 	g_hash_table_remove_all(engine->jobs);
 	g_hash_table_remove_all(engine->backends);
--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -20,7 +20,7 @@
 
 #include "dag/engine.h"
 #include "dag/follower.h"
-#include "dag/speed.h"
+#include "dag/load_summary.h"
 #include "dag/survival.h"
 #include "dag/job_model.h"
 #include "dag/run_times.h"
@@ -69,6 +69,8 @@
 	bool speeds_write_pending; /**< a write of speeds has no outcome */
 	bool speeds_write_refused; /**< the last write was refused */
 	mt_ms_t speeds_written_at; /**< time of the last one; 0: none */
+	/** Load of the services; NULL unless this host leads. */
+	mt_load_summary_t *load_summary;
 };
 
 /**
@@ -134,6 +136,17 @@
  */
 void mt_sweep_ended(mt_engine_t *engine);
 
+/* account_use.c */
+
+/**
+ * Finds what each account uses of a service beyond its guarantee, in cores (see
+ * mt_dag_resources_cores()): keys are names of accounts, owned by the set of
+ * jobs, and values are of type double. Accounts with unfinished jobs of the
+ * service are listed even if they use nothing. The caller destroys the result.
+ */
+GHashTable *mt_account_use_find(const mt_engine_t *engine,
+				const mt_name_t *service);
+
 /* planner.c */
 
 /**
--- a/programs/entryd/settings.h
+++ b/programs/entryd/settings.h
@@ -6,6 +6,7 @@
 #ifndef MT_ENTRYD_SETTINGS_H
 #define MT_ENTRYD_SETTINGS_H
 
+#include "dag/admission.h"
 #include "dag/engine.h"
 #include "kernel/name.h"
 #include "platform/store_http.h"
@@ -39,6 +40,7 @@
 	/** Starts in an evacuated data centre end within this time; 0: data
 	 * centres are not evacuated. */
 	mt_ms_t evacuation_ms;
+	mt_admission_mode_t admission_mode;
 } mt_entry_settings_t;
 
 /** Reads and validates the file; the error names the file or the field. */
--- a/tests/fleet/fake_servers.c
+++ b/tests/fleet/fake_servers.c
@@ -108,6 +108,7 @@
 	GHashTable *forbidden;
 	/** Time (mt_ms_t) by data centre: it is evacuated since then. */
 	GHashTable *evacuated;
+	GHashTable *started_jobs; /**< set of job ids */
 	/** Names of tasks that have succeeded. */
 	GHashTable *succeeded_tasks;
 	/** Of these, those whose end was acknowledged under a valid lease. */
@@ -435,6 +436,8 @@
 {
 	mt_ms_t *from = g_hash_table_lookup(fleet->forbidden, &run->key.job);
 
+	g_hash_table_add(fleet->started_jobs,
+			 g_memdup2(&run->key.job, sizeof(run->key.job)));
 	if (from && fleet_now(fleet) > *from + CANCEL_GRACE_MS)
 		mt_sim_breach(
 			fleet->sim,
@@ -1158,6 +1161,8 @@
 	fleet->servers = g_new0(mt_fake_server_t, count);
 	fleet->jobs = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					    (GDestroyNotify)g_bytes_unref);
+	fleet->started_jobs = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						    g_free, NULL);
 	fleet->forbidden = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						 g_free, g_free);
 	fleet->evacuated =
@@ -1211,6 +1216,16 @@
 		g_hash_table_remove(fleet->evacuated, zone);
 }
 
+void mt_fake_fleet_permit_starts(mt_fake_fleet_t *fleet, uint64_t job)
+{
+	g_hash_table_remove(fleet->forbidden, &job);
+}
+
+bool mt_fake_fleet_has_started(const mt_fake_fleet_t *fleet, uint64_t job)
+{
+	return g_hash_table_contains(fleet->started_jobs, &job);
+}
+
 unsigned mt_fake_fleet_incomplete_gangs(const mt_fake_fleet_t *fleet)
 {
 	return fleet->incomplete_gangs;
--- a/tests/fleet/sim.c
+++ b/tests/fleet/sim.c
@@ -129,7 +129,7 @@
 	deps.server_list_format = mt_fake_store_server_list_format();
 	deps.config_format = mt_fake_store_config_format();
 	deps.evacuations_format = mt_fake_store_evacuations_format();
-	deps.evacuation_ms = sim->evacuations ? SIM_EVACUATION_MS : 0;
+	deps.evacuation_ms = sim->options.evacuations ? SIM_EVACUATION_MS : 0;
 	deps.decode_job = mt_fake_store_decode_job;
 	snprintf(name, sizeof(name), "host-%u", index);
 	deps.host = mt_name(name);
@@ -142,6 +142,7 @@
 	/* lease_ms, stop_ms, restore_ms, keep_ended_ms, start_early_ms */
 	deps.timings = (mt_engine_timing_t){6000, 10000, 400, 100, 200000, 0};
 	deps.wall_ms = wall_ms;
+	deps.admission_mode = sim->options.admission_mode;
 	host->host = mt_dag_host_new(&deps);
 }
 
@@ -165,7 +166,8 @@
 		run_event(event);
 }
 
-mt_sim_t *mt_sim_new(guint32 seed, bool verbose, bool evacuations)
+mt_sim_t *mt_sim_new(guint32 seed, bool verbose,
+		     const mt_sim_options_t *options)
 {
 	mt_sim_t *sim = g_new0(mt_sim_t, 1);
 
@@ -173,7 +175,7 @@
 	sim->timers = mt_timers_new(START_MS);
 	sim->rand = g_rand_new_with_seed(seed);
 	sim->verbose = verbose;
-	sim->evacuations = evacuations;
+	sim->options = *options;
 	sim->store = mt_fake_store_new(sim);
 	sim->fleet = mt_fake_fleet_new(sim, SIM_SERVERS);
 	for (unsigned i = 0; i < SIM_HOSTS; i++)
--- a/tests/fleet/sim.h
+++ b/tests/fleet/sim.h
@@ -40,6 +40,12 @@
 	mt_peer_port_t peer_port;
 } mt_sim_host_t;
 
+/** What the hosts of a simulation can do, besides what all hosts can. */
+typedef struct mt_sim_options_t {
+	bool evacuations; /**< data centres can be evacuated */
+	mt_admission_mode_t admission_mode;
+} mt_sim_options_t;
+
 struct mt_sim_t {
 	mt_timers_t *timers; /**< events outside the hosts; virtual clock */
 	GRand *rand;
@@ -55,8 +61,7 @@
 	unsigned breaches;
 	unsigned lost_servers; /**< servers that will not come back */
 	bool verbose;
-	/** Hosts that are started can evacuate data centres. */
-	bool evacuations;
+	mt_sim_options_t options;
 	/* Active faults, named as in platformd's /test/faults query, which
 	 * lacks `order_unsent`. An order is a command to a server. */
 	bool store_down;
@@ -70,8 +75,8 @@
 	struct mt_fake_fleet_t *fleet;
 };
 
-/** @param evacuations see mt_sim_t */
-mt_sim_t *mt_sim_new(guint32 seed, bool verbose, bool evacuations);
+mt_sim_t *mt_sim_new(guint32 seed, bool verbose,
+		     const mt_sim_options_t *options);
 
 /**
  * Creates a store and servers, but no hosts. The caller advances
--- a/tests/unit/tests.h
+++ b/tests/unit/tests.h
@@ -32,5 +32,6 @@
 extern const mt_test_t mt_odd_entries_tests[];
 extern const mt_test_t mt_evacuations_tests[];
 extern const mt_test_t mt_cold_tests[];
+extern const mt_test_t mt_admission_tests[];
 
 #endif
