plan: urgent gangs that would be late wait for faster servers

Change: a gang that would be late waits if it can start soon on faster servers: on room that is being released there, or after a preemption of lower priority that costs less than the gang gains. A guaranteed gang waits 900 ms at most.

--- a/lib/dag/plan.c
+++ b/lib/dag/plan.c
@@ -585,11 +585,53 @@
 	g_free(already_placed);
 }
 
+/**
+ * True for a gang that would be late on the servers that are free now, although
+ * there are faster ones.
+ */
+static bool would_be_late(const mt_plan_run_t *run, const mt_plan_unit_t *unit,
+			  bool one_rack)
+{
+	mt_server_set_t chosen;
+	bool late;
+
+	if (!unit->may_preempt || !unit->may_wait_for_speed ||
+	    !chooses_by_speed(run, unit) ||
+	    !mt_plan_choose_by_speed(run->plan, run->index, unit, one_rack,
+				     &chosen))
+		return false;
+	late = mt_plan_is_late_on(run->index, unit, &chosen);
+	g_free((uint32_t *)chosen.servers);
+	return late;
+}
+
+/**
+ * Lets a gang wait that would be late on the servers that are free now, if it
+ * can start soon on faster ones, where resources are reserved for it.
+ * @return true if the gang waits
+ */
+static bool wait_for_fast_room(mt_plan_run_t *run, const mt_plan_unit_t *unit)
+{
+	bool one_rack = is_restricted_to_rack(unit);
+	mt_server_set_t part;
+
+	if (!would_be_late(run, unit, one_rack) ||
+	    !mt_plan_make_fast_room(run->plan, run->index, unit, one_rack,
+				    &part))
+		return false;
+	reserve(run, unit, &part, true);
+	run->plan->n_awaiting_speed++;
+	g_free((uint32_t *)part.servers);
+	return true;
+}
+
 static void schedule(mt_plan_run_t *run, mt_plan_unit_t *unit)
 {
 	unit->placed = 0;
 	for (uint32_t i = 0; i < unit->count; i++)
 		unit->chosen[i] = MT_PLAN_NO_SERVER;
+	if (wait_for_fast_room(run, unit))
+		return;
 	if (is_restricted_to_rack(unit))
 		schedule_in_rack(run, unit);
 	else
--- a/lib/dag/plan.h
+++ b/lib/dag/plan.h
@@ -104,8 +104,12 @@
 	int64_t left_ms;
 	bool guaranteed;  /**< the job is within its account's guarantee */
 	bool may_preempt; /**< placed tasks may be preempted for it */
+	/** The start may be delayed a little if the unit then ends in time,
+	 * while it would be late on the servers that are free now. */
+	bool may_wait_for_speed;
 	/** Maximum cost of the victims that are preempted for the unit; 0: no
-	 * limit. Ignored for guaranteed units. */
+	 * limit. For guaranteed units, only a limit on what is preempted for
+	 * faster servers. */
 	double cost_max;
 	/** If not all tasks of this unit can be placed, resources are reserved
 	 * for the others, so that later units cannot use them. No resources
@@ -165,6 +169,8 @@
 	/** Result: number of units that wait for runs that end soon instead of
 	 * preempting. */
 	uint32_t n_awaiting;
+	/** Result: number of units that wait for faster servers. */
+	uint32_t n_awaiting_speed;
 } mt_plan_t;
 
 /** Why no task of a unit was placed. */
--- a/lib/dag/plan_internal.h
+++ b/lib/dag/plan_internal.h
@@ -139,6 +139,23 @@
 		       const mt_speed_preference_t *preference,
 		       uint32_t server);
 
+/**
+ * True if the unit is expected to end late if its slowest task runs on the
+ * slowest server of the set. Tasks of one step differ in work, so that this
+ * includes a margin.
+ */
+bool mt_plan_is_late_on(const mt_plan_index_t *index,
+			const mt_plan_unit_t *unit,
+			const mt_server_set_t *server_set);
+
+/**
+ * The slowest class on which the unit ends in time, with the same margin, if it
+ * starts once running tasks have been stopped; 0 if all classes are fast
+ * enough, or none is.
+ */
+uint32_t mt_speed_slowest_after_stop(const mt_speed_classes_t *classes,
+				     const mt_plan_unit_t *unit);
+
 /**
  * Chooses the servers of similar speed on which a gang uses the least capacity,
  * weighed against the time at which it ends. Only free resources are
@@ -178,6 +195,18 @@
 					     const mt_plan_unit_t *unit,
 					     bool one_rack);
 
+/**
+ * Makes room for a gang on servers that are fast enough for it to end in time:
+ * finds room that is being released there, or else preempts tasks of lower
+ * priority if that is worth it.
+ * @param part receives these servers, of one rack or of all; the caller frees
+ * `part->servers`
+ * @return false if there is no such room soon enough
+ */
+bool mt_plan_make_fast_room(mt_plan_t *plan, const mt_plan_index_t *index,
+			    const mt_plan_unit_t *unit, bool one_rack,
+			    mt_server_set_t *part);
+
 /**
  * Selects victims to stop so that the unit fits, and marks them as preempted.
  * Where speeds differ, only servers on which the unit would be in time are
--- a/lib/dag/plan_preempt.c
+++ b/lib/dag/plan_preempt.c
@@ -380,3 +380,74 @@
 	g_free(best.selected);
 	return best.server_set;
 }
+
+/* Faster servers for a gang that would be late. */
+
+/**
+ * Share of the gain of a unit that it owes to its end in time; it gains the
+ * rest also if it is late.
+ */
+#define IN_TIME_GAIN_SHARE 0.75
+
+/** The first set whose fast part has room for the unit; NULL: there is none. */
+static const mt_server_set_t *find_fast_room(const mt_plan_t *plan,
+					     const mt_plan_index_t *index,
+					     const mt_plan_unit_t *unit,
+					     bool one_rack, uint32_t slowest)
+{
+	const mt_server_set_t *set;
+	uint32_t position = 0;
+	bool fits = false;
+
+	while (!fits && (set = next_set(index, unit, one_rack, &position))) {
+		mt_fast_part_t fast = fast_part_of(index, set, slowest);
+		mt_scope_t scope = {plan,
+				    index,
+				    unit,
+				    &fast.part,
+				    MT_CAPACITY_FREE_OR_RELEASING,
+				    NULL};
+
+		fits = mt_scope_fit_count(&scope) >= unit->count;
+		g_free(fast.servers);
+	}
+	return fits ? set : NULL;
+}
+
+/** Preempts on fast servers only, and only tasks of lower priority. */
+static const mt_server_set_t *preempt_on_fast(mt_plan_t *plan,
+					      const mt_plan_index_t *index,
+					      const mt_plan_unit_t *unit,
+					      bool one_rack, uint32_t slowest)
+{
+	mt_plan_unit_t optional = *unit;
+	mt_selection_t best;
+
+	optional.guaranteed = false;
+	optional.cost_max *= IN_TIME_GAIN_SHARE;
+	best = find_cheapest(plan, index, &optional, one_rack, slowest);
+	if (best.server_set && !is_worth(&optional, &best))
+		best.server_set = NULL;
+	if (best.server_set)
+		mark_preempted(plan, best.selected);
+	g_free(best.selected);
+	return best.server_set;
+}
+
+bool mt_plan_make_fast_room(mt_plan_t *plan, const mt_plan_index_t *index,
+			    const mt_plan_unit_t *unit, bool one_rack,
+			    mt_server_set_t *part)
+{
+	uint32_t slowest = mt_speed_slowest_after_stop(&index->classes, unit);
+	const mt_server_set_t *set;
+
+	if (!slowest)
+		return false;
+	set = find_fast_room(plan, index, unit, one_rack, slowest);
+	if (!set)
+		set = preempt_on_fast(plan, index, unit, one_rack, slowest);
+	if (!set)
+		return false;
+	*part = fast_part_of(index, set, slowest).part;
+	return true;
+}
--- a/lib/dag/plan_speed.c
+++ b/lib/dag/plan_speed.c
@@ -134,6 +134,32 @@
 	return 0;
 }
 
+uint32_t mt_speed_slowest_after_stop(const mt_speed_classes_t *classes,
+				     const mt_plan_unit_t *unit)
+{
+	mt_plan_unit_t later = *unit;
+
+	later.left_ms -= STOP_TIME_MS;
+	for (uint32_t i = 0; i < classes->n; i++) {
+		if (is_in_time(&later, classes->lowest[i], RUN_TIME_MARGIN))
+			return i;
+	}
+	return 0;
+}
+
+bool mt_plan_is_late_on(const mt_plan_index_t *index,
+			const mt_plan_unit_t *unit,
+			const mt_server_set_t *server_set)
+{
+	const mt_speed_classes_t *classes = &index->classes;
+	uint32_t slowest = classes->n - 1;
+
+	for (uint32_t i = 0; i < server_set->n_servers; i++)
+		slowest = MIN(slowest,
+			      classes->of_server[server_set->servers[i]]);
+	return !is_in_time(unit, classes->lowest[slowest], RUN_TIME_MARGIN);
+}
+
 uint32_t mt_plan_spare_ms(const mt_plan_unit_t *unit)
 {
 	double spare_ms = (double)unit->left_ms -
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -10,6 +10,12 @@
  */
 #define GUARANTEED_SPREAD_MS 900u
 
+/**
+ * How long a guaranteed step may wait for servers on which it ends in time.
+ * Guaranteed jobs have to begin within a few seconds, see reclaim_ms.
+ */
+#define GUARANTEED_SPEED_WAIT_MS 900u
+
 /**
  * A step of a job that is not guaranteed is no longer restricted to one rack
  * after waiting for this multiple of its estimated run time.
@@ -365,8 +371,11 @@
 	unit->guaranteed = candidate->guaranteed;
 	unit->may_preempt =
 		!unit->priority || is_near_latest_start(planner, candidate);
-	if (!unit->guaranteed)
-		unit->cost_max = preemption_gain(unit);
+	unit->cost_max = preemption_gain(unit);
+	unit->may_wait_for_speed =
+		!candidate->overdue &&
+		(!unit->guaranteed ||
+		 candidate->waited_ms < GUARANTEED_SPEED_WAIT_MS);
 	unit->reservation_limited = !unit->may_preempt;
 	unit->reserves =
 		unit->may_preempt ||
@@ -485,6 +494,8 @@
 		planner->plan.n_refused;
 	*mt_kernel_counter(kernel, "preemptions_awaited_total") +=
 		planner->plan.n_awaiting;
+	*mt_kernel_counter(kernel, "waits_for_speed_total") +=
+		planner->plan.n_awaiting_speed;
 }
 
 static void apply_plan(mt_planner_t *planner)
--- a/tests/unit/test_plan_speed.c
+++ b/tests/unit/test_plan_speed.c
@@ -298,6 +298,118 @@
 	}
 }
 
+/* Faster servers for a gang that would be late. */
+
+#define BUSY_SERVERS 6u
+#define GANG_TASKS 4u
+
+/** A rack with free slow servers and fast ones that run other tasks. */
+typedef struct mt_busy_rack_t {
+	mt_fixture_t base;
+	mt_plan_victim_t victims[BUSY_SERVERS];
+} mt_busy_rack_t;
+
+/** @param cost of stopping the task on a fast server */
+static void open_busy_rack(mt_busy_rack_t *rack, double cost)
+{
+	open_fixture(&rack->base, 0, GANG_TASKS, true);
+	rack->base.unit.same_rack = true;
+	rack->base.unit.guaranteed = true;
+	rack->base.unit.may_preempt = true;
+	rack->base.unit.may_wait_for_speed = true;
+	rack->base.unit.reserves = true;
+	rack->base.unit.left_ms = 3 * RUN_MS / 2;
+	rack->base.unit.cost_max = 100;
+	add_servers(&rack->base, BUSY_SERVERS, 0.6, "r1");
+	add_servers(&rack->base, BUSY_SERVERS, 1.6, "r1");
+	for (uint32_t i = 0; i < BUSY_SERVERS; i++) {
+		mt_plan_server_t *server =
+			&rack->base.servers[BUSY_SERVERS + i];
+
+		rack->victims[i] = (mt_plan_victim_t){
+			.server = BUSY_SERVERS + i,
+			.group = i,
+			.amount = server->free,
+			.priority = 2,
+			.cost = cost,
+		};
+		server->free = (mt_dag_resources_t){0};
+	}
+	rack->base.plan.victims = rack->victims;
+	rack->base.plan.n_victims = BUSY_SERVERS;
+}
+
+static uint32_t count_preempted(const mt_busy_rack_t *rack)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < BUSY_SERVERS; i++)
+		n += rack->victims[i].preempted;
+	return n;
+}
+
+/**
+ * Guards against: urgent gangs are late on the slow servers that are free,
+ * while tasks that can wait run on the fast ones.
+ */
+static void an_urgent_gang_preempts_on_fast_servers(void)
+{
+	mt_busy_rack_t rack;
+
+	open_busy_rack(&rack, 10);
+	run_and_count(&rack.base, 1.6);
+	CU_ASSERT_EQUAL(rack.base.unit.placed, 0);
+	CU_ASSERT_EQUAL(count_preempted(&rack), GANG_TASKS);
+	CU_ASSERT_EQUAL(rack.base.plan.n_awaiting_speed, 1);
+}
+
+/** Guards against: more work is lost than the urgent gang gains. */
+static void a_costly_preemption_for_speed_is_refused(void)
+{
+	mt_busy_rack_t rack;
+
+	open_busy_rack(&rack, 30);
+	CU_ASSERT_EQUAL(run_and_count(&rack.base, 0.6), GANG_TASKS);
+	CU_ASSERT_EQUAL(count_preempted(&rack), 0);
+}
+
+/**
+ * Guards against: each plan preempts again while the tasks that the last one
+ * has preempted are being stopped.
+ */
+static void a_gang_waits_for_fast_room_that_is_released(void)
+{
+	mt_busy_rack_t rack;
+
+	open_busy_rack(&rack, 10);
+	for (uint32_t i = 0; i < GANG_TASKS; i++)
+		rack.base.servers[BUSY_SERVERS + i].releasing =
+			rack.victims[i].amount;
+	run_and_count(&rack.base, 1.6);
+	CU_ASSERT_EQUAL(rack.base.unit.placed, 0);
+	CU_ASSERT_EQUAL(count_preempted(&rack), 0);
+}
+
+/**
+ * Guards against: a guaranteed gang waits too long for fast servers, or a gang
+ * that is in time on the free servers, or late on all, waits at all.
+ */
+static void a_gang_does_not_wait_for_speed_in_vain(void)
+{
+	mt_busy_rack_t rack;
+
+	open_busy_rack(&rack, 10);
+	rack.base.unit.may_wait_for_speed = false;
+	CU_ASSERT_EQUAL(run_and_count(&rack.base, 0.6), GANG_TASKS);
+	open_busy_rack(&rack, 10);
+	rack.base.unit.left_ms = 3 * RUN_MS;
+	CU_ASSERT_EQUAL(run_and_count(&rack.base, 0.6), GANG_TASKS);
+	open_busy_rack(&rack, 10);
+	rack.base.unit.left_ms = RUN_MS / 2;
+	CU_ASSERT_EQUAL(run_and_count(&rack.base, 0.6), GANG_TASKS);
+	CU_ASSERT_EQUAL(count_preempted(&rack), 0);
+}
+
 const mt_test_t mt_plan_speed_tests[] = {
 	{"equal speeds change no plan", equal_speeds_change_no_plan},
 	{"a gang on mixed racks gets like speeds",
@@ -319,5 +431,13 @@
 	{"a small difference of speed does not change the order",
 	 a_small_difference_of_speed_does_not_change_the_order},
 	{"speeds make no unit wait", speeds_make_no_unit_wait},
+	{"an urgent gang preempts on fast servers",
+	 an_urgent_gang_preempts_on_fast_servers},
+	{"a costly preemption for speed is refused",
+	 a_costly_preemption_for_speed_is_refused},
+	{"a gang waits for fast room that is released",
+	 a_gang_waits_for_fast_room_that_is_released},
+	{"a gang does not wait for speed in vain",
+	 a_gang_does_not_wait_for_speed_in_vain},
 	{NULL, NULL},
 };
