--- a/lib/dag/evacuations.c
+++ b/lib/dag/evacuations.c
@@ -162,7 +162,9 @@
 bool mt_evacuations_contain(const mt_evacuations_t *evacuations,
 			    const mt_name_t *zone)
 {
-	return g_hash_table_contains(evacuations->zones, zone);
+	/* Mostly there is none; the planner asks for each server. */
+	return g_hash_table_size(evacuations->zones) &&
+	       g_hash_table_contains(evacuations->zones, zone);
 }
 
 GHashTable *mt_evacuations_zones(const mt_evacuations_t *evacuations)
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -100,17 +100,24 @@
 	return mt_name_compare(&x->info.target.id, &y->info.target.id);
 }
 
-/** Applies to a cold server that it comes last, and the limit of its rate. */
+/** Maximum number of placements per second on a cold server; 0: no limit. */
+static double cold_per_s(const mt_planner_t *planner)
+{
+	const mt_catalog_t *catalog = planner->engine->catalog;
+
+	return catalog ? mt_catalog_cold_per_s(catalog, planner->service) : 0;
+}
+
+/** Makes a cold server come late, and applies the limit of its service. */
 static void limit_cold(const mt_planner_t *planner, mt_plan_server_t *server,
 		       const mt_backend_t *backend)
 {
-	const mt_catalog_t *catalog = planner->engine->catalog;
-	double per_s =
-		catalog ? mt_catalog_cold_per_s(catalog, planner->service) : 0;
+	double per_s;
 
 	if (!mt_planner_is_cold(planner, backend))
 		return;
 	server->penalty += COLD_PENALTY;
+	per_s = cold_per_s(planner);
 	server->is_limited = per_s > 0;
 	if (server->is_limited)
 		server->tasks_left = mt_cold_rate_left(&backend->cold_rate,
