tests: evacuation with real processes, and a leader that is killed in it

The evacuation was not tested with the platform's formats over HTTP.

find_leader named a host that was killed and started again as the leader, since its log ended with office_won; the start of a process now counts as well.

--- a/tests/platformd/main.c
+++ b/tests/platformd/main.c
@@ -309,6 +309,16 @@
 	mt_http_respond(http->exchange, 200, "text/plain", (mt_str_t){0}, NULL);
 }
 
+/** Evacuates the data centre of all servers, or ends this. */
+static void on_evacuate_call(const mt_platformd_t *platform,
+			     const mt_http_incoming_request_t *http)
+{
+	mt_fake_store_put(platform->sim->store, "keyed.op", "evacuate/here",
+			  query_number(http, "on", 1) ? MT_STR("{}")
+						      : (mt_str_t){0});
+	mt_http_respond(http->exchange, 200, "text/plain", (mt_str_t){0}, NULL);
+}
+
 /** Leaves an entry of another writer, the request's body, in the server list.
  */
 static void on_entry_call(const mt_platformd_t *platform,
@@ -372,6 +382,8 @@
 		on_faults_call(platform, http);
 	} else if (mt_str_equal(http->path, MT_STR("/test/config"))) {
 		on_config_call(platform, http);
+	} else if (mt_str_equal(http->path, MT_STR("/test/evacuate"))) {
+		on_evacuate_call(platform, http);
 	} else if (mt_str_equal(http->path, MT_STR("/test/entry"))) {
 		on_entry_call(platform, http);
 	} else if (mt_str_equal(http->path, MT_STR("/test/forbid"))) {
--- a/tests/scripts/entry-hosts.sh
+++ b/tests/scripts/entry-hosts.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Tests hosts that run mimosaturn-entry, as real processes, against
-# tests/platformd: answers to clients, loss of the leader, a graceful stop, and
-# invalid settings.
+# tests/platformd: answers to clients, loss of the leader, a graceful stop, an
+# evacuation, and invalid settings.
 cd "$(dirname "$0")/../.." || exit 1
 . tests/scripts/lib.sh
 trap stop_all EXIT
@@ -40,7 +40,8 @@
 		"peers": "127.0.0.1:$((FIRST_PORT + 70 + $1))",
 		"store": "127.0.0.1:$FIRST_PORT",
 		"lease_max_ms": 10000, "stop_task_ms": 400, "restore_ms": 100,
-		"keep_ended_s": 120, "stop_grace_s": 6, "revoke_key_ms": 5000
+		"keep_ended_s": 120, "stop_grace_s": 6, "revoke_key_ms": 5000,
+		"evacuation_ms": 5000
 	}
 	EOF
 }
@@ -108,13 +109,30 @@
 	echo "$answer after $WAIT_S s"
 }
 
+# wait_count EVENT NUMBER: waits until the hosts have logged the event as often,
+# and prints how often they have
+wait_count() {
+	local count until=$((SECONDS + WAIT_S))
+	while [ $SECONDS -lt $until ]; do
+		count=$(cat "$WORK"/host-*.log | grep -c "\"event\":\"$1\"")
+		[ "$count" -ge "$2" ] && break
+		sleep 0.05
+	done
+	echo "$count"
+}
+
+# evacuate 1: evacuates the data centre of all servers; 0: ends this
+evacuate() {
+	curl -s -m 4 "http://127.0.0.1:$FIRST_PORT/test/evacuate?on=$1"
+}
+
 # Prints the index of the running host that is the leader according to its log.
 # A host logs office_won when it becomes the leader, and office_left when it stops
-# being the leader.
+# being the leader. A host that was killed and started again does not lead.
 find_leader() {
 	local i last
 	for i in $(seq 0 $((HOST_COUNT - 1))); do
-		last=$(grep -h -E '"event":"office_(won|left)"' \
+		last=$(grep -h -E '"event":"(office_won|office_left|starting)"' \
 			"$WORK/host-$i.log" | tail -1)
 		case "$last" in
 		*office_won*)
@@ -192,6 +210,32 @@
 check "completion after the leader was stopped" completed \
 	"$(wait_state "$other" /batch/00000000000000d1 completed)"
 
+# While the data centre is evacuated, the next leader starts nothing there either;
+# a task that runs there goes on. Afterwards the job that has waited is started.
+start_entry "$leader"
+wait_ready "$leader"
+leader=$(find_leader)
+other=$(((leader + 1) % HOST_COUNT))
+check "submission before the evacuation" "{} 200" \
+	"$(call "$other" POST /batch/00000000000000e1 "$(job 1 4000)")"
+check "active before the evacuation" active \
+	"$(wait_state "$other" /batch/00000000000000e1 active)"
+evacuate 1
+check "evacuation" 1 "$(wait_count zone_evacuated 1)"
+check "submission during the evacuation" "{} 200" \
+	"$(call "$other" POST /batch/00000000000000e2 "$(job 1 100)")"
+kill -9 "${PID[$leader]}"
+wait "${PID[$leader]}" 2>/dev/null
+check "evacuation as read by the next leader" 2 "$(wait_count zone_evacuated 2)"
+check "completion during the evacuation" completed \
+	"$(wait_state "$other" /batch/00000000000000e1 completed)"
+check "waiting during the evacuation" '{"state":"queued"} 200' \
+	"$(call "$other" GET /batch/00000000000000e2)"
+evacuate 0
+check "end of the evacuation" 1 "$(wait_count zone_restored 1)"
+check "completion after the evacuation" completed \
+	"$(wait_state "$other" /batch/00000000000000e2 completed)"
+
 # The message for invalid settings names the field; metrics are served.
 sed 's/"store": "[^"]*"/"store": "nowhere"/' "$WORK/host-0.json" \
 	>"$WORK/bad.json"
