plan: weigh cores, memory and accelerators where servers are packed

Cause: best fit looked at the accelerators left over only. Single tasks that use all accelerators of an empty server came before the memory and cores left beside large tasks, so that servers with room for large tasks were lost.

--- a/lib/dag/plan.c
+++ b/lib/dag/plan.c
@@ -148,15 +148,16 @@
 typedef struct mt_server_fit_t {
 	uint32_t server; /**< index into mt_plan_t.servers */
 	uint32_t fit;	 /**< number of tasks that fit on the server */
-	/** Number of accelerators left once `fit` tasks are placed. */
-	uint32_t gpus_left;
+	/** What is left once `fit` tasks are placed, see mt_plan_left_over().
+	 */
+	double left_over;
 	uint32_t penalty;    /**< see mt_plan_server_t.penalty */
 	uint32_t speed_rank; /**< see mt_speed_rank() */
 } mt_server_fit_t;
 
 /**
- * Sorts by penalty, then by speed, then by best fit: servers with the fewest
- * accelerators left come first, so that other servers stay entirely free.
+ * Sorts by penalty, then by speed, then by best fit: servers with the least
+ * left over come first, so that other servers stay entirely free.
  */
 static int compare_server_fits(const void *a, const void *b)
 {
@@ -167,11 +168,24 @@
 		return x->penalty < y->penalty ? -1 : 1;
 	if (x->speed_rank != y->speed_rank)
 		return x->speed_rank < y->speed_rank ? -1 : 1;
-	if (x->gpus_left != y->gpus_left)
-		return x->gpus_left < y->gpus_left ? -1 : 1;
+	if (x->left_over != y->left_over)
+		return x->left_over < y->left_over ? -1 : 1;
 	return x->server < y->server ? -1 : x->server > y->server;
 }
 
+/** What is left over on the server once `fit` tasks are placed there. */
+static double left_over_on(const mt_scope_t *scope, uint32_t server,
+			   uint32_t fit)
+{
+	mt_dag_resources_t left = mt_scope_available_on(scope, server);
+	const mt_dag_resources_t *need = &scope->unit->need;
+	mt_dag_resources_t used = {need->cpu_milli * fit, need->mem_mb * fit,
+				   need->gpu * fit};
+
+	mt_dag_resources_subtract(&left, &used);
+	return mt_plan_left_over(scope->plan, server, &left);
+}
+
 /**
  * Assigns up to `count` tasks of the unit to servers of the scope.
  * @param chosen receives the server of each assigned task
@@ -198,9 +212,8 @@
 			MIN(mt_scope_fit_count_on(scope, server), count);
 		if (!server_fit.fit)
 			continue;
-		server_fit.gpus_left =
-			mt_scope_available_on(scope, server).gpu -
-			server_fit.fit * scope->unit->need.gpu;
+		server_fit.left_over =
+			left_over_on(scope, server, server_fit.fit);
 		server_fit.speed_rank =
 			mt_speed_rank(scope, &preference, server);
 		fits[n++] = server_fit;
--- a/lib/dag/plan.h
+++ b/lib/dag/plan.h
@@ -145,6 +145,14 @@
 	bool claimed; /**< result: a unit waits for it instead of preempting */
 } mt_plan_end_t;
 
+/** Weights of the resources when servers are packed; all 0: accelerators only.
+ */
+typedef struct mt_plan_weights_t {
+	double cpu;
+	double mem;
+	double gpu;
+} mt_plan_weights_t;
+
 typedef struct mt_plan_t {
 	mt_plan_server_t *servers;
 	uint32_t n_servers;
@@ -157,6 +165,7 @@
 	/** Maximum number of units with `reservation_limited` for which
 	 * resources are reserved. */
 	uint32_t reservations_max;
+	mt_plan_weights_t weights; /**< see mt_plan_weigh_resources() */
 	/** Result: number of units that do not preempt, as the victims cost
 	 * more than the unit gains. */
 	uint32_t n_refused;
@@ -177,6 +186,14 @@
 /** True if the server has the label; always true for label 0. */
 bool mt_plan_server_has_label(const mt_plan_server_t *server, GQuark label);
 
+/**
+ * Sets the weights of the plan to the shares of the resources that are in use.
+ * Leaves them at 0 unless cores or memory are scarcer than accelerators: tasks
+ * then fill servers where large tasks would not fit any more, even if
+ * accelerators are left over there.
+ */
+void mt_plan_weigh_resources(mt_plan_t *plan);
+
 /**
  * Computes the plan: sets the results of the units and victims. Also updates
  * `servers`: deducts the resources that are assigned to units or reserved for
--- a/lib/dag/plan_internal.h
+++ b/lib/dag/plan_internal.h
@@ -2,10 +2,10 @@
  * @file plan_internal.h
  * Internal interface of the placement plan: plan.c (placement), plan_index.c
  * (lookup tables, built once per plan), plan_speed.c (choice of servers by
- * their speeds) and plan_preempt.c (selection of tasks to preempt). A victim is
- * a placed task that may be preempted. The victims of one gang form a victim
- * group, as they are stopped together; every other victim is a group of its
- * own.
+ * their speeds), plan_pack.c (weights of the resources) and plan_preempt.c
+ * (selection of tasks to preempt). A victim is a placed task that may be
+ * preempted. The victims of one gang form a victim group, as they are stopped
+ * together; every other victim is a group of its own.
  */
 #ifndef MT_DAG_PLAN_INTERNAL_H
 #define MT_DAG_PLAN_INTERNAL_H
@@ -120,6 +120,13 @@
  */
 uint32_t mt_scope_fit_count(const mt_scope_t *scope);
 
+/**
+ * What is left over on a server, as one number: the accelerators or, if the
+ * plan has weights, the weighted sum of the shares of its room.
+ */
+double mt_plan_left_over(const mt_plan_t *plan, uint32_t server,
+			 const mt_dag_resources_t *left);
+
 /** Groups the servers of the plan; freed with mt_speed_classes_clear(). */
 void mt_speed_classes_init(mt_speed_classes_t *classes, const mt_plan_t *plan);
 void mt_speed_classes_clear(mt_speed_classes_t *classes);
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -510,6 +510,7 @@
 	mt_candidates_collect(&planner);
 	if (planner.candidates->len || planner.n_held_back) {
 		collect_servers(&planner);
+		mt_plan_weigh_resources(&planner.plan);
 		build_units(&planner);
 		mt_victims_collect(&planner);
 		mt_plan_run(&planner.plan);
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -76,6 +76,7 @@
 	add_suite("plan speed", mt_plan_speed_tests);
 	add_suite("plan preempt", mt_plan_preempt_tests);
 	add_suite("work lost", mt_work_lost_tests);
+	add_suite("plan pack", mt_plan_pack_tests);
 	add_suite("relocation", mt_relocation_tests);
 	add_suite("front", mt_front_tests);
 	add_suite("writer", mt_writer_tests);
--- a/tests/unit/tests.h
+++ b/tests/unit/tests.h
@@ -15,6 +15,7 @@
 extern const mt_test_t mt_plan_speed_tests[];
 extern const mt_test_t mt_plan_preempt_tests[];
 extern const mt_test_t mt_work_lost_tests[];
+extern const mt_test_t mt_plan_pack_tests[];
 extern const mt_test_t mt_relocation_tests[];
 extern const mt_test_t mt_front_tests[];
 extern const mt_test_t mt_writer_tests[];
