--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -298,8 +298,8 @@
 		       candidate->latest_start_ms + LATEST_START_WINDOW_MS;
 }
 
-int64_t mt_planner_time_left(const mt_planner_t *planner,
-			     const mt_dag_step_t *step)
+static int64_t compute_time_left(const mt_planner_t *planner,
+				 const mt_dag_step_t *step)
 {
 	const mt_dag_job_t *job = step->job;
 	int64_t left_ms = (int64_t)job->known_since +
@@ -311,6 +311,20 @@
 	return left_ms * step->spec->estimate_ms / path_left_ms;
 }
 
+int64_t mt_planner_time_left(const mt_planner_t *planner,
+			     const mt_dag_step_t *step)
+{
+	int64_t *left_ms = g_hash_table_lookup(planner->times_left, step);
+
+	if (!left_ms) {
+		left_ms = g_new(int64_t, 1);
+		*left_ms = compute_time_left(planner, step);
+		g_hash_table_insert(planner->times_left, (gpointer)step,
+				    left_ms);
+	}
+	return *left_ms;
+}
+
 /**
  * Returns mt_plan_unit_t.cost_max of the step: the work of its waiting tasks,
  * weighted as the cost of victims. Less if the step is late anyway.
@@ -488,6 +502,7 @@
 	g_ptr_array_unref(planner->backends);
 	g_ptr_array_unref(planner->victims);
 	g_hash_table_destroy(planner->backend_index);
+	g_hash_table_destroy(planner->times_left);
 }
 
 static void plan_service(mt_engine_t *engine, const mt_name_t *service,
@@ -505,6 +520,7 @@
 	planner.backends = g_ptr_array_new();
 	planner.victims = g_ptr_array_new();
 	planner.backend_index = g_hash_table_new(NULL, NULL);
+	planner.times_left = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	planner.candidates =
 		g_array_new(FALSE, FALSE, sizeof(mt_candidate_step_t));
 	mt_candidates_collect(&planner);
--- a/lib/dag/planner_internal.h
+++ b/lib/dag/planner_internal.h
@@ -45,6 +45,8 @@
 	GArray *candidates; /**< mt_candidate_step_t, in the order of plan.units
 			     */
 	GPtrArray *victims; /**< mt_dag_task_t, in the order of plan.victims */
+	/** Maps steps to their mt_planner_time_left(), int64_t. */
+	GHashTable *times_left;
 	GHashTable *guaranteed; /**< set of mt_dag_job_t, see
 				   mt_guarantees_find() */
 	mt_plan_t plan;
