speed: stronger evidence before servers count as uneven

The plan would have used noise as speeds for a second.

The spread must now be 1.5 instead of 1.15 times that of the errors, plus four of its standard errors. To stay uneven, 1.15 times is still enough, so that a fleet near the limit does not change back and forth.

--- a/lib/dag/speed.c
+++ b/lib/dag/speed.c
@@ -85,12 +85,14 @@
 #define UNEVEN_SPREAD 1.2
 #define EVEN_SPREAD 1.12
 
-/* The observed spread must exceed the one that errors alone would cause by the
- * factor ERROR_FACTOR + ERROR_FACTOR_SMALL / sqrt(number of servers). The first
- * term allows for errors that are underestimated, the second one is four
- * standard errors of the spread. */
-#define ERROR_FACTOR 1.15
-#define ERROR_FACTOR_SMALL 4.0
+/* The observed spread must exceed the one that errors alone would cause by a
+ * factor, which is also higher for servers that are not uneven yet. It allows
+ * for errors that are underestimated while there are few samples. Added to it
+ * are SPREAD_ERRORS / sqrt(number of servers), four standard errors of the
+ * spread. */
+#define UNEVEN_FACTOR 1.5
+#define EVEN_FACTOR 1.15
+#define SPREAD_ERRORS 4.0
 
 typedef struct mt_speed_server_t mt_speed_server_t;
 
@@ -776,8 +778,13 @@
 	g_array_unref(known);
 }
 
-/** True if the spread of the well-known speeds is clear. */
-static bool spread_is_clear(const mt_speed_model_t *model, double spread_min)
+/**
+ * True if the spread of the well-known speeds is clear.
+ * @param spread_min see UNEVEN_SPREAD
+ * @param factor_min see UNEVEN_FACTOR
+ */
+static bool spread_is_clear(const mt_speed_model_t *model, double spread_min,
+			    double factor_min)
 {
 	GArray *values = g_array_new(FALSE, FALSE, sizeof(double));
 	double prior = 1 / square(PRIOR_DEVIATION);
@@ -808,7 +815,7 @@
 		(quantile(values, SPREAD_HIGH) - quantile(values, SPREAD_LOW)) /
 		NORMAL_SPREAD;
 	error = sqrt(errors / MAX(1, values->len));
-	factor = ERROR_FACTOR + ERROR_FACTOR_SMALL / sqrt(MAX(1, values->len));
+	factor = factor_min + SPREAD_ERRORS / sqrt(MAX(1, values->len));
 	enough = values->len >= KNOWN_SERVERS_MIN;
 	g_array_unref(values);
 	return enough && deviation > factor * error &&
@@ -826,8 +833,10 @@
 	update_errors(model);
 	update_noise(model);
 	center(model);
-	model->is_uneven = spread_is_clear(
-		model, model->is_uneven ? EVEN_SPREAD : UNEVEN_SPREAD);
+	model->is_uneven =
+		model->is_uneven
+			? spread_is_clear(model, EVEN_SPREAD, EVEN_FACTOR)
+			: spread_is_clear(model, UNEVEN_SPREAD, UNEVEN_FACTOR);
 }
 
 double mt_speed_model_speed(const mt_speed_model_t *model,
--- a/tests/unit/test_speed.c
+++ b/tests/unit/test_speed.c
@@ -12,6 +12,7 @@
 #include "unit/tests.h"
 
 #define SERVERS 60u
+#define SERVERS_MANY 350u
 #define SEEDS 20u
 #define STRAGGLER_SHARE 0.03
 #define STRAGGLER_FACTOR 7.0
@@ -23,7 +24,8 @@
 	mt_ms_t now;
 	uint64_t n_jobs;
 	unsigned n_updates_uneven; /**< updates that found them uneven */
-	double speeds[SERVERS];
+	unsigned n_servers;
+	double speeds[SERVERS_MANY];
 } fleet_t;
 
 static void open_fleet(fleet_t *fleet, guint32 seed, const double *speeds,
@@ -33,7 +35,8 @@
 	fleet->rand = g_rand_new_with_seed(seed);
 	fleet->model = mt_speed_model_new();
 	fleet->now = 1000;
-	for (unsigned i = 0; i < SERVERS; i++)
+	fleet->n_servers = SERVERS;
+	for (unsigned i = 0; i < SERVERS_MANY; i++)
 		fleet->speeds[i] = speeds[i % n_speeds];
 }
 
@@ -73,8 +76,8 @@
 				    .at = fleet->now};
 
 	for (unsigned i = 0; i < n_tasks; i++) {
-		unsigned server =
-			(unsigned)g_rand_int_range(fleet->rand, 0, SERVERS);
+		unsigned server = (unsigned)g_rand_int_range(
+			fleet->rand, 0, (gint32)fleet->n_servers);
 
 		sample.task = i;
 		sample.server = server_name(server);
@@ -96,7 +99,7 @@
 	static const unsigned sizes[] = {5, 5, 5, 5, 13, 39};
 	unsigned n = 0;
 
-	for (unsigned i = 0; n < per_server * SERVERS; i++) {
+	for (unsigned i = 0; n < per_server * fleet->n_servers; i++) {
 		unsigned size = sizes[i % G_N_ELEMENTS(sizes)];
 
 		run_step(fleet, size, spread);
@@ -225,6 +228,23 @@
 	}
 }
 
+/**
+ * Guards against: the first runs of each of many servers, whose work differs
+ * much, look like different speeds.
+ */
+static void many_equal_servers_are_never_uneven(void)
+{
+	for (guint32 seed = 0; seed < 2 * SEEDS; seed++) {
+		fleet_t fleet;
+
+		open_fleet(&fleet, seed, speeds_equal, 1);
+		fleet.n_servers = SERVERS_MANY;
+		run_steps(&fleet, 3, 0.3);
+		CU_ASSERT_EQUAL(fleet.n_updates_uneven, 0);
+		close_fleet(&fleet);
+	}
+}
+
 /**
  * Guards against: a seventh of the servers is slow for a time, and the plan
  * sorts the sound servers by speeds that are only noise.
@@ -641,6 +661,8 @@
 	{"more runs make the speeds exact", more_runs_make_the_speeds_exact},
 	{"a small difference is learned", a_small_difference_is_learned},
 	{"equal servers are never uneven", equal_servers_are_never_uneven},
+	{"many equal servers are never uneven",
+	 many_equal_servers_are_never_uneven},
 	{"a few slow servers do not make the others uneven",
 	 a_few_slow_servers_do_not_make_the_others_uneven},
 	{"a few slowed servers do not make the others uneven",
