--- a/lib/dag/server_speeds.c
+++ b/lib/dag/server_speeds.c
@@ -42,6 +42,7 @@
 /**
  * True if the rate of the run depends only on its work and its server. Fillers
  * depend on the load of their servers, and tasks on the distance to their data.
+ * A run that was placed on a cold server has been slow for a part of its time.
  */
 static bool is_measurable(const mt_dag_task_t *task)
 {
@@ -49,6 +50,7 @@
 
 	return task->phase == MT_TASK_PHASE_RUNNING && !task->stop_wanted &&
 	       !step->spec->lasting && !step->spec->fills &&
+	       task->placed_at >= task->server->cold_until &&
 	       (!step->data_rack || task->server->info.rack == step->data_rack);
 }
 
--- a/tests/unit/test_speed.c
+++ b/tests/unit/test_speed.c
@@ -609,6 +609,24 @@
 	mt_engine_fixture_close(&fixture);
 }
 
+/** Guards against: a server that was cold is treated as a slow one later. */
+static void runs_on_cold_servers_give_no_sample(void)
+{
+	mt_engine_fixture_t fixture;
+	mt_dag_step_t *step;
+
+	mt_engine_fixture_open(&fixture);
+	mt_timers_advance(fixture.timers, 20000);
+	fixture.servers[0]->cold_until = 20500;
+	step = place_gang(&fixture);
+	confirm(&fixture, &step->tasks[0]);
+	confirm(&fixture, &step->tasks[1]);
+	report(&fixture, &step->tasks[0], 1000, 10);
+	report(&fixture, &step->tasks[1], 0, 30);
+	CU_ASSERT_EQUAL(n_sampled(&fixture), 0);
+	mt_engine_fixture_close(&fixture);
+}
+
 /**
  * Guards against: a run that an earlier leader started, or that resumes from a
  * checkpoint, seems to have done all its work since this leader knows of it.
@@ -688,5 +706,7 @@
 	{"a run in progress is measured from its first report",
 	 a_run_in_progress_is_measured_from_its_first_report},
 	{"a restart forgets the speed", a_restart_forgets_the_speed},
+	{"runs on cold servers give no sample",
+	 runs_on_cold_servers_give_no_sample},
 	{NULL, NULL},
 };
