planner: a long-running step preempts at any cost

Cause: the gain of a preemption is computed from the estimated run time, which says nothing about a long-running step, so that it could be refused room. Change: such steps have no limit, as before. The cores of a step are computed in one place, mt_dag_step_cores().

--- a/lib/dag/job_model.c
+++ b/lib/dag/job_model.c
@@ -148,6 +148,13 @@
 	return need;
 }
 
+double mt_dag_step_cores(const mt_dag_step_t *step)
+{
+	mt_dag_resources_t need = mt_dag_step_need(step);
+
+	return mt_dag_resources_cores(&need);
+}
+
 void mt_dag_task_place(mt_dag_task_t *task, mt_backend_t *server, uint32_t run,
 		       mt_ms_t now)
 {
--- a/lib/dag/job_model.h
+++ b/lib/dag/job_model.h
@@ -176,6 +176,9 @@
 /** Resources that one task of the step requires. */
 mt_dag_resources_t mt_dag_step_need(const mt_dag_step_t *step);
 
+/** These resources as a number of cores, see mt_dag_resources_cores(). */
+double mt_dag_step_cores(const mt_dag_step_t *step);
+
 /** Places a waiting task on a server as run `run`; the job becomes dirty. */
 void mt_dag_task_place(mt_dag_task_t *task, mt_backend_t *server, uint32_t run,
 		       mt_ms_t now);
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -358,7 +358,8 @@
 	unit->guaranteed = candidate->guaranteed;
 	unit->may_preempt =
 		!unit->priority || is_near_latest_start(planner, candidate);
-	if (!unit->guaranteed)
+	/* The estimated run time of a long-running step says nothing. */
+	if (!unit->guaranteed && !step->spec->lasting)
 		unit->cost_max = preemption_gain(unit);
 	unit->reservation_limited = !unit->may_preempt;
 	unit->reserves =
--- a/lib/dag/victims.c
+++ b/lib/dag/victims.c
@@ -53,13 +53,6 @@
 		   -(double)MIN(priority, WEIGHT_LEVELS_MAX));
 }
 
-static double cores_of(const mt_dag_step_t *step)
-{
-	mt_dag_resources_t need = mt_dag_step_need(step);
-
-	return mt_dag_resources_cores(&need);
-}
-
 /** Run time of a task on this server, by the estimate. */
 static double run_time_ms(const mt_planner_t *planner,
 			  const mt_dag_task_t *task)
@@ -149,7 +142,7 @@
 						    task->server);
 	}
 	group->seconds = seconds / MAX(1, n);
-	group->outside = group->seconds * n_outside * cores_of(step);
+	group->outside = group->seconds * n_outside * mt_dag_step_cores(step);
 	group->time_left = (mt_ms_t)MIN(left_ms, G_MAXUINT32);
 }
 
@@ -205,7 +198,8 @@
 	victim.group = group->number;
 	victim.amount = mt_dag_step_need(task->step);
 	victim.priority = task->step->job->queue.priority;
-	victim.cost = (cores_of(task->step) * group->seconds + group->outside) *
+	victim.cost = (mt_dag_step_cores(task->step) * group->seconds +
+		       group->outside) *
 		      mt_planner_weight(victim.priority);
 	/* The members outside the plan are counted once. */
 	group->outside = 0;
--- a/lib/dag/work_lost.c
+++ b/lib/dag/work_lost.c
@@ -25,17 +25,10 @@
 	lost->uncounted[cause] -= (double)whole;
 }
 
-static double cores_of(const mt_dag_step_t *step)
-{
-	mt_dag_resources_t need = mt_dag_step_need(step);
-
-	return mt_dag_resources_cores(&need);
-}
-
 /** Work of the run that is lost if it ends now, in core-seconds. */
 static double unsaved_work(const mt_dag_task_t *task, mt_ms_t now)
 {
-	return cores_of(task->step) *
+	return mt_dag_step_cores(task->step) *
 	       (double)mt_dag_task_unsaved_ms(task, now) / 1000.0;
 }
 
@@ -77,7 +70,7 @@
 	if (task->phase == MT_TASK_PHASE_RUNNING &&
 	    mt_dag_task_waits_for_gang(task))
 		add(lost, kernel, MT_WORK_LOST_GANG_WAIT,
-		    cores_of(task->step) * seconds);
+		    mt_dag_step_cores(task->step) * seconds);
 }
 
 void mt_work_lost_log(mt_work_lost_t *lost, mt_kernel_t *kernel)
--- a/tests/unit/test_plan_preempt.c
+++ b/tests/unit/test_plan_preempt.c
@@ -284,6 +284,31 @@
 	}
 }
 
+/**
+ * Guards against: a long-running step is refused room, as its estimated run
+ * time makes it look like little work.
+ */
+static void a_long_running_step_may_preempt_at_any_cost(void)
+{
+	for (unsigned lasting = 0; lasting < 2; lasting++) {
+		mt_engine_fixture_t fixture;
+		mt_dag_task_t *task;
+		mt_dag_step_t *step;
+
+		mt_engine_fixture_open(&fixture);
+		fixture.servers[1]->listed = false;
+		add_half(&fixture, 1, 1, 0, 1000)->n_preemptions = 9;
+		task = add_half(&fixture, 2, 1, 0, 1000);
+		task->n_preemptions = 8;
+		step = &mt_engine_fixture_add_job(&fixture, 3, 0, 1)->steps[0];
+		((MtDag__Step *)step->spec)->gpu = MT_ENGINE_FIXTURE_GPU / 2;
+		((MtDag__Step *)step->spec)->lasting = lasting;
+		mt_planner_run(fixture.engine);
+		CU_ASSERT_EQUAL(task->server == NULL, lasting);
+		mt_engine_fixture_close(&fixture);
+	}
+}
+
 /** Two tasks on one server; the second is stopped if they cost the same but for
  * what the test changes in the first. */
 typedef void (*mt_change_cb)(mt_dag_task_t *first, mt_dag_task_t *second);
@@ -358,6 +383,8 @@
 	 guaranteed_units_ignore_cost_and_ends},
 	{"the cost of a gang includes all members",
 	 the_cost_of_a_gang_includes_all_members},
+	{"a long-running step may preempt at any cost",
+	 a_long_running_step_may_preempt_at_any_cost},
 	{"runs are spared where a stop costs more",
 	 runs_are_spared_where_a_stop_costs_more},
 	{NULL, NULL},
