--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -392,9 +392,11 @@
 	unit->guaranteed = candidate->guaranteed;
 	unit->may_preempt =
 		!unit->priority || is_near_latest_start(planner, candidate);
-	unit->cost_max = preemption_gain(unit);
+	/* The estimated run time of a long-running step says nothing. */
+	if (!step->spec->lasting)
+		unit->cost_max = preemption_gain(unit);
 	unit->may_wait_for_speed =
-		!candidate->overdue &&
+		!step->spec->lasting && !candidate->overdue &&
 		(!unit->guaranteed ||
 		 candidate->waited_ms < GUARANTEED_SPEED_WAIT_MS);
 	unit->reservation_limited = !unit->may_preempt;
