tests: clients that exceed the limits of a host

tests/hostile opens connections to a host and sends one kind of input: bodies that are announced or sent far over the limit, many large bodies at a time, whole or piecewise, headers without end, nothing, pipelined requests without reading the answers, malformed requests, unknown API keys. tests/scripts/hostile-clients.sh runs them against a mimosaturn-entry process, one kind at a time, and all of them while the leader is killed. The host has 48 MB and 512 descriptors by its settings (memory_mb and max_fds, which the product ignores so far); there are 600 clients. The peak of the resident memory must stay below 48 MB, the descriptors below 512, and an ordinary request must be answered afterwards.

--- /dev/null
+++ b/tests/scripts/hostile-clients.sh
@@ -0,0 +1,219 @@
+#!/usr/bin/env bash
+# Tests a host that runs mimosaturn-entry against clients that exceed the limits
+# (tests/hostile), one kind of client at a time, as real processes.
+#
+# Guards against a process that ends, or uses up the memory or the descriptors of
+# its host, because of what clients send. The bounds are those of the settings:
+# the peak of the resident memory stays below memory_mb, and the number of
+# descriptors below max_fds.
+#
+# hostile-clients.sh [KIND...]: the kinds of tests/hostile/main.c, and "leader";
+# all of them if none is given
+cd "$(dirname "$0")/../.." || exit 1
+. tests/scripts/lib.sh
+trap stop_all EXIT
+
+WORK=$(mktemp -d)
+FIRST_PORT=$(pick_first_port)
+WAIT_S=15
+TARGET=2 # the host that the clients connect to; hosts 0 and 1 are also running
+MEMORY_MB=48
+MAX_FDS=512
+CLIENTS=600
+BODY_BYTES=262144
+ATTACK_S=4
+CLIENT_KINDS="announced chunked whole piecewise headers one-header silent
+	pipelined malformed keys"
+passed=0
+failed=0
+
+# Counts a check as passed or failed.
+# check NAME EXPECTED GOT
+check() {
+	if [ "$2" = "$3" ]; then
+		passed=$((passed + 1))
+	else
+		failed=$((failed + 1))
+		echo "$1: expected '$2', got '$3'"
+	fi
+}
+
+# check_below NAME BOUND GOT
+check_below() {
+	if [ "$3" -lt "$2" ]; then
+		passed=$((passed + 1))
+	else
+		failed=$((failed + 1))
+		echo "$1: expected less than $2, got $3"
+	fi
+}
+
+entry_callers_port() {
+	echo $((FIRST_PORT + 40 + $1))
+}
+
+write_settings() {
+	cat >"$WORK/host-$1.json" <<-END
+	{
+		"host": "host-$1", "data_centre": "here", "cores": 0.25,
+		"callers": "127.0.0.1:$(entry_callers_port "$1")",
+		"readiness": "127.0.0.1:$((FIRST_PORT + 50 + $1))",
+		"metrics": "127.0.0.1:$((FIRST_PORT + 60 + $1))",
+		"peers": "127.0.0.1:$((FIRST_PORT + 70 + $1))",
+		"store": "127.0.0.1:$FIRST_PORT",
+		"lease_max_ms": 10000, "stop_task_ms": 400, "restore_ms": 100,
+		"keep_ended_s": 120, "stop_grace_s": 6, "revoke_key_ms": 5000,
+		"memory_mb": $MEMORY_MB, "max_fds": $MAX_FDS
+	}
+	END
+}
+
+cat >"$WORK/config.json" <<-END
+{"version": 3,
+ "routes": [
+  {"name": "batch", "host": "jobs.example", "path_prefix": "/batch/",
+   "service": "service", "priority": 2, "max_attempts": 4,
+   "slack_factor": 3.0, "target_latency_ms": 3000}],
+ "tenants": [{"name": "shop", "api_keys": ["good"],
+              "guaranteed": {"gpu": 16}}]}
+END
+
+declare -A PID
+start_entry() {
+	"$BUILD/programs/mimosaturn-entry" --settings "$WORK/host-$1.json" \
+		>>"$WORK/host-$1.log" 2>&1 &
+	PID[$1]=$!
+	PIDS+=($!)
+}
+
+# stop_entry HOST: ends a host without a graceful stop
+stop_entry() {
+	kill -9 "${PID[$1]}" 2>/dev/null
+	wait "${PID[$1]}" 2>/dev/null
+}
+
+# Waits until a host is ready.
+wait_ready() {
+	local until=$((SECONDS + WAIT_S))
+	while [ $SECONDS -lt $until ]; do
+		curl -fs -o /dev/null -m 1 \
+			"http://127.0.0.1:$((FIRST_PORT + 50 + $1))/mimosaturn/readyz" &&
+			return 0
+		sleep 0.05
+	done
+	echo "host $1 was not ready after $WAIT_S s" >&2
+	return 1
+}
+
+# submit ID: submits a job to the target; prints the answer to the first request
+# that was not told to be repeated, or the last answer after WAIT_S
+submit() {
+	local answer until=$((SECONDS + WAIT_S))
+	while [ $SECONDS -lt $until ]; do
+		answer=$(curl -s -X POST -H "Host: jobs.example" \
+			-H "Authorization: Token good" -w ' %{http_code}' -m 4 \
+			-d '{"spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":10,"estimate_ms":10}]}' \
+			"http://127.0.0.1:$(entry_callers_port "$TARGET")/batch/$1")
+		[ "$answer" = "{} 200" ] && break
+		sleep 0.2
+	done
+	echo "$answer"
+}
+
+# Prints the index of the leader among hosts 0 and 1; nothing if it is the target.
+find_leader() {
+	local i
+	for i in 0 1; do
+		grep -h -E '"event":"office_(won|left)"' "$WORK/host-$i.log" |
+			tail -1 | grep -q office_won && echo "$i"
+	done
+}
+
+# Writes the largest number of descriptors of a process to $WORK/fds until the
+# process ends.
+# watch_descriptors PID
+watch_descriptors() {
+	local fds largest=0
+	echo 0 >"$WORK/fds"
+	while [ -d "/proc/$1/fd" ]; do
+		fds=("/proc/$1/fd"/*)
+		if [ ${#fds[@]} -gt $largest ]; then
+			largest=${#fds[@]}
+			echo "$largest" >"$WORK/fds"
+		fi
+		sleep 0.05
+	done
+}
+
+# run_clients KIND CLIENTS: runs clients of one kind in the background
+run_clients() {
+	"$BUILD/tests/hostile" --port "$(entry_callers_port "$TARGET")" \
+		--kind "$1" --clients "$2" --bytes "$BODY_BYTES" \
+		--seconds "$ATTACK_S" >"$WORK/clients-$1.log" 2>&1 &
+	CLIENT_PIDS+=($!)
+	PIDS+=($!)
+}
+
+# Prints the peak of the resident memory of the target in KB; of a process that
+# has ended, more than each bound.
+peak_kb() {
+	sed -n 's/^VmHWM:[^0-9]*\([0-9]*\) kB/\1/p' \
+		"/proc/${PID[$TARGET]}/status" 2>/dev/null | grep . ||
+		echo 999999999
+}
+
+# run_case KIND CLIENT-KINDS CLIENTS-PER-KIND [LEADER]: starts the target, runs
+# clients, and checks the target.  Kills the host LEADER while the clients run.
+run_case() {
+	local kind=$1 kinds=$2 clients=$3 leader=${4:-} name peak watcher alive=no
+	start_entry "$TARGET"
+	wait_ready "$TARGET"
+	watch_descriptors "${PID[$TARGET]}" &
+	watcher=$!
+	CLIENT_PIDS=()
+	for name in $kinds; do
+		run_clients "$name" "$clients"
+	done
+	if [ -n "$leader" ]; then
+		sleep 1
+		stop_entry "$leader"
+	fi
+	for name in "${CLIENT_PIDS[@]}"; do
+		wait "$name" || check "$kind: clients ran" 0 $?
+	done
+	peak=$(peak_kb)
+	kill -0 "${PID[$TARGET]}" 2>/dev/null && alive=yes
+	check "$kind: process runs" yes "$alive"
+	check_below "$kind: peak of resident memory in KB" \
+		$((MEMORY_MB * 1024)) "$peak"
+	check_below "$kind: descriptors" "$MAX_FDS" "$(cat "$WORK/fds")"
+	check "$kind: ordinary request" "{} 200" \
+		"$(submit "00000000000000f$((RANDOM % 10))")"
+	echo "$kind: peak $((peak / 1024)) MB, $(cat "$WORK/fds") descriptors," \
+		"$(cat "$WORK"/clients-*.log | tr '\n' ' ')"
+	rm -f "$WORK"/clients-*.log
+	stop_entry "$TARGET"
+	wait "$watcher"
+}
+
+"$BUILD/tests/platformd" --port "$FIRST_PORT" --config "$WORK/config.json" \
+	>"$WORK/platform.log" 2>&1 &
+PIDS+=($!)
+for host in 0 1 "$TARGET"; do
+	write_settings "$host"
+done
+for host in 0 1; do
+	start_entry "$host"
+	wait_ready "$host"
+done
+
+for kind in ${*:-$CLIENT_KINDS leader}; do
+	if [ "$kind" = leader ]; then
+		run_case "$kind" "$CLIENT_KINDS" $((CLIENTS / 10)) \
+			"$(find_leader)"
+	else
+		run_case "$kind" "$kind" "$CLIENTS"
+	fi
+done
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ]
