net: limit the size of all responses that are being received

The client accepted bodies of up to 64 MB for each response, whatever the number of responses, so that a few faulty servers could use up the memory of a host.

--- a/lib/net/http_client.c
+++ b/lib/net/http_client.c
@@ -21,6 +21,9 @@
 	h2o_timeout_t io_timeout;
 	GHashTable *pools; /**< "address port" to h2o_socketpool_t */
 	uint64_t bytes;	   /**< see mt_http_client_bytes() */
+	size_t response_max_bytes;
+	size_t receiving_bytes; /**< of the bodies of all responses */
+	uint64_t too_large;	/**< see mt_http_client_too_large() */
 };
 
 /** A request in progress. */
@@ -34,6 +37,7 @@
 	bool connected;
 	mt_http_result_t result;
 	mt_ms_t timeout_ms;
+	size_t response_max_bytes; /**< 0: none of its own */
 	uint64_t timer;
 	mt_http_cb cb;
 	void *ctx;
@@ -47,6 +51,7 @@
 	client->ctx.loop = mt_loop_uv(loop);
 	client->ctx.io_timeout = &client->io_timeout;
 	h2o_timeout_init(mt_loop_uv(loop), &client->io_timeout, IO_TIMEOUT_MS);
+	client->response_max_bytes = MT_HTTP_RESPONSE_MAX_BYTES;
 	client->pools = g_hash_table_new(g_str_hash, g_str_equal);
 	return client;
 }
@@ -56,6 +61,16 @@
 	return client->bytes;
 }
 
+void mt_http_client_set_response_max(mt_http_client_t *client, size_t bytes)
+{
+	client->response_max_bytes = bytes;
+}
+
+uint64_t mt_http_client_too_large(const mt_http_client_t *client)
+{
+	return client->too_large;
+}
+
 static bool parse_address(const mt_name_t *address, uint16_t port,
 			  struct sockaddr_storage *socket_address,
 			  socklen_t *len)
@@ -102,6 +117,7 @@
 				   exchange->body->len};
 	exchange->client->bytes +=
 		exchange->request_bytes->len + exchange->body->len;
+	exchange->client->receiving_bytes -= exchange->body->len;
 	exchange->cb(exchange->ctx, &response);
 	g_byte_array_unref(exchange->body);
 	g_string_free(exchange->request_bytes, TRUE);
@@ -153,26 +169,42 @@
 					  on_timeout, exchange);
 }
 
+/** Moves received bytes from the socket to the body. */
+static void take_input(mt_client_exchange_t *exchange, h2o_socket_t *socket)
+{
+	g_byte_array_append(exchange->body,
+			    (const guint8 *)socket->input->bytes,
+			    (guint)socket->input->size);
+	exchange->client->receiving_bytes += socket->input->size;
+	h2o_buffer_consume(&socket->input, socket->input->size);
+	restart_timeout(exchange);
+}
+
+static bool is_too_large(const mt_client_exchange_t *exchange)
+{
+	const mt_http_client_t *client = exchange->client;
+
+	return client->receiving_bytes > client->response_max_bytes ||
+	       (exchange->response_max_bytes &&
+		exchange->body->len > exchange->response_max_bytes);
+}
+
 static int on_body(h2o_http1client_t *http, const char *errstr)
 {
 	mt_client_exchange_t *exchange = http->data;
 	bool failed = errstr && errstr != h2o_http1client_error_is_eos;
 
-	if (!failed && http->sock && http->sock->input->size) {
-		g_byte_array_append(exchange->body,
-				    (const guint8 *)http->sock->input->bytes,
-				    (guint)http->sock->input->size);
-		h2o_buffer_consume(&http->sock->input, http->sock->input->size);
-		restart_timeout(exchange);
+	if (!failed && http->sock && http->sock->input->size)
+		take_input(exchange, http->sock);
+	if (!failed && is_too_large(exchange)) {
+		exchange->client->too_large++;
+		failed = true;
 	}
-	if (errstr)
+	if (errstr || failed)
 		schedule_finish(exchange, failed ? MT_HTTP_NO_RESPONSE
 						 : MT_HTTP_RESPONSE);
-	else if (exchange->body->len > MT_HTTP_RESPONSE_MAX_BYTES) {
-		schedule_finish(exchange, MT_HTTP_NO_RESPONSE);
-		return -1;
-	}
-	return 0;
+	/* A result other than 0 has h2o close the connection. */
+	return failed && !errstr ? -1 : 0;
 }
 
 static h2o_http1client_body_cb on_head(h2o_http1client_t *http,
@@ -247,6 +279,7 @@
 		return;
 	}
 	exchange->timeout_ms = request->timeout_ms;
+	exchange->response_max_bytes = request->response_max_bytes;
 	restart_timeout(exchange);
 	h2o_http1client_connect_with_pool(&exchange->http, exchange,
 					  &client->ctx, pool, on_connect);
--- a/lib/net/http_client.h
+++ b/lib/net/http_client.h
@@ -9,7 +9,10 @@
 #include "kernel/name.h"
 #include "net/loop.h"
 
-/** Largest body of a response; a larger one counts as no response. */
+/**
+ * Default of the largest size of the bodies of all responses that are being
+ * received. A response that exceeds it counts as no response.
+ */
 #define MT_HTTP_RESPONSE_MAX_BYTES (64u * 1024u * 1024u)
 
 typedef enum mt_http_result_t {
@@ -39,12 +42,21 @@
 	/** Time until the response begins, and longest time between two parts
 	 * of its body: a long response on a slow link does not time out. */
 	mt_ms_t timeout_ms;
+	/** A larger body of the response counts as no response; 0: limited
+	 * only by that of all responses. */
+	size_t response_max_bytes;
 } mt_http_request_t;
 
 typedef struct mt_http_client_t mt_http_client_t;
 
 mt_http_client_t *mt_http_client_new(mt_loop_t *loop);
 
+/** Replaces MT_HTTP_RESPONSE_MAX_BYTES. */
+void mt_http_client_set_response_max(mt_http_client_t *client, size_t bytes);
+
+/** Number of responses that exceeded a limit. */
+uint64_t mt_http_client_too_large(const mt_http_client_t *client);
+
 /** Sends a request; its fields may be freed when this returns. */
 void mt_http_send(mt_http_client_t *client, const mt_http_request_t *request,
 		  mt_http_cb cb, void *ctx);
--- a/lib/net/http_ports.c
+++ b/lib/net/http_ports.c
@@ -91,8 +91,8 @@
 	char *path = g_strdup_printf("/v1/log/%s", stream);
 	char *body = mt_log_records_encode(records);
 	mt_http_request_t request = {
-		ports->address, ports->tcp_port,   "POST",	  path,
-		NULL,		mt_str_from(body), LOG_TIMEOUT_MS};
+		ports->address, ports->tcp_port,   "POST",	   path,
+		NULL,		mt_str_from(body), LOG_TIMEOUT_MS, 0};
 
 	call->on_append = cb;
 	mt_http_send(ports->client, &request, on_append_response, call);
@@ -128,7 +128,8 @@
 				     path,
 				     NULL,
 				     {0},
-				     wait_ms + LOG_TIMEOUT_MS};
+				     wait_ms + LOG_TIMEOUT_MS,
+				     0};
 
 	call->on_read = cb;
 	mt_http_send(ports->client, &request, on_read_response, call);
@@ -174,7 +175,8 @@
 					  path,
 					  NULL,
 					  mt_str_from(body),
-					  request->wait_ms + SERVER_TIMEOUT_MS};
+					  request->wait_ms + SERVER_TIMEOUT_MS,
+					  0};
 
 	call->on_server = cb;
 	mt_http_send(ports->client, &http_request, on_server_response, call);
@@ -217,7 +219,8 @@
 				     "/v1/hosts",
 				     NULL,
 				     {0},
-				     SERVER_LIST_TIMEOUT_MS};
+				     SERVER_LIST_TIMEOUT_MS,
+				     0};
 
 	call->on_server_list = cb;
 	mt_http_send(ports->client, &request, on_server_list_response, call);
--- a/lib/peer/peer_http.c
+++ b/lib/peer/peer_http.c
@@ -8,6 +8,10 @@
 /** Maximum size of a request body; calls are small. */
 #define BODY_MAX_BYTES 4096u
 
+/** Maximum size of a response; one that contains the configuration is the
+ * largest. */
+#define RESPONSE_MAX_BYTES (4u * 1024u * 1024u)
+
 #define STATUS_OK 200
 #define STATUS_BAD_REQUEST 400
 
@@ -84,6 +88,7 @@
 	http_request.path = path;
 	http_request.body = mt_bytes_view(request->body);
 	http_request.timeout_ms = MT_PEER_TIMEOUT_MS;
+	http_request.response_max_bytes = RESPONSE_MAX_BYTES;
 	mt_kernel_count(peer_http->kernel, "peer_calls_total");
 	mt_http_send(peer_http->client, &http_request, on_response, request);
 }
--- a/programs/ctl/ctl.c
+++ b/programs/ctl/ctl.c
@@ -100,7 +100,8 @@
 					     path,
 					     NULL,
 					     {0},
-					     FETCH_TIMEOUT_MS};
+					     FETCH_TIMEOUT_MS,
+					     0};
 		mt_fetch_t *fetch = g_new0(mt_fetch_t, 1);
 
 		*fetch = (mt_fetch_t){ctl, responses, i, &pending};
--- a/programs/ctl/load_run.c
+++ b/programs/ctl/load_run.c
@@ -215,7 +215,8 @@
 		&g_array_index(load->hosts, mt_endpoint_t, host);
 	mt_http_request_t request = {.address = endpoint->address,
 				     .port = endpoint->port,
-				     .timeout_ms = REQUEST_TIMEOUT_MS};
+				     .timeout_ms = REQUEST_TIMEOUT_MS,
+				     0};
 	mt_load_request_t *load_request = g_new0(mt_load_request_t, 1);
 	char *path = NULL;
 	char *headers = g_strdup_printf(
@@ -315,9 +316,14 @@
 		mt_load_job_t *job = load->jobs->pdata[i];
 		char *path =
 			g_strdup_printf("/admin/begins?job=%s", job->id.text);
-		mt_http_request_t request = {
-			audit->address,	   audit->port, "GET", path, NULL, {0},
-			REQUEST_TIMEOUT_MS};
+		mt_http_request_t request = {audit->address,
+					     audit->port,
+					     "GET",
+					     path,
+					     NULL,
+					     {0},
+					     REQUEST_TIMEOUT_MS,
+					     0};
 		mt_load_request_t *load_request = g_new0(mt_load_request_t, 1);
 
 		*load_request =
