net: budgets, deadlines and a connection limit for HTTP servers

h2o collects a whole request in the input buffer of its socket before the handler sees it. It limits the size of one body, but neither the sum of all buffers nor the number of connections, and it has one time-out of 10 s for a request, and none for a response. 600 connections with incomplete bodies took more than 200 MB.

http_connection.c replaces the libuv callbacks with which h2o reads: they call those of h2o and then report the size of the buffer and the state of the request to http_guard.c, which decides, without I/O, what is to be closed: the connection without progress for the longest time when the bytes of all connections or those of an account exceed their budget, or there are too many connections, and each one that is too slow. A request that the handler has is never closed. An incomplete request is refused with 408, 431 or 503; it has not reached the handler, so nothing was done. A header with an unknown queue or API key is refused before the body is received.

mimosaturn-entry computes the limits from the new optional settings memory_mb and max_fds (platform/host_limits.c); max_body_bytes limits a body. Metrics http_* and the event client_limits_reached show what was refused. Without the settings, and for mimosaturnd, the limits are generous. HTTP/2, to which a client could upgrade, is switched off, as one connection has many requests there. An idle connection now stays open for 20 s, instead of 10 s.

--- a/lib/dag/front.c
+++ b/lib/dag/front.c
@@ -593,8 +593,8 @@
 
 /* Dispatch of calls. */
 
-static void refuse(mt_dag_front_t *front, const char *reason,
-		   mt_front_outcome_t outcome, mt_front_cb cb, void *ctx)
+/** Logs a refused call. */
+static bool refuse(mt_dag_front_t *front, const char *reason)
 {
 	mt_kernel_event(
 		front->deps.kernel, "call_refused",
@@ -602,7 +602,47 @@
 		",\"config_age_ms\":%" G_GINT64_FORMAT,
 		reason, front->catalog ? front->catalog->version : 0,
 		(gint64)mt_follower_age(front->deps.config_follower));
-	reply_now(cb, ctx, outcome);
+	return false;
+}
+
+/**
+ * Finds the queue and the account of a call.
+ * @param account receives NULL if the call has no valid key and needs none
+ * @return false when the call is refused, with `outcome`
+ */
+static bool authorize(mt_dag_front_t *front, const mt_front_call_t *call,
+		      const mt_queue_t **queue,
+		      const mt_client_account_t **account,
+		      mt_front_outcome_t *outcome)
+{
+	if (!config_is_recent(front, front->deps.config_age_max_ms)) {
+		*outcome = MT_FRONT_OUTCOME_NOT_DONE;
+		return refuse(front, "configuration is not current");
+	}
+	*queue = mt_catalog_route(front->catalog, call->url_host, call->path);
+	if (!*queue) {
+		*outcome = MT_FRONT_OUTCOME_NO_QUEUE;
+		return refuse(front, "no queue");
+	}
+	*account = mt_catalog_account_of_key(front->catalog, call->key);
+	if (!*account && !(*queue)->needs_no_key) {
+		*outcome = MT_FRONT_OUTCOME_BAD_KEY;
+		return refuse(front, "unknown key");
+	}
+	return true;
+}
+
+bool mt_dag_front_check(mt_dag_front_t *front, const mt_front_call_t *call,
+			mt_front_outcome_t *outcome, mt_name_t *account_name)
+{
+	const mt_client_account_t *account;
+	const mt_queue_t *queue;
+
+	if (!authorize(front, call, &queue, &account, outcome))
+		return false;
+	if (account)
+		*account_name = account->name;
+	return true;
 }
 
 /**
@@ -637,22 +677,12 @@
 {
 	const mt_client_account_t *account;
 	const mt_queue_t *queue;
+	mt_front_outcome_t outcome;
 	mt_str_t id_text;
 	uint64_t id;
 
-	if (!config_is_recent(front, front->deps.config_age_max_ms)) {
-		refuse(front, "configuration is not current",
-		       MT_FRONT_OUTCOME_NOT_DONE, cb, ctx);
-		return;
-	}
-	queue = mt_catalog_route(front->catalog, call->url_host, call->path);
-	if (!queue) {
-		refuse(front, "no queue", MT_FRONT_OUTCOME_NO_QUEUE, cb, ctx);
-		return;
-	}
-	account = mt_catalog_account_of_key(front->catalog, call->key);
-	if (!account && !queue->needs_no_key) {
-		refuse(front, "unknown key", MT_FRONT_OUTCOME_BAD_KEY, cb, ctx);
+	if (!authorize(front, call, &queue, &account, &outcome)) {
+		reply_now(cb, ctx, outcome);
 		return;
 	}
 	id_text = (mt_str_t){call->path.data + strlen(queue->path_prefix),
--- a/lib/dag/front.h
+++ b/lib/dag/front.h
@@ -113,6 +113,16 @@
 void mt_dag_front_peer_call(mt_dag_front_t *front, const MtDag__PeerCall *call,
 			    mt_front_cb cb, void *ctx);
 
+/**
+ * Checks a call whose body has not been received: its queue and API key.
+ * @param outcome receives the reason of a refusal
+ * @param account receives the name of the client account; empty if the call
+ *                needs no API key
+ * @return false when the call is refused
+ */
+bool mt_dag_front_check(mt_dag_front_t *front, const mt_front_call_t *call,
+			mt_front_outcome_t *outcome, mt_name_t *account);
+
 /** Handles one call; `cb` receives the reply. */
 void mt_dag_front_call(mt_dag_front_t *front, const mt_front_call_t *call,
 		       mt_front_cb cb, void *ctx);
--- a/lib/net/http_server.c
+++ b/lib/net/http_server.c
@@ -5,8 +5,16 @@
 #include <h2o/http1.h>
 #include <string.h>
 
+#include "net/http_connection.h"
+
 #define LISTEN_BACKLOG 1024
 
+/**
+ * Time-out of h2o for receiving a request. Longer than each deadline of
+ * http_guard.h, so that those apply.
+ */
+#define H2O_REQUEST_TIMEOUT_MS 3600000u
+
 struct mt_http_server_t {
 	h2o_globalconf_t config;
 	h2o_context_t context;
@@ -15,15 +23,10 @@
 	mt_loop_t *loop;
 	mt_http_handler_cb handler;
 	void *ctx;
-	unsigned connections;
+	mt_connections_t *connections;
 	bool keep_alive_disabled; /**< responses close their connection */
 };
 
-typedef struct mt_connection_t {
-	uv_tcp_t tcp;
-	mt_http_server_t *server;
-} mt_connection_t;
-
 typedef struct mt_h2o_handler_t {
 	h2o_handler_t super;
 	mt_http_server_t *server;
@@ -37,6 +40,7 @@
 	h2o_generator_t generator;
 	h2o_req_t *request;
 	mt_http_server_t *server;
+	mt_connection_t *connection;
 	bool responded;
 	void (*on_disconnect)(void *ctx);
 	void *disconnect_ctx;
@@ -52,6 +56,7 @@
 
 	if (!exchange->responded && exchange->on_disconnect)
 		exchange->on_disconnect(exchange->disconnect_ctx);
+	mt_connection_request_ended(exchange->connection);
 }
 
 static mt_str_t str_from_iovec(h2o_iovec_t vec)
@@ -71,6 +76,9 @@
 	memset(exchange, 0, sizeof(*exchange));
 	exchange->request = request;
 	exchange->server = server;
+	exchange->connection =
+		mt_connections_find(server->connections, request->conn);
+	mt_connection_request_received(exchange->connection);
 	incoming.method = str_from_iovec(request->method);
 	incoming.path = (mt_str_t){request->path.base, path_len};
 	if (path_len < request->path.len)
@@ -82,32 +90,13 @@
 	return 0;
 }
 
-static void on_connection_closed(uv_handle_t *handle)
-{
-	mt_connection_t *connection = (mt_connection_t *)handle;
-
-	connection->server->connections--;
-	g_free(connection);
-}
-
 static void on_connection(uv_stream_t *listener, int status)
 {
 	mt_http_server_t *server = listener->data;
-	mt_connection_t *connection;
 
-	if (status != 0)
-		return;
-	connection = g_new0(mt_connection_t, 1);
-	connection->server = server;
-	server->connections++;
-	uv_tcp_init(listener->loop, &connection->tcp);
-	if (uv_accept(listener, (uv_stream_t *)&connection->tcp)) {
-		uv_close((uv_handle_t *)&connection->tcp, on_connection_closed);
-		return;
-	}
-	h2o_accept(&server->accept,
-		   h2o_uv_socket_create((uv_stream_t *)&connection->tcp,
-					on_connection_closed));
+	if (status == 0)
+		mt_connections_accept(server->connections, listener,
+				      &server->accept);
 }
 
 static bool listen_on(mt_http_server_t *server, const mt_name_t *address,
@@ -135,12 +124,17 @@
 	mt_http_server_t *server = g_new0(mt_http_server_t, 1);
 	h2o_hostconf_t *host;
 	mt_h2o_handler_t *catch_all;
+	mt_http_limits_t limits = mt_http_limits_default(body_max_bytes);
 
 	server->loop = loop;
 	server->handler = handler;
 	server->ctx = ctx;
 	h2o_config_init(&server->config);
 	server->config.max_request_entity_size = body_max_bytes;
+	server->config.http1.req_timeout = H2O_REQUEST_TIMEOUT_MS;
+	/* The limits do not cover HTTP/2, where a connection may have many
+	 * requests at a time. */
+	server->config.http1.upgrade_to_http2 = 0;
 	server->config.server_name = h2o_iovec_init(H2O_STRLIT("mimosaturn"));
 	host = h2o_config_register_host(
 		&server->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
@@ -151,12 +145,38 @@
 	h2o_context_init(&server->context, mt_loop_uv(loop), &server->config);
 	server->accept.ctx = &server->context;
 	server->accept.hosts = server->config.hosts;
+	server->connections = mt_connections_new(loop, &limits);
 	if (listen_on(server, address, port))
 		return server;
+	mt_connections_free(server->connections);
 	g_free(server);
 	return NULL;
 }
 
+const mt_http_limits_t *mt_http_server_limits(const mt_http_server_t *server)
+{
+	return mt_http_guard_limits(mt_connections_guard(server->connections));
+}
+
+void mt_http_server_set_limits(mt_http_server_t *server,
+			       const mt_http_limits_t *limits)
+{
+	server->config.max_request_entity_size = limits->body_max_bytes;
+	mt_http_guard_set_limits(mt_connections_guard(server->connections),
+				 limits);
+}
+
+void mt_http_server_set_header_check(mt_http_server_t *server,
+				     mt_http_header_cb cb)
+{
+	mt_connections_set_header_check(server->connections, cb, server->ctx);
+}
+
+const mt_http_stats_t *mt_http_server_stats(const mt_http_server_t *server)
+{
+	return mt_http_guard_stats(mt_connections_guard(server->connections));
+}
+
 mt_str_t mt_http_header(const mt_http_exchange_t *exchange, const char *name)
 {
 	const h2o_headers_t *headers = &exchange->request->headers;
@@ -222,6 +242,7 @@
 				      headers[i], strlen(headers[i]), 0, NULL,
 				      value.base, value.len);
 	}
+	mt_connection_response_ready(exchange->connection, body.len);
 	h2o_start_response(request, &exchange->generator);
 	h2o_send(request, &body_copy, 1, H2O_SEND_STATE_FINAL);
 }
@@ -242,5 +263,5 @@
 
 unsigned mt_http_server_connections(const mt_http_server_t *server)
 {
-	return server->connections;
+	return mt_connections_count(server->connections);
 }
--- a/lib/net/http_server.h
+++ b/lib/net/http_server.h
@@ -1,12 +1,14 @@
 /**
  * @file http_server.h
  * HTTP server based on h2o: one handler for all requests, asynchronous
- * responses and a graceful stop.
+ * responses and a graceful stop. Clients that exceed a limit (http_guard.h) are
+ * refused or disconnected.
  */
 #ifndef MT_NET_HTTP_SERVER_H
 #define MT_NET_HTTP_SERVER_H
 
 #include "kernel/name.h"
+#include "net/http_guard.h"
 #include "net/loop.h"
 
 typedef struct mt_http_server_t mt_http_server_t;
@@ -30,11 +32,43 @@
 typedef void (*mt_http_handler_cb)(void *ctx,
 				   const mt_http_incoming_request_t *request);
 
-/** @return NULL when `address`:`port` cannot be listened on */
+/** The header of a request whose body is incomplete. */
+typedef struct mt_http_header_t {
+	mt_str_t method;
+	mt_str_t path; /**< without the query */
+	mt_str_t authority;
+	mt_str_t authorization;
+} mt_http_header_t;
+
+/**
+ * Checks the header of a request whose body is still being received.
+ * @param account receives the client account whose budget the request counts
+ *                against; may stay empty
+ * @return 0 to receive the body, or the status of a refusal
+ */
+typedef int (*mt_http_header_cb)(void *ctx, const mt_http_header_t *header,
+				 mt_name_t *account);
+
+/**
+ * The limits are mt_http_limits_default().
+ * @return NULL when `address`:`port` cannot be listened on
+ */
 mt_http_server_t *mt_http_server_new(mt_loop_t *loop, const mt_name_t *address,
 				     uint16_t port, size_t body_max_bytes,
 				     mt_http_handler_cb handler, void *ctx);
 
+const mt_http_limits_t *mt_http_server_limits(const mt_http_server_t *server);
+
+/** Replaces the limits of the server. */
+void mt_http_server_set_limits(mt_http_server_t *server,
+			       const mt_http_limits_t *limits);
+
+/** Sets the check of headers; its `ctx` is that of the handler. */
+void mt_http_server_set_header_check(mt_http_server_t *server,
+				     mt_http_header_cb cb);
+
+const mt_http_stats_t *mt_http_server_stats(const mt_http_server_t *server);
+
 /**
  * Value of a request header, empty when missing; valid during the handler only.
  * @param name in lower case
--- a/programs/entryd/main.c
+++ b/programs/entryd/main.c
@@ -23,6 +23,7 @@
 #include "platform/backend_http.h"
 #include "platform/backend_json.h"
 #include "platform/store_http.h"
+#include "limits.h"
 #include "settings.h"
 
 #define EXIT_BAD_SETTINGS 2
@@ -47,6 +48,7 @@
 	mt_http_client_t *http_client;
 	mt_dag_host_t *host;
 	mt_front_http_t *front_http;
+	mt_entry_limits_t *limits;
 	uv_signal_t sigterm;
 	uv_signal_t sigint;
 	uv_signal_t sighup;
@@ -143,6 +145,7 @@
 
 	*mt_kernel_counter(entryd->kernel, "platform_bytes_total") =
 		mt_http_client_bytes(entryd->http_client);
+	mt_entry_limits_update_metrics(entryd->limits);
 	text = mt_kernel_metrics_text(entryd->kernel);
 	mt_http_respond(request->exchange, 200, "text/plain", mt_str_from(text),
 			NULL);
@@ -152,19 +155,27 @@
 static bool listen_all(mt_entryd_t *entryd)
 {
 	const mt_entry_settings_t *settings = &entryd->settings;
+	mt_entry_servers_t servers;
 
 	entryd->front_http = mt_front_http_new(
 		entryd->kernel, entryd->loop, &settings->callers.address,
 		settings->callers.port, mt_dag_host_front(entryd->host));
-	return entryd->front_http &&
-	       mt_peer_server_new(entryd->kernel, entryd->loop,
-				  &settings->peers, entryd->host) &&
-	       mt_readiness_server_new(
-		       entryd->loop, &settings->readiness.address,
-		       settings->readiness.port, is_ready, entryd) &&
-	       mt_http_server_new(entryd->loop, &settings->metrics.address,
-				  settings->metrics.port, 0, on_metrics,
-				  entryd);
+	if (!entryd->front_http)
+		return false;
+	servers.callers = mt_front_http_server(entryd->front_http);
+	servers.peers = mt_peer_server_new(entryd->kernel, entryd->loop,
+					   &settings->peers, entryd->host);
+	servers.readiness = mt_readiness_server_new(
+		entryd->loop, &settings->readiness.address,
+		settings->readiness.port, is_ready, entryd);
+	servers.metrics = mt_http_server_new(
+		entryd->loop, &settings->metrics.address,
+		settings->metrics.port, 0, on_metrics, entryd);
+	if (!servers.peers || !servers.readiness || !servers.metrics)
+		return false;
+	entryd->limits = mt_entry_limits_new(entryd->kernel, settings, &servers,
+					     entryd->http_client);
+	return true;
 }
 
 /* Start-up. */
--- a/programs/entryd/settings.c
+++ b/programs/entryd/settings.c
@@ -147,6 +147,29 @@
 	return true;
 }
 
+/** Reads an optional number above 0; leaves `value` at 0 if it is missing. */
+static bool get_optional_u32(const json_t *json, const char *field,
+			     uint32_t *value, GError **error)
+{
+	if (!json_object_get(json, field))
+		return true;
+	if (!mt_json_get_u32(json, field, value) || !*value)
+		return fail(error, field, "not a whole number above 0");
+	return true;
+}
+
+static bool get_resources(const json_t *json, mt_entry_settings_t *settings,
+			  GError **error)
+{
+	mt_host_resources_t *resources = &settings->resources;
+
+	return get_optional_u32(json, "memory_mb", &resources->memory_mb,
+				error) &&
+	       get_optional_u32(json, "max_fds", &resources->max_fds, error) &&
+	       get_optional_u32(json, "max_body_bytes",
+				&settings->max_body_bytes, error);
+}
+
 static bool get_store_limits(const json_t *json, mt_store_limits_t *limits,
 			     GError **error)
 {
@@ -175,6 +198,7 @@
 	       get_optional_endpoint(json, "advice", &settings->advice,
 				     error) &&
 	       get_store_limits(json, &settings->store_limits, error) &&
+	       get_resources(json, settings, error) &&
 	       get_durations(json, settings, error);
 }
 
--- a/programs/entryd/settings.h
+++ b/programs/entryd/settings.h
@@ -8,6 +8,7 @@
 
 #include "dag/engine.h"
 #include "kernel/name.h"
+#include "platform/host_limits.h"
 #include "platform/store_http.h"
 
 typedef enum mt_entry_error_t {
@@ -36,6 +37,10 @@
 	mt_ms_t drain_ms; /**< time from the signal to the end of a graceful
 		       shutdown, including DRAIN_LINGER_MS */
 	mt_engine_timing_t timings;
+	mt_host_resources_t resources;
+	/** Largest body of a request of a client; 0: BODY_MAX_BYTES in
+	 * front_http.c. */
+	uint32_t max_body_bytes;
 } mt_entry_settings_t;
 
 /** Reads and validates the file; the error names the file or the field. */
--- a/tests/scripts/hostile-clients.sh
+++ b/tests/scripts/hostile-clients.sh
@@ -7,8 +7,8 @@
 # the peak of the resident memory stays below memory_mb, and the number of
 # descriptors below max_fds.
 #
-# hostile-clients.sh [KIND...]: the kinds of tests/hostile/main.c, and "leader";
-# all of them if none is given
+# hostile-clients.sh [KIND...]: the kinds of tests/hostile/main.c, "refusals" and
+# "leader"; all of them if none is given
 cd "$(dirname "$0")/../.." || exit 1
 . tests/scripts/lib.sh
 trap stop_all EXIT
@@ -196,6 +196,36 @@
 	wait "$watcher"
 }
 
+# first_line HEADER-LINES: sends a header and a part of a body to the target, and
+# prints the first line of the answer
+first_line() {
+	exec 3<>"/dev/tcp/127.0.0.1/$(entry_callers_port "$TARGET")"
+	printf 'POST /batch/00000000000000e2 HTTP/1.1\r\nHost: %s\r\n%b\r\npart' \
+		jobs.example "$1" >&3
+	head -1 <&3 | tr -d '\r'
+	exec 3>&-
+}
+
+# Requests that are refused before their body is received.
+check_refusals() {
+	local good="Authorization: Token good\\r\\n"
+	start_entry "$TARGET"
+	wait_ready "$TARGET"
+	check "unknown key" "HTTP/1.1 401 " "$(first_line \
+		"Authorization: Token bad\\r\\nContent-Length: 1000\\r\\n")"
+	check "no key" "HTTP/1.1 401 " \
+		"$(first_line "Content-Length: 1000\\r\\n")"
+	check "body too large" "HTTP/1.1 413 Request Entity Too Large" \
+		"$(first_line "${good}Content-Length: 1048577\\r\\n")"
+	check "header too large" "HTTP/1.1 431 " "$(first_line \
+		"${good}X-Filler: $(printf 'x%.0s' {1..70000})\\r\\n")"
+	check "job of a refused request" "{} 410" "$(curl -s -m 4 \
+		-H "Host: jobs.example" -H "Authorization: Token good" \
+		-w ' %{http_code}' \
+		"http://127.0.0.1:$(entry_callers_port "$TARGET")/batch/00000000000000e2")"
+	stop_entry "$TARGET"
+}
+
 "$BUILD/tests/platformd" --port "$FIRST_PORT" --config "$WORK/config.json" \
 	>"$WORK/platform.log" 2>&1 &
 PIDS+=($!)
@@ -207,8 +237,10 @@
 	wait_ready "$host"
 done
 
-for kind in ${*:-$CLIENT_KINDS leader}; do
-	if [ "$kind" = leader ]; then
+for kind in ${*:-refusals $CLIENT_KINDS leader}; do
+	if [ "$kind" = refusals ]; then
+		check_refusals
+	elif [ "$kind" = leader ]; then
 		run_case "$kind" "$CLIENT_KINDS" $((CLIENTS / 10)) \
 			"$(find_leader)"
 	else
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -85,6 +85,7 @@
 	add_suite("backend json", mt_backend_json_tests);
 	add_suite("mutated input", mt_mutated_input_tests);
 	add_suite("odd entries", mt_odd_entries_tests);
+	add_suite("http guard", mt_http_guard_tests);
 	CU_basic_set_mode(CU_BRM_NORMAL);
 	CU_basic_run_tests();
 	printf("%u passed, %u failed\n",
--- /dev/null
+++ b/tests/unit/test_http_guard.c
@@ -0,0 +1,271 @@
+/**
+ * @file test_http_guard.c
+ * Tests of the limits of connections: budgets of bytes, the number of
+ * connections and deadlines (net/http_guard.h), and how the resources of a host
+ * are divided (platform/host_limits.h).
+ */
+#include <CUnit/CUnit.h>
+
+#include "net/http_guard.h"
+#include "platform/host_limits.h"
+#include "unit/tests.h"
+
+#define BODY_BYTES 262144u
+#define MB 1048576u
+#define CONNECTIONS 8u
+
+/* What clients inside the limits of the platform may do. */
+#define ORDINARY_HEADER_MS 3000u
+#define ORDINARY_IDLE_MS 15000u
+#define ORDINARY_HEADER_BYTES 16384u
+
+static mt_http_limits_t make_limits(void)
+{
+	mt_http_limits_t limits = mt_http_limits_default(BODY_BYTES);
+
+	limits.connections_max = 4;
+	limits.buffered_max_bytes = 4 * MB;
+	limits.account_max_bytes = 3 * MB;
+	return limits;
+}
+
+/** Adds connections that receive a body of `bytes`, 1 ms after each other. */
+static void add_bodies(mt_http_guard_t *guard, mt_guarded_t *connections,
+		       unsigned count, size_t bytes)
+{
+	for (unsigned i = 0; i < count; i++) {
+		mt_http_guard_add(guard, &connections[i], i);
+		mt_http_guard_set_phase(guard, &connections[i],
+					MT_HTTP_PHASE_BODY, i);
+		mt_http_guard_set_bytes(guard, &connections[i], bytes, 0, bytes,
+					i);
+	}
+}
+
+/**
+ * Pattern: many bodies stop just before their end. The one that has stood still
+ * for the longest time is closed, and not one that makes progress.
+ */
+static void stalled_bodies_are_closed_first(void)
+{
+	mt_http_limits_t limits = make_limits();
+	mt_http_guard_t *guard = mt_http_guard_new(&limits);
+	mt_guarded_t connections[CONNECTIONS];
+	mt_http_reason_t reason = MT_HTTP_REASON_NONE;
+
+	add_bodies(guard, connections, 4, MB);
+	CU_ASSERT_PTR_NULL(
+		mt_http_guard_over_budget(guard, &connections[3], &reason));
+	mt_http_guard_set_bytes(guard, &connections[0], MB + 1, 0, MB + 1, 10);
+	CU_ASSERT_PTR_EQUAL(
+		mt_http_guard_over_budget(guard, &connections[0], &reason),
+		&connections[1]);
+	CU_ASSERT_EQUAL(reason, MT_HTTP_REASON_BUFFERED);
+	mt_http_guard_set_phase(guard, &connections[1], MT_HTTP_PHASE_LINGER,
+				10);
+	CU_ASSERT_PTR_NULL(
+		mt_http_guard_over_budget(guard, &connections[0], &reason));
+	CU_ASSERT_EQUAL(mt_http_guard_stats(guard)->buffered_bytes, 3 * MB + 1);
+	mt_http_guard_free(guard);
+}
+
+/** A request that the handler has may be stored: its answer must be sent. */
+static void requests_of_the_handler_are_not_closed(void)
+{
+	mt_http_limits_t limits = make_limits();
+	mt_http_guard_t *guard = mt_http_guard_new(&limits);
+	mt_guarded_t connections[CONNECTIONS];
+	mt_http_reason_t reason;
+
+	add_bodies(guard, connections, 5, MB);
+	for (unsigned i = 0; i < 4; i++)
+		mt_http_guard_set_phase(guard, &connections[i],
+					MT_HTTP_PHASE_WAITING, 10);
+	CU_ASSERT_PTR_EQUAL(
+		mt_http_guard_over_budget(guard, &connections[0], &reason),
+		&connections[4]);
+	mt_http_guard_set_phase(guard, &connections[4], MT_HTTP_PHASE_WAITING,
+				10);
+	CU_ASSERT_PTR_NULL(
+		mt_http_guard_over_budget(guard, &connections[0], &reason));
+	for (unsigned i = 0; i < 5; i++)
+		CU_ASSERT_EQUAL(
+			mt_http_guard_overdue(guard, &connections[i], 1000000),
+			MT_HTTP_REASON_NONE);
+	mt_http_guard_free(guard);
+}
+
+/** An account that uses up its budget costs other accounts nothing. */
+static void an_account_closes_its_own_connections(void)
+{
+	mt_http_limits_t limits = make_limits();
+	mt_http_guard_t *guard = mt_http_guard_new(&limits);
+	mt_guarded_t connections[CONNECTIONS];
+	mt_http_reason_t reason = MT_HTTP_REASON_NONE;
+	mt_name_t small = mt_name("small");
+	mt_name_t large = mt_name("large");
+
+	add_bodies(guard, connections, 4, MB - 1);
+	mt_http_guard_set_account(guard, &connections[0], &small);
+	for (unsigned i = 1; i < 4; i++)
+		mt_http_guard_set_account(guard, &connections[i], &large);
+	CU_ASSERT_PTR_NULL(
+		mt_http_guard_over_budget(guard, &connections[3], &reason));
+	mt_http_guard_set_bytes(guard, &connections[3], MB + 3, 0, MB, 10);
+	CU_ASSERT_PTR_EQUAL(
+		mt_http_guard_over_budget(guard, &connections[3], &reason),
+		&connections[1]);
+	CU_ASSERT_EQUAL(reason, MT_HTTP_REASON_ACCOUNT);
+	mt_http_guard_remove(guard, &connections[1]);
+	CU_ASSERT_PTR_NULL(
+		mt_http_guard_over_budget(guard, &connections[3], &reason));
+	mt_http_guard_free(guard);
+}
+
+/** The largest request is served on each host when nothing else happens. */
+static void budgets_hold_the_largest_request(void)
+{
+	mt_http_limits_t limits = make_limits();
+	const mt_http_limits_t *raised;
+	mt_http_guard_t *guard;
+
+	limits.buffered_max_bytes = 1;
+	limits.account_max_bytes = 1;
+	guard = mt_http_guard_new(&limits);
+	raised = mt_http_guard_limits(guard);
+	CU_ASSERT_TRUE(raised->buffered_max_bytes >=
+		       2 * (BODY_BYTES + limits.header_max_bytes));
+	CU_ASSERT_TRUE(raised->account_max_bytes >=
+		       2 * (BODY_BYTES + limits.header_max_bytes));
+	mt_http_guard_free(guard);
+}
+
+/** Pattern: connections that send nothing use up the descriptors. */
+static void idle_connections_make_room(void)
+{
+	mt_http_limits_t limits = make_limits();
+	mt_http_guard_t *guard = mt_http_guard_new(&limits);
+	mt_guarded_t connections[CONNECTIONS];
+	mt_guarded_t *victim;
+
+	add_bodies(guard, connections, 4, 1);
+	mt_http_guard_set_phase(guard, &connections[0], MT_HTTP_PHASE_WAITING,
+				10);
+	CU_ASSERT_FALSE(mt_http_guard_may_add(guard, &victim));
+	CU_ASSERT_PTR_EQUAL_FATAL(victim, &connections[1]);
+	mt_http_guard_set_phase(guard, victim, MT_HTTP_PHASE_CLOSED, 10);
+	CU_ASSERT_TRUE(mt_http_guard_may_add(guard, &victim));
+	CU_ASSERT_PTR_NULL(victim);
+	mt_http_guard_remove(guard, &connections[1]);
+	CU_ASSERT_EQUAL(mt_http_guard_stats(guard)->connections, 3);
+	for (unsigned i = 2; i < 4; i++)
+		mt_http_guard_set_phase(guard, &connections[i],
+					MT_HTTP_PHASE_WAITING, 10);
+	mt_http_guard_add(guard, &connections[4], 10);
+	mt_http_guard_set_phase(guard, &connections[4], MT_HTTP_PHASE_WAITING,
+				10);
+	CU_ASSERT_FALSE(mt_http_guard_may_add(guard, &victim));
+	CU_ASSERT_PTR_NULL(victim);
+	mt_http_guard_free(guard);
+}
+
+static mt_http_reason_t overdue_in(mt_http_phase_t phase, size_t transferred,
+				   mt_ms_t progress_at, mt_ms_t now)
+{
+	mt_http_limits_t limits = make_limits();
+	mt_http_guard_t *guard = mt_http_guard_new(&limits);
+	mt_guarded_t connection;
+	mt_http_reason_t reason;
+
+	mt_http_guard_add(guard, &connection, 0);
+	mt_http_guard_set_phase(guard, &connection, phase, 0);
+	if (transferred)
+		mt_http_guard_set_bytes(guard, &connection, transferred, 0,
+					transferred, progress_at);
+	reason = mt_http_guard_overdue(guard, &connection, now);
+	mt_http_guard_free(guard);
+	return reason;
+}
+
+static void slow_connections_are_overdue(void)
+{
+	CU_ASSERT_EQUAL(overdue_in(MT_HTTP_PHASE_IDLE, 0, 0, 30000),
+			MT_HTTP_REASON_IDLE);
+	CU_ASSERT_EQUAL(overdue_in(MT_HTTP_PHASE_HEADER, 100, 19000, 20000),
+			MT_HTTP_REASON_HEADER_TIME);
+	/* A byte now and then is too slow, and so is a body that stopped. */
+	CU_ASSERT_EQUAL(overdue_in(MT_HTTP_PHASE_BODY, 100, 19000, 20000),
+			MT_HTTP_REASON_BODY_TIME);
+	CU_ASSERT_EQUAL(
+		overdue_in(MT_HTTP_PHASE_BODY, BODY_BYTES - 1, 1000, 12000),
+		MT_HTTP_REASON_BODY_TIME);
+	CU_ASSERT_EQUAL(overdue_in(MT_HTTP_PHASE_RESPONSE, 0, 0, 20000),
+			MT_HTTP_REASON_RESPONSE_TIME);
+	CU_ASSERT_EQUAL(overdue_in(MT_HTTP_PHASE_LINGER, 0, 0, 2000),
+			MT_HTTP_REASON_LINGERED);
+}
+
+static void ordinary_connections_are_not_overdue(void)
+{
+	CU_ASSERT_EQUAL(overdue_in(MT_HTTP_PHASE_IDLE, 0, 0, ORDINARY_IDLE_MS),
+			MT_HTTP_REASON_NONE);
+	CU_ASSERT_EQUAL(
+		overdue_in(MT_HTTP_PHASE_HEADER, 100, 0, ORDINARY_HEADER_MS),
+		MT_HTTP_REASON_NONE);
+	CU_ASSERT_EQUAL(
+		overdue_in(MT_HTTP_PHASE_BODY, BODY_BYTES / 2, 12000, 15000),
+		MT_HTTP_REASON_NONE);
+	CU_ASSERT_TRUE(mt_http_limits_default(BODY_BYTES).header_max_bytes >
+		       ORDINARY_HEADER_BYTES);
+}
+
+/** The parts of the smallest host of the platform add up to less than it has.
+ */
+static void the_smallest_host_is_not_exceeded(void)
+{
+	mt_host_resources_t smallest = {120, 3075};
+	mt_http_limits_t defaults = mt_http_limits_default(MB);
+	mt_http_limits_t clients = mt_client_limits(&smallest, &defaults);
+	mt_http_limits_t peers = mt_peer_limits(&smallest, &defaults);
+	mt_http_limits_t probes = mt_probe_limits(&smallest, &defaults);
+
+	CU_ASSERT_EQUAL(clients.buffered_max_bytes, 15 * MB);
+	CU_ASSERT_EQUAL(clients.connections_max, 1025);
+	CU_ASSERT_TRUE(clients.buffered_max_bytes + peers.buffered_max_bytes +
+			       2 * probes.buffered_max_bytes +
+			       mt_response_limit(&smallest) <
+		       120u * MB / 2);
+	CU_ASSERT_TRUE(2 * clients.connections_max + peers.connections_max +
+			       2 * probes.connections_max <
+		       3075u * 3 / 4 + 100);
+}
+
+/** Without the settings, the budgets are far above what clients use. */
+static void unknown_resources_leave_the_defaults(void)
+{
+	mt_host_resources_t unknown = {0, 0};
+	mt_http_limits_t defaults = mt_http_limits_default(MB);
+	mt_http_limits_t clients = mt_client_limits(&unknown, &defaults);
+
+	CU_ASSERT_EQUAL(clients.buffered_max_bytes,
+			defaults.buffered_max_bytes);
+	CU_ASSERT_EQUAL(clients.connections_max, defaults.connections_max);
+}
+
+const mt_test_t mt_http_guard_tests[] = {
+	{"stalled bodies are closed first", stalled_bodies_are_closed_first},
+	{"requests of the handler are not closed",
+	 requests_of_the_handler_are_not_closed},
+	{"an account closes its own connections",
+	 an_account_closes_its_own_connections},
+	{"budgets hold the largest request", budgets_hold_the_largest_request},
+	{"idle connections make room", idle_connections_make_room},
+	{"slow connections are overdue", slow_connections_are_overdue},
+	{"ordinary connections are not overdue",
+	 ordinary_connections_are_not_overdue},
+	{"the smallest host is not exceeded",
+	 the_smallest_host_is_not_exceeded},
+	{"unknown resources leave the defaults",
+	 unknown_resources_leave_the_defaults},
+	{NULL, NULL},
+};
--- a/tests/unit/tests.h
+++ b/tests/unit/tests.h
@@ -24,5 +24,6 @@
 extern const mt_test_t mt_backend_json_tests[];
 extern const mt_test_t mt_mutated_input_tests[];
 extern const mt_test_t mt_odd_entries_tests[];
+extern const mt_test_t mt_http_guard_tests[];
 
 #endif
