--- a/lib/dag/front.c
+++ b/lib/dag/front.c
@@ -53,8 +53,17 @@
  */
 #define FORWARD_RETRY_MS 100u
 
+/**
+ * Maximum number of events call_refused per second, so that clients without a
+ * valid API key do not use up MT_EVENTS_PER_S.
+ */
+#define REFUSALS_LOGGED_PER_S 20u
+#define MS_PER_S 1000u
+
 struct mt_dag_front_t {
 	mt_dag_front_deps_t deps;
+	mt_ms_t refusals_since;	  /**< begin of the present second */
+	unsigned refusals_logged; /**< in the present second */
 	/** Reads the records of jobs; NULL: this host does not read them. */
 	mt_follower_t *records_follower;
 	const mt_catalog_t *catalog;
@@ -593,9 +602,25 @@
 
 /* Dispatch of calls. */
 
-/** Logs a refused call. */
+/** @return true if a refused call may be logged now */
+static bool may_log_refusal(mt_dag_front_t *front)
+{
+	mt_ms_t now = mt_kernel_now(front->deps.kernel);
+
+	if (now - front->refusals_since >= MS_PER_S) {
+		front->refusals_since = now;
+		front->refusals_logged = 0;
+	}
+	return front->refusals_logged++ < REFUSALS_LOGGED_PER_S;
+}
+
+/** Counts and logs a refused call. Returns false. */
 static bool refuse(mt_dag_front_t *front, const char *reason)
 {
+	mt_kernel_count(front->deps.kernel,
+			"calls_refused_total{reason=\"%s\"}", reason);
+	if (!may_log_refusal(front))
+		return false;
 	mt_kernel_event(
 		front->deps.kernel, "call_refused",
 		"\"reason\":\"%s\",\"config_version\":%" G_GUINT64_FORMAT
--- a/lib/peer/peer_http.c
+++ b/lib/peer/peer_http.c
@@ -131,9 +131,13 @@
 
 /* Server side. */
 
+/** Interval between messages about malformed calls, which are counted. */
+#define REFUSAL_LOG_INTERVAL_MS 1000u
+
 typedef struct mt_peer_server_t {
 	mt_kernel_t *kernel;
 	mt_dag_host_t *host;
+	mt_ms_t refusal_logged_at; /**< 0: never */
 } mt_peer_server_t;
 
 /** A call of another host that has not been replied to. */
@@ -153,8 +157,15 @@
 
 static void refuse(mt_peer_server_t *server, mt_http_exchange_t *exchange)
 {
-	mt_log(server->kernel, MT_LOG_ERR, "peer",
-	       "refusing a malformed call of another host");
+	mt_ms_t now = mt_kernel_now(server->kernel);
+
+	mt_kernel_count(server->kernel, "peer_calls_malformed_total");
+	if (!server->refusal_logged_at ||
+	    now - server->refusal_logged_at >= REFUSAL_LOG_INTERVAL_MS) {
+		server->refusal_logged_at = now;
+		mt_log(server->kernel, MT_LOG_ERR, "peer",
+		       "refusing a malformed call of another host");
+	}
 	mt_http_respond(exchange, STATUS_BAD_REQUEST, CONTENT_TYPE,
 			(mt_str_t){0}, NULL);
 }
--- a/tests/check.sh
+++ b/tests/check.sh
@@ -69,6 +69,7 @@
 suite "processes: mimosaturn-entry hosts" tests/scripts/entry-hosts.sh
 suite "processes: injected faults (chaos)" tests/scripts/chaos.sh 1 3 8
 suite "processes: client API" tests/scripts/callers.sh
+suite "processes: clients that exceed the limits" tests/scripts/hostile-clients.sh
 suite "demo: Workshop" tests/check-demo.sh workshop 200
 suite "demo: Ladesaeulen" tests/check-demo.sh ladesaeulen 200
 
@@ -80,6 +81,8 @@
 export ASAN_OPTIONS=detect_leaks=0
 suite "sanitized unit and scripted" env ASAN_OPTIONS=detect_leaks=1 \
 	build-asan/tests/unit tests/scripted
+suite "sanitized random input (fuzz)" env ASAN_OPTIONS=detect_leaks=1 \
+	build-asan/tests/fuzz --seed 1 --rounds 20000
 suite "sanitized simulated mimosaturn-entry hosts (fleet)" build-asan/tests/fleet --seed 201 \
 	--seeds 12
 suite "sanitized simulated mimosaturnd hosts (soak)" build-asan/tests/soak --seed 101 --seeds 6 \
@@ -88,6 +91,8 @@
 	tests/scripts/entry-hosts.sh
 suite "sanitized processes: client API" env BUILD=build-asan \
 	tests/scripts/callers.sh
+suite "sanitized processes: clients that exceed the limits" env BUILD=build-asan \
+	BOUND_MB=1024 tests/scripts/hostile-clients.sh
 suite "sanitized demo" env BUILD=build-asan tests/check-demo.sh
 
 [ "$known_failures" -eq 0 ] || echo "known failures, not counted: $known_failures"
--- a/tests/scripts/hostile-clients.sh
+++ b/tests/scripts/hostile-clients.sh
@@ -7,8 +7,9 @@
 # the peak of the resident memory stays below memory_mb, and the number of
 # descriptors below max_fds.
 #
-# hostile-clients.sh [KIND...]: the kinds of tests/hostile/main.c, "refusals" and
-# "leader"; all of them if none is given
+# hostile-clients.sh [KIND...]: the kinds of tests/hostile/main.c, "refusals",
+# "peers" (clients that connect to the port for other hosts) and "leader"; all of
+# them if none is given
 cd "$(dirname "$0")/../.." || exit 1
 . tests/scripts/lib.sh
 trap stop_all EXIT
@@ -18,12 +19,15 @@
 WAIT_S=15
 TARGET=2 # the host that the clients connect to; hosts 0 and 1 are also running
 MEMORY_MB=48
+# Bound of the resident memory; a build with sanitizers needs more.
+BOUND_MB=${BOUND_MB:-$MEMORY_MB}
 MAX_FDS=512
 CLIENTS=600
 BODY_BYTES=262144
 ATTACK_S=4
 CLIENT_KINDS="announced chunked whole piecewise headers one-header silent
 	pipelined malformed keys"
+JOB='{"spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":10,"estimate_ms":10}]}'
 passed=0
 failed=0
 
@@ -112,7 +116,7 @@
 	while [ $SECONDS -lt $until ]; do
 		answer=$(curl -s -X POST -H "Host: jobs.example" \
 			-H "Authorization: Token good" -w ' %{http_code}' -m 4 \
-			-d '{"spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":10,"estimate_ms":10}]}' \
+			-d "$JOB" \
 			"http://127.0.0.1:$(entry_callers_port "$TARGET")/batch/$1")
 		[ "$answer" = "{} 200" ] && break
 		sleep 0.2
@@ -145,9 +149,11 @@
 	done
 }
 
-# run_clients KIND CLIENTS: runs clients of one kind in the background
+# run_clients KIND CLIENTS: runs clients of one kind in the background, on the
+# port PORT if it is set
 run_clients() {
-	"$BUILD/tests/hostile" --port "$(entry_callers_port "$TARGET")" \
+	"$BUILD/tests/hostile" \
+		--port "${PORT:-$(entry_callers_port "$TARGET")}" \
 		--kind "$1" --clients "$2" --bytes "$BODY_BYTES" \
 		--seconds "$ATTACK_S" >"$WORK/clients-$1.log" 2>&1 &
 	CLIENT_PIDS+=($!)
@@ -185,7 +191,7 @@
 	kill -0 "${PID[$TARGET]}" 2>/dev/null && alive=yes
 	check "$kind: process runs" yes "$alive"
 	check_below "$kind: peak of resident memory in KB" \
-		$((MEMORY_MB * 1024)) "$peak"
+		$((BOUND_MB * 1024)) "$peak"
 	check_below "$kind: descriptors" "$MAX_FDS" "$(cat "$WORK/fds")"
 	check "$kind: ordinary request" "{} 200" \
 		"$(submit "00000000000000f$((RANDOM % 10))")"
@@ -206,7 +212,8 @@
 	exec 3>&-
 }
 
-# Requests that are refused before their body is received.
+# Requests that are refused before their body is received, and one of the largest
+# size that clients may send.
 check_refusals() {
 	local good="Authorization: Token good\\r\\n"
 	start_entry "$TARGET"
@@ -218,11 +225,17 @@
 	check "body too large" "HTTP/1.1 413 Request Entity Too Large" \
 		"$(first_line "${good}Content-Length: 1048577\\r\\n")"
 	check "header too large" "HTTP/1.1 431 " "$(first_line \
-		"${good}X-Filler: $(printf 'x%.0s' {1..70000})\\r\\n")"
+		"${good}Content-Length: 1000\\r\\nX-Filler: $(printf 'x%.0s' {1..70000})\\r\\n")"
 	check "job of a refused request" "{} 410" "$(curl -s -m 4 \
 		-H "Host: jobs.example" -H "Authorization: Token good" \
 		-w ' %{http_code}' \
 		"http://127.0.0.1:$(entry_callers_port "$TARGET")/batch/00000000000000e2")"
+	printf '%s%*s' "$JOB" $((BODY_BYTES - ${#JOB})) "" >"$WORK/body"
+	check "largest request" "{} 200" "$(curl -s -m 4 \
+		-H "Host: jobs.example" -H "Authorization: Token good" \
+		-H "X-Filler: $(printf 'x%.0s' {1..16000})" -H "Expect:" \
+		--data-binary "@$WORK/body" -w ' %{http_code}' \
+		"http://127.0.0.1:$(entry_callers_port "$TARGET")/batch/00000000000000e3")"
 	stop_entry "$TARGET"
 }
 
@@ -237,9 +250,12 @@
 	wait_ready "$host"
 done
 
-for kind in ${*:-refusals $CLIENT_KINDS leader}; do
+for kind in ${*:-refusals $CLIENT_KINDS peers leader}; do
 	if [ "$kind" = refusals ]; then
 		check_refusals
+	elif [ "$kind" = peers ]; then
+		PORT=$((FIRST_PORT + 70 + TARGET)) run_case "$kind" \
+			"chunked piecewise headers silent" $((CLIENTS / 4))
 	elif [ "$kind" = leader ]; then
 		run_case "$kind" "$CLIENT_KINDS" $((CLIENTS / 10)) \
 			"$(find_leader)"
