--- a/lib/net/http_server.c
+++ b/lib/net/http_server.c
@@ -15,6 +15,9 @@
  */
 #define H2O_REQUEST_TIMEOUT_MS 3600000u
 
+/** An idle connection is closed after this time while the server stops. */
+#define STOPPING_IDLE_MS 10000u
+
 struct mt_http_server_t {
 	h2o_globalconf_t config;
 	h2o_context_t context;
@@ -254,9 +257,13 @@
 
 void mt_http_server_stop(mt_http_server_t *server)
 {
+	mt_http_limits_t limits = *mt_http_server_limits(server);
+
 	server->keep_alive_disabled = true;
 	if (uv_is_closing((uv_handle_t *)&server->listener))
 		return;
+	limits.idle_ms = MIN(limits.idle_ms, STOPPING_IDLE_MS);
+	mt_http_server_set_limits(server, &limits);
 	uv_close((uv_handle_t *)&server->listener, NULL);
 	h2o_context_request_shutdown(&server->context);
 }
--- a/tests/unit/test_http_guard.c
+++ b/tests/unit/test_http_guard.c
@@ -231,6 +231,7 @@
 
 	CU_ASSERT_EQUAL(clients.buffered_max_bytes, 15 * MB);
 	CU_ASSERT_EQUAL(clients.connections_max, 1025);
+	CU_ASSERT_TRUE(probes.body_max_bytes < probes.buffered_max_bytes / 8);
 	CU_ASSERT_TRUE(clients.buffered_max_bytes + peers.buffered_max_bytes +
 			       2 * probes.buffered_max_bytes +
 			       mt_response_limit(&smallest) <
