jobs: refuse bodies that take much memory when they are decoded

A decoded value takes up to a hundred times the memory of its text: 4 clients that sent jobs of 1 MiB with empty objects in a field that is ignored raised a process to 91 MB.

--- a/lib/net/json_util.c
+++ b/lib/net/json_util.c
@@ -8,6 +8,27 @@
 	return json_loadb(body.data, body.len, JSON_REJECT_DUPLICATES, NULL);
 }
 
+bool mt_json_is_within(mt_str_t text, size_t containers_max, size_t commas_max)
+{
+	bool in_string = false;
+	size_t containers = 0;
+	size_t commas = 0;
+
+	for (size_t i = 0; i < text.len; i++) {
+		char c = text.data[i];
+
+		if (in_string && c == '\\')
+			i++;
+		else if (c == '"')
+			in_string = !in_string;
+		else if (!in_string && (c == '{' || c == '['))
+			containers++;
+		else if (!in_string && c == ',')
+			commas++;
+	}
+	return containers <= containers_max && commas <= commas_max;
+}
+
 bool mt_json_get_name(const json_t *object, const char *key, mt_name_t *name)
 {
 	const json_t *value = json_object_get(object, key);
--- a/lib/net/json_util.h
+++ b/lib/net/json_util.h
@@ -14,6 +14,14 @@
 /** Parses an object or array; NULL if malformed or with duplicate keys. */
 json_t *mt_json_parse(mt_str_t body);
 
+/**
+ * Counts the objects and arrays, and the commas, outside of strings. A decoded
+ * value takes up to a hundred times the memory of its text: over 200 bytes for
+ * an empty object.
+ * @return true if neither count is above its maximum
+ */
+bool mt_json_is_within(mt_str_t text, size_t containers_max, size_t commas_max);
+
 bool mt_json_get_name(const json_t *object, const char *key, mt_name_t *name);
 bool mt_json_get_u64(const json_t *object, const char *key, uint64_t *value);
 bool mt_json_get_u32(const json_t *object, const char *key, uint32_t *value);
--- a/tests/hostile/main.c
+++ b/tests/hostile/main.c
@@ -61,6 +61,8 @@
 	bool omits_last;       /**< most clients do not send the last byte */
 	bool reads;	       /**< reads responses */
 	size_t body_max_bytes; /**< 0: of the size given as an argument */
+	/** Values of a further field of the job; NULL: spaces pad the job. */
+	const char *values;
 } mt_hostile_kind_t;
 
 struct mt_hostile_t {
@@ -169,21 +171,25 @@
 }
 
 static const mt_hostile_kind_t kinds[] = {
-	{"announced", head_of_huge_body, "x", false, false, true, 0},
+	{"announced", head_of_huge_body, "x", false, false, true, 0, NULL},
 	{"chunked", head_of_chunked_body, "1000\r\n%s\r\n", false, false, true,
-	 0},
-	{"whole", head_of_body, NULL, false, false, true, 0},
-	{"piecewise", head_of_body, NULL, true, true, true, 0},
+	 0, NULL},
+	{"whole", head_of_body, NULL, false, false, true, 0, NULL},
+	{"piecewise", head_of_body, NULL, true, true, true, 0, NULL},
 	{"headers", start_line, "X-Filler: 0123456789abcdef\r\n", true, false,
-	 true, 0},
-	{"one-header", start_line, "0123456789abcdef", true, false, true, 0},
-	{"silent", no_head, NULL, false, false, true, 1},
+	 true, 0, NULL},
+	{"one-header", start_line, "0123456789abcdef", true, false, true, 0,
+	 NULL},
+	{"silent", no_head, NULL, false, false, true, 1, NULL},
 	{"pipelined", no_head,
 	 "GET /batch/00000000000000e1 HTTP/1.1\r\nHost: jobs.example\r\n"
 	 "Authorization: Token good\r\n\r\n",
-	 false, false, false, 0},
-	{"malformed", malformed_head, NULL, false, false, true, PIECE_BYTES},
-	{"keys", head_with_unknown_key, NULL, false, true, true, 0},
+	 false, false, false, 0, NULL},
+	{"malformed", malformed_head, NULL, false, false, true, PIECE_BYTES,
+	 NULL},
+	{"keys", head_with_unknown_key, NULL, false, true, true, 0, NULL},
+	{"nested", head_of_body, NULL, false, false, true, 0, "{},"},
+	{"numbers", head_of_body, NULL, false, false, true, 0, "0,"},
 };
 
 /* Connections. */
@@ -340,28 +346,40 @@
 	return NULL;
 }
 
-/** The repeated part many times, or a job that is padded to `size` bytes. */
-static GString *make_body(const mt_hostile_kind_t *kind, size_t size)
+/** Repeats a part of a request, in which "%s" stands for a chunk. */
+static void append_repeated(GString *body, const char *part, size_t size)
 {
-	GString *body = g_string_new(
-		"{\"spec\":\"scan\",\"steps\":[{\"count\":1,\"cpu\":1000,"
-		"\"mem_mb\":10,\"estimate_ms\":10}]}");
 	char chunk[0x1000 + 1];
 
-	if (!kind->repeated) {
-		while (body->len < size)
-			g_string_append_c(body, ' ');
-		return body;
-	}
 	memset(chunk, ' ', sizeof(chunk) - 1);
 	chunk[sizeof(chunk) - 1] = '\0';
-	g_string_truncate(body, 0);
 	while (body->len < size) {
-		if (strstr(kind->repeated, "%s"))
+		if (strstr(part, "%s"))
 			g_string_append_printf(body, "1000\r\n%s\r\n", chunk);
 		else
-			g_string_append(body, kind->repeated);
+			g_string_append(body, part);
+	}
+}
+
+/** The repeated part many times, or a job that is padded to `size` bytes. */
+static GString *make_body(const mt_hostile_kind_t *kind, size_t size)
+{
+	GString *body = g_string_new(NULL);
+
+	if (kind->repeated) {
+		append_repeated(body, kind->repeated, size);
+		return body;
+	}
+	g_string_append(body, "{\"spec\":\"scan\",\"steps\":[{\"count\":1,"
+			      "\"cpu\":1000,\"mem_mb\":10,"
+			      "\"estimate_ms\":10}]");
+	if (kind->values) {
+		g_string_append(body, ",\"more\":[");
+		append_repeated(body, kind->values, size - sizeof("null]}"));
+		g_string_append(body, "null]");
 	}
+	g_string_append_c(body, '}');
+	append_repeated(body, " ", size);
 	return body;
 }
 
--- a/tests/scripts/hostile-clients.sh
+++ b/tests/scripts/hostile-clients.sh
@@ -24,6 +24,7 @@
 MAX_FDS=512
 CLIENTS=600
 BODY_BYTES=262144
+BODY_MAX_BYTES=1048576 # that the host accepts
 ATTACK_S=4
 CLIENT_KINDS="announced chunked whole piecewise headers one-header silent
 	pipelined malformed keys"
@@ -150,11 +151,11 @@
 }
 
 # run_clients KIND CLIENTS: runs clients of one kind in the background, on the
-# port PORT if it is set
+# port PORT and with bodies of BYTES, if these are set
 run_clients() {
 	"$BUILD/tests/hostile" \
 		--port "${PORT:-$(entry_callers_port "$TARGET")}" \
-		--kind "$1" --clients "$2" --bytes "$BODY_BYTES" \
+		--kind "$1" --clients "$2" --bytes "${BYTES:-$BODY_BYTES}" \
 		--seconds "$ATTACK_S" >"$WORK/clients-$1.log" 2>&1 &
 	CLIENT_PIDS+=($!)
 	PIDS+=($!)
@@ -223,7 +224,7 @@
 	check "no key" "HTTP/1.1 401 " \
 		"$(first_line "Content-Length: 1000\\r\\n")"
 	check "body too large" "HTTP/1.1 413 Request Entity Too Large" \
-		"$(first_line "${good}Content-Length: 1048577\\r\\n")"
+		"$(first_line "${good}Content-Length: $((BODY_MAX_BYTES + 1))\\r\\n")"
 	check "header too large" "HTTP/1.1 431 " "$(first_line \
 		"${good}Content-Length: 1000\\r\\nX-Filler: $(printf 'x%.0s' {1..70000})\\r\\n")"
 	check "job of a refused request" "{} 410" "$(curl -s -m 4 \
@@ -250,9 +251,11 @@
 	wait_ready "$host"
 done
 
-for kind in ${*:-refusals $CLIENT_KINDS peers leader}; do
+for kind in ${*:-refusals $CLIENT_KINDS nested numbers peers leader}; do
 	if [ "$kind" = refusals ]; then
 		check_refusals
+	elif [ "$kind" = nested ] || [ "$kind" = numbers ]; then
+		BYTES=$BODY_MAX_BYTES run_case "$kind" "$kind" 4
 	elif [ "$kind" = peers ]; then
 		PORT=$((FIRST_PORT + 70 + TARGET)) run_case "$kind" \
 			"chunked piecewise headers silent" $((CLIENTS / 4))
--- a/tests/unit/test_odd_entries.c
+++ b/tests/unit/test_odd_entries.c
@@ -339,7 +339,41 @@
 	g_rand_free(rand);
 }
 
+/** A job with `count` values in a field that is ignored. */
+static bool takes_job_with(const char *value, unsigned count)
+{
+	GString *text = g_string_new("{\"spec\":\"\\\"[{,\",\"more\":[");
+	MtDag__Job *job;
+
+	while (count-- > 0)
+		g_string_append_printf(text, "%s,", value);
+	g_string_append(text, "0],\"steps\":[{\"count\":1,\"cpu\":1,"
+			      "\"mem_mb\":1,\"estimate_ms\":1}]}");
+	job = mt_job_decode((mt_str_t){text->str, text->len});
+	g_string_free(text, TRUE);
+	if (!job)
+		return false;
+	mt_dag__job__free_unpacked(job, NULL);
+	return true;
+}
+
+/**
+ * Pattern: a body of 1 MiB that consists of empty objects takes 80 MB when it
+ * is decoded.
+ */
+static void jobs_that_take_much_memory_are_refused(void)
+{
+	CU_ASSERT_TRUE(takes_job_with("{}", 1000));
+	CU_ASSERT_FALSE(takes_job_with("{}", 100000));
+	CU_ASSERT_FALSE(takes_job_with("[]", 100000));
+	CU_ASSERT_TRUE(takes_job_with("0", 65280));
+	CU_ASSERT_FALSE(takes_job_with("0", 300000));
+	CU_ASSERT_TRUE(takes_job_with("\"[,[,[,\"", 60000));
+}
+
 const mt_test_t mt_odd_entries_tests[] = {
+	{"jobs that take much memory are refused",
+	 jobs_that_take_much_memory_are_refused},
 	{"an odd server costs only itself", an_odd_server_costs_only_itself},
 	{"an odd key costs only itself", an_odd_key_costs_only_itself},
 	{"an odd run costs only itself", an_odd_run_costs_only_itself},
