--- a/lib/dag/front.c
+++ b/lib/dag/front.c
@@ -54,8 +54,17 @@
  */
 #define FORWARD_RETRY_MS 100u
 
+/**
+ * Maximum number of events call_refused per second, so that clients without a
+ * valid API key do not use up MT_EVENTS_PER_S.
+ */
+#define REFUSALS_LOGGED_PER_S 20u
+#define MS_PER_S 1000u
+
 struct mt_dag_front_t {
 	mt_dag_front_deps_t deps;
+	mt_ms_t refusals_since;	  /**< begin of the present second */
+	unsigned refusals_logged; /**< in the present second */
 	/** Reads the records of jobs; NULL: this host does not read them. */
 	mt_follower_t *records_follower;
 	const mt_catalog_t *catalog;
@@ -842,16 +851,72 @@
 
 /* Dispatch of calls. */
 
-static void refuse(mt_dag_front_t *front, const char *reason,
-		   mt_front_outcome_t outcome, mt_front_cb cb, void *ctx)
+/** @return true if a refused call may be logged now */
+static bool may_log_refusal(mt_dag_front_t *front)
+{
+	mt_ms_t now = mt_kernel_now(front->deps.kernel);
+
+	if (now - front->refusals_since >= MS_PER_S) {
+		front->refusals_since = now;
+		front->refusals_logged = 0;
+	}
+	return front->refusals_logged++ < REFUSALS_LOGGED_PER_S;
+}
+
+/** Counts and logs a refused call. Returns false. */
+static bool refuse(mt_dag_front_t *front, const char *reason)
 {
+	mt_kernel_count(front->deps.kernel,
+			"calls_refused_total{reason=\"%s\"}", reason);
+	if (!may_log_refusal(front))
+		return false;
 	mt_kernel_event(
 		front->deps.kernel, "call_refused",
 		"\"reason\":\"%s\",\"config_version\":%" G_GUINT64_FORMAT
 		",\"config_age_ms\":%" G_GINT64_FORMAT,
 		reason, front->catalog ? front->catalog->version : 0,
 		(gint64)mt_follower_age(front->deps.config_follower));
-	reply_now(cb, ctx, outcome);
+	return false;
+}
+
+/**
+ * Finds the queue and the account of a call.
+ * @param account receives NULL if the call has no valid key and needs none
+ * @return false when the call is refused, with `outcome`
+ */
+static bool authorize(mt_dag_front_t *front, const mt_front_call_t *call,
+		      const mt_queue_t **queue,
+		      const mt_client_account_t **account,
+		      mt_front_outcome_t *outcome)
+{
+	if (!config_is_recent(front, front->deps.config_age_max_ms)) {
+		*outcome = MT_FRONT_OUTCOME_NOT_DONE;
+		return refuse(front, "configuration is not current");
+	}
+	*queue = mt_catalog_route(front->catalog, call->url_host, call->path);
+	if (!*queue) {
+		*outcome = MT_FRONT_OUTCOME_NO_QUEUE;
+		return refuse(front, "no queue");
+	}
+	*account = mt_catalog_account_of_key(front->catalog, call->key);
+	if (!*account && !(*queue)->needs_no_key) {
+		*outcome = MT_FRONT_OUTCOME_BAD_KEY;
+		return refuse(front, "unknown key");
+	}
+	return true;
+}
+
+bool mt_dag_front_check(mt_dag_front_t *front, const mt_front_call_t *call,
+			mt_front_outcome_t *outcome, mt_name_t *account_name)
+{
+	const mt_client_account_t *account;
+	const mt_queue_t *queue;
+
+	if (!authorize(front, call, &queue, &account, outcome))
+		return false;
+	if (account)
+		*account_name = account->name;
+	return true;
 }
 
 /**
@@ -887,22 +952,12 @@
 {
 	const mt_client_account_t *account;
 	const mt_queue_t *queue;
+	mt_front_outcome_t outcome;
 	mt_str_t id_text;
 	uint64_t id;
 
-	if (!config_is_recent(front, front->deps.config_age_max_ms)) {
-		refuse(front, "configuration is not current",
-		       MT_FRONT_OUTCOME_NOT_DONE, cb, ctx);
-		return;
-	}
-	queue = mt_catalog_route(front->catalog, call->url_host, call->path);
-	if (!queue) {
-		refuse(front, "no queue", MT_FRONT_OUTCOME_NO_QUEUE, cb, ctx);
-		return;
-	}
-	account = mt_catalog_account_of_key(front->catalog, call->key);
-	if (!account && !queue->needs_no_key) {
-		refuse(front, "unknown key", MT_FRONT_OUTCOME_BAD_KEY, cb, ctx);
+	if (!authorize(front, call, &queue, &account, &outcome)) {
+		reply_now(cb, ctx, outcome);
 		return;
 	}
 	id_text = (mt_str_t){call->path.data + strlen(queue->path_prefix),
--- a/lib/peer/peer_http.c
+++ b/lib/peer/peer_http.c
@@ -8,6 +8,10 @@
 /** Maximum size of a request body; calls are small. */
 #define BODY_MAX_BYTES 4096u
 
+/** Maximum size of a response; one that contains the configuration is the
+ * largest. */
+#define RESPONSE_MAX_BYTES (4u * 1024u * 1024u)
+
 #define STATUS_OK 200
 #define STATUS_BAD_REQUEST 400
 
@@ -84,6 +88,7 @@
 	http_request.path = path;
 	http_request.body = mt_bytes_view(request->body);
 	http_request.timeout_ms = MT_PEER_TIMEOUT_MS;
+	http_request.response_max_bytes = RESPONSE_MAX_BYTES;
 	mt_kernel_count(peer_http->kernel, "peer_calls_total");
 	mt_http_send(peer_http->client, &http_request, on_response, request);
 }
@@ -126,9 +131,13 @@
 
 /* Server side. */
 
+/** Interval between messages about malformed calls, which are counted. */
+#define REFUSAL_LOG_INTERVAL_MS 1000u
+
 typedef struct mt_peer_server_t {
 	mt_kernel_t *kernel;
 	mt_dag_host_t *host;
+	mt_ms_t refusal_logged_at; /**< 0: never */
 } mt_peer_server_t;
 
 /** A call of another host that has not been replied to. */
@@ -148,8 +157,15 @@
 
 static void refuse(mt_peer_server_t *server, mt_http_exchange_t *exchange)
 {
-	mt_log(server->kernel, MT_LOG_ERR, "peer",
-	       "refusing a malformed call of another host");
+	mt_ms_t now = mt_kernel_now(server->kernel);
+
+	mt_kernel_count(server->kernel, "peer_calls_malformed_total");
+	if (!server->refusal_logged_at ||
+	    now - server->refusal_logged_at >= REFUSAL_LOG_INTERVAL_MS) {
+		server->refusal_logged_at = now;
+		mt_log(server->kernel, MT_LOG_ERR, "peer",
+		       "refusing a malformed call of another host");
+	}
 	mt_http_respond(exchange, STATUS_BAD_REQUEST, CONTENT_TYPE,
 			(mt_str_t){0}, NULL);
 }
--- a/programs/entryd/settings.h
+++ b/programs/entryd/settings.h
@@ -9,6 +9,7 @@
 #include "dag/admission.h"
 #include "dag/engine.h"
 #include "kernel/name.h"
+#include "platform/host_limits.h"
 #include "platform/store_http.h"
 
 typedef enum mt_entry_error_t {
@@ -41,6 +42,10 @@
 	 * centres are not evacuated. */
 	mt_ms_t evacuation_ms;
 	mt_admission_mode_t admission_mode;
+	mt_host_resources_t resources;
+	/** Largest body of a request of a client; 0: BODY_MAX_BYTES in
+	 * front_http.c. */
+	uint32_t max_body_bytes;
 } mt_entry_settings_t;
 
 /** Reads and validates the file; the error names the file or the field. */
--- a/tests/unit/tests.h
+++ b/tests/unit/tests.h
@@ -34,5 +34,6 @@
 extern const mt_test_t mt_evacuations_tests[];
 extern const mt_test_t mt_cold_tests[];
 extern const mt_test_t mt_admission_tests[];
+extern const mt_test_t mt_http_guard_tests[];
 
 #endif
