test: a task just placed counts on its server, also where there is room

Cause: the server of the test had no room for a second task anyway, so that the test passed without the rule. Change: the server has room for two tasks.

--- a/tests/unit/test_plan_preempt.c
+++ b/tests/unit/test_plan_preempt.c
@@ -109,7 +109,7 @@
 
 	add_server(&fixture, 1, 0);
 	add_server(&fixture, 1, 5);
-	fixture.servers[0].free.gpu = 16;
+	mt_dag_resources_add(&fixture.servers[0].free, &whole_server);
 	add_unit(&fixture, 2)->per_server_max = 1;
 	CU_ASSERT_EQUAL(run(&fixture), 1);
 	CU_ASSERT_EQUAL(fixture.units[0].placed, 1);
