planner: late jobs and large accounts give way only where load is shed

Cause: the new order of waiting steps took effect on every contended service. Change: the order is used only with admission_control at on.

--- a/lib/dag/candidates.c
+++ b/lib/dag/candidates.c
@@ -213,7 +213,7 @@
 {
 	const mt_dag_job_t *job = candidate->step->job;
 
-	if (!planner->contended || candidate->guaranteed)
+	if (!planner->account_use || candidate->guaranteed)
 		return;
 	candidate->late = is_late(planner, job);
 	candidate->over_share = candidate->waited_ms <= DEFER_MAX_MS &&
@@ -277,13 +277,16 @@
 	return x->step < y->step ? -1 : x->step > y->step;
 }
 
-/** Finds what the accounts use and their even share, if it is contended. */
+/**
+ * Finds what the accounts use and their even share, if load is to be shed and
+ * the service is contended.
+ */
 static void find_account_use(mt_planner_t *planner)
 {
 	GHashTableIter iter;
 	gpointer value;
 
-	if (!planner->contended)
+	if (!planner->contended || !planner->engine->deps.sheds_load)
 		return;
 	planner->account_use =
 		mt_account_use_find(planner->engine, planner->service);
--- a/lib/dag/engine.h
+++ b/lib/dag/engine.h
@@ -39,6 +39,9 @@
 	mt_directory_t *directory;
 	/** Read while this host leads; NULL: no data centre is evacuated. */
 	mt_evacuations_t *evacuations;
+	/** On a contended service, waiting jobs that are late already, or whose
+	 * account uses more than its share, give way to others. */
+	bool sheds_load;
 	mt_engine_timing_t timings;
 	/** Returns the Unix time in milliseconds. */
 	int64_t (*wall_ms)(void);
--- a/lib/dag/host.c
+++ b/lib/dag/host.c
@@ -381,6 +381,7 @@
 	deps.table = host->table;
 	deps.directory = host->directory;
 	deps.evacuations = host->evacuations;
+	deps.sheds_load = host->deps.admission_mode == MT_ADMISSION_REFUSES;
 	deps.timings = host->deps.timings;
 	deps.wall_ms = host->deps.wall_ms;
 	deps.records_age_ms = records_age;
--- a/lib/dag/planner_internal.h
+++ b/lib/dag/planner_internal.h
@@ -18,8 +18,9 @@
 	/** Local time; see latest_start() in candidates.c. */
 	int64_t latest_start_ms;
 	mt_ms_t waited_ms; /**< time since step->waiting_since */
-	/* Only set while the service is contended, and not for guaranteed jobs
-	 * or for longer than DEFER_MAX_MS (candidates.c). */
+	/* Only set if load is to be shed and the service is contended, and not
+	 * for guaranteed jobs or for longer than DEFER_MAX_MS (candidates.c).
+	 */
 	bool late; /**< the job can no longer meet its objective */
 	/** The job's account uses more than an even share of what is left of
 	 * the service beyond the guarantees. */
@@ -55,7 +56,8 @@
 	GHashTable *times_left;
 	GHashTable *guaranteed; /**< set of mt_dag_job_t, see
 				   mt_guarantees_find() */
-	/** See mt_account_use_find(); NULL unless the service is contended. */
+	/** See mt_account_use_find(); NULL unless load is to be shed and the
+	 * service is contended. */
 	GHashTable *account_use;
 	double even_share_cores; /**< mean of `account_use` */
 	mt_plan_t plan;
--- a/tests/unit/test_planner.c
+++ b/tests/unit/test_planner.c
@@ -258,6 +258,7 @@
 	uint32_t gpu_used = contended ? 6 : 5;
 
 	mt_engine_fixture_open(&rivals->fixture);
+	rivals->fixture.engine->deps.sheds_load = true;
 	mt_timers_advance(rivals->fixture.timers, RIVALS_NOW_MS);
 	rivals->fixture.servers[1]->listed = false;
 	rivals->running = add_rival(rivals, 1, gpu_used, RIVALS_NOW_MS);
@@ -309,6 +310,16 @@
 	}
 }
 
+/** Guards against: the order changes where no load is to be shed. */
+static void late_jobs_keep_their_place_unless_load_is_shed(void)
+{
+	mt_rivals_t rivals;
+
+	open_rivals(&rivals, true, 20000);
+	rivals.fixture.engine->deps.sheds_load = false;
+	CU_ASSERT_TRUE(older_comes_first(&rivals));
+}
+
 /** Guards against: a late job does not run although there is room. */
 static void a_late_job_runs_when_there_is_room(void)
 {
@@ -367,6 +378,8 @@
 const mt_test_t mt_planner_tests[] = {
 	{"late jobs give way on a contended service",
 	 late_jobs_give_way_on_a_contended_service},
+	{"late jobs keep their place unless load is shed",
+	 late_jobs_keep_their_place_unless_load_is_shed},
 	{"a late job runs when there is room",
 	 a_late_job_runs_when_there_is_room},
 	{"accounts that use more give way on a contended service",
