--- a/tests/scripts/hostile-clients.sh
+++ b/tests/scripts/hostile-clients.sh
@@ -144,7 +144,9 @@
 		fds=("/proc/$1/fd"/*)
 		if [ ${#fds[@]} -gt $largest ]; then
 			largest=${#fds[@]}
-			echo "$largest" >"$WORK/fds"
+			# Renamed, so that it is never read half written.
+			echo "$largest" >"$WORK/fds.new"
+			mv "$WORK/fds.new" "$WORK/fds"
 		fi
 		sleep 0.05
 	done
--- a/tests/unit/test_front.c
+++ b/tests/unit/test_front.c
@@ -617,7 +617,59 @@
 	tear_down(&fixture);
 }
 
+/** @return 0 if the call may go on, or the outcome of the refusal */
+static mt_front_outcome_t check(mt_front_fixture_t *fixture, const char *path,
+				const char *key, mt_name_t *account)
+{
+	mt_front_call_t call = {0};
+	mt_front_outcome_t outcome;
+
+	call.verb = MT_VERB_SUBMIT;
+	call.url_host = MT_STR("jobs.example");
+	call.path = mt_str_from(path);
+	call.key = mt_str_from(key);
+	*account = (mt_name_t){0};
+	return mt_dag_front_check(fixture->front, &call, &outcome, account)
+		       ? 0
+		       : outcome;
+}
+
+/**
+ * Pattern: large bodies with unknown keys. They are refused by their header,
+ * for the same reasons as the complete requests.
+ */
+static void a_call_is_refused_by_its_header(void)
+{
+	mt_front_fixture_t fixture;
+	mt_client_account_t *account;
+	mt_queue_t *queue;
+	mt_name_t name;
+
+	set_up(&fixture);
+	queue = mt_catalog_add_queue(fixture.catalog);
+	queue->url_host = mt_name("jobs.example");
+	queue->path_prefix = g_strdup("/batch/");
+	account = mt_catalog_add_account(fixture.catalog);
+	account->name = mt_name("shop");
+	mt_catalog_add_key(fixture.catalog, account, "good");
+	CU_ASSERT_EQUAL(check(&fixture, "/batch/a1", "bad", &name),
+			MT_FRONT_OUTCOME_BAD_KEY);
+	CU_ASSERT_EQUAL(check(&fixture, "/batch/a1", "", &name),
+			MT_FRONT_OUTCOME_BAD_KEY);
+	CU_ASSERT_EQUAL(check(&fixture, "/other/a1", "good", &name),
+			MT_FRONT_OUTCOME_NO_QUEUE);
+	CU_ASSERT_EQUAL(check(&fixture, "/batch/a1", "good", &name), 0);
+	CU_ASSERT_STRING_EQUAL(name.text, "shop");
+	CU_ASSERT_EQUAL(check(&fixture, "/urgent/a1", "bad", &name), 0);
+	CU_ASSERT_EQUAL(name.len, 0);
+	mt_timers_advance(fixture.timers, 4000);
+	CU_ASSERT_EQUAL(check(&fixture, "/batch/a1", "good", &name),
+			MT_FRONT_OUTCOME_NOT_DONE);
+	tear_down(&fixture);
+}
+
 const mt_test_t mt_front_tests[] = {
+	{"a call is refused by its header", a_call_is_refused_by_its_header},
 	{"a job that cannot be stored is refused at once",
 	 a_job_that_cannot_be_stored_is_refused_at_once},
 	{"a cancellation of an unknown job is stored first",
--- a/tests/unit/test_http_guard.c
+++ b/tests/unit/test_http_guard.c
@@ -225,12 +225,16 @@
 {
 	mt_host_resources_t smallest = {120, 3075};
 	mt_http_limits_t defaults = mt_http_limits_default(MB);
-	mt_http_limits_t clients = mt_client_limits(&smallest, &defaults);
-	mt_http_limits_t peers = mt_peer_limits(&smallest, &defaults);
-	mt_http_limits_t probes = mt_probe_limits(&smallest, &defaults);
+	mt_http_limits_t clients;
+	mt_http_limits_t peers;
+	mt_http_limits_t probes;
 
+	defaults.connections_max = smallest.max_fds;
+	clients = mt_client_limits(&smallest, &defaults);
+	peers = mt_peer_limits(&smallest, &defaults);
+	probes = mt_probe_limits(&smallest, &defaults);
 	CU_ASSERT_EQUAL(clients.buffered_max_bytes, 15 * MB);
-	CU_ASSERT_EQUAL(clients.connections_max, 1025);
+	CU_ASSERT_EQUAL(clients.connections_max, 768);
 	CU_ASSERT_TRUE(probes.body_max_bytes < probes.buffered_max_bytes / 8);
 	CU_ASSERT_TRUE(clients.buffered_max_bytes + peers.buffered_max_bytes +
 			       2 * probes.buffered_max_bytes +
@@ -238,7 +242,9 @@
 		       120u * MB / 2);
 	CU_ASSERT_TRUE(2 * clients.connections_max + peers.connections_max +
 			       2 * probes.connections_max <
-		       3075u * 3 / 4 + 100);
+		       3075u * 2 / 3);
+	CU_ASSERT_TRUE(mt_probe_limits(&smallest, &clients).connections_max <=
+		       clients.connections_max);
 }
 
 /** Without the settings, the budgets are far above what clients use. */
