tests: the client of hostile-clients.sh frees its memory

LeakSanitizer reported the memory at its exit, so that the sanitized run failed where leaks are detected.

--- a/tests/hostile/main.c
+++ b/tests/hostile/main.c
@@ -422,5 +422,10 @@
 	run(&hostile, now_ms() + (gint64)seconds->ival[0] * MS_PER_S);
 	printf("%u connections, %u closed by the host\n", hostile.connections,
 	       hostile.closed);
+	for (unsigned i = 0; i < hostile.n_clients; i++)
+		g_string_free(hostile.clients[i].head, TRUE);
+	g_free(hostile.clients);
+	g_string_free(hostile.body, TRUE);
+	arg_freetable(table, G_N_ELEMENTS(table));
 	return 0;
 }
