--- a/tests/unit/engine_fixture.c
+++ b/tests/unit/engine_fixture.c
@@ -3,6 +3,9 @@
 
 #include <stdlib.h>
 
+/** At least HOLD_RETRY_MAX_MS in commands.c. */
+#define HOLD_RETRY_LONGEST_MS 1000u
+
 /**
  * Never answers. Frees the engine's context, as the engine would do when it
  * gets the answer.
@@ -105,6 +108,9 @@
 	fixture->engine->generation++;
 	while (fixture->holds->len)
 		mt_engine_fixture_answer_hold(fixture, &none);
+	/* A hold that waits for its retry timer is freed by it. */
+	mt_timers_advance(fixture->timers, mt_timers_now(fixture->timers) +
+						   HOLD_RETRY_LONGEST_MS);
 	g_array_unref(fixture->holds);
 	g_hash_table_destroy(fixture->engine->jobs);
 	g_hash_table_destroy(fixture->engine->backends);
--- a/tests/unit/test_front.c
+++ b/tests/unit/test_front.c
@@ -780,6 +780,10 @@
 	CU_ASSERT_EQUAL(fixture.replies, 0);
 	CU_ASSERT_STRING_EQUAL_FATAL(fixture.store.append_keys->str,
 				     "a00000000000000b2 ");
+	answer_append(&fixture.store, MT_STORE_DONE);
+	run_timers(&fixture, 20);
+	catch_up(&fixture);
+	CU_ASSERT_EQUAL(fixture.replies, 1);
 	tear_down(&fixture);
 }
 
