relocation: compare the speeds of servers before a move

A run on a server that had become slow was compared with its siblings only. On servers of unequal speed, it could move from a slowed fast server to one that is always slow, and lose its work for nothing, and it could move again and again.

Where the servers are uneven, a run now moves only if it ends clearly sooner on the servers that have room for it, and each task or gang moves once for this reason. Stalled runs and draining servers keep their rules. Where the servers are even, runs move as before.

mt_pace_should_restart() no longer requires a ratio below that of a slow server, as the ratio may now be that between two servers. The callers only ask for runs on servers that were found slow.

The fixture teaches speeds, as the tests of the planner need them, too.

--- a/lib/dag/job_model.h
+++ b/lib/dag/job_model.h
@@ -71,6 +71,9 @@
 	uint32_t percent; /**< progress of the run, reported by its server */
 	/** How often this leader has preempted a run of the task. */
 	unsigned n_preemptions;
+	/** This leader has stopped a run of the task, or of its gang, as its
+	 * server was slow. */
+	bool moved_from_slow;
 	/* Rate of progress, see pace.h. */
 	mt_ms_t pace_from_at;	    /**< begin of the present measurement */
 	uint32_t pace_from_percent; /**< progress at `pace_from_at` */
--- a/lib/dag/pace.c
+++ b/lib/dag/pace.c
@@ -73,7 +73,6 @@
 
 	/* The rates on this server and elsewhere are `rate` and `rate / ratio`.
 	 * Both sides are multiplied by `rate`, which may be 0. */
-	return mt_pace_is_slow(ratio) &&
-	       left > RESTART_GAIN * left_elsewhere * ratio +
-			       RESTART_GAIN_S * rate;
+	return left >
+	       RESTART_GAIN * left_elsewhere * ratio + RESTART_GAIN_S * rate;
 }
--- a/lib/dag/pace.h
+++ b/lib/dag/pace.h
@@ -32,7 +32,8 @@
  * as it would end clearly earlier there.
  * @param percent progress of the run
  * @param rate its rate of progress, in percent per second
- * @param ratio ratio of the server, see mt_pace_is_slow()
+ * @param ratio its rate, relative to the rate that it would have on the other
+ * server
  * @param keeps_work the run resumes from a checkpoint
  */
 bool mt_pace_should_restart(double percent, double rate, double ratio,
--- a/lib/dag/relocation.c
+++ b/lib/dag/relocation.c
@@ -242,16 +242,119 @@
 		judge_server(engine, value, now);
 }
 
-/** True if the run would end clearly earlier on another server. */
-static bool crawls(const mt_dag_task_t *task, mt_ms_t now)
+static bool has_label(const mt_backend_t *server, GQuark label)
+{
+	if (!label)
+		return true;
+	for (unsigned i = 0; i < MT_BACKEND_LABELS_MAX; i++) {
+		if (server->info.labels[i] == label)
+			return true;
+	}
+	return false;
+}
+
+/** True if tasks may be placed on the server, and nothing speaks against it. */
+static bool is_sound(const mt_engine_t *engine, const mt_backend_t *server,
+		     mt_ms_t now)
+{
+	return server->listed && !server->info.draining &&
+	       server->hold_answered && !server->n_failed_holds &&
+	       server->clock_known && now >= server->avoid_until &&
+	       now >= server->suspect_until && now >= server->cold_until &&
+	       !mt_engine_is_evacuated(engine, server);
+}
+
+/** True if a new run of the task has room on the server now. */
+static bool can_take(const mt_engine_t *engine, const mt_backend_t *server,
+		     const mt_dag_task_t *task, mt_ms_t now)
+{
+	const mt_dag_step_t *step = task->step;
+	mt_dag_resources_t need = mt_dag_step_need(step);
+	mt_dag_resources_t available = server->info.capacity;
+
+	mt_dag_resources_subtract(&available, &server->used);
+	return server != task->server &&
+	       mt_dag_resources_fit(&need, &available) &&
+	       is_sound(engine, server, now) &&
+	       has_label(server, step->label) &&
+	       (!step->data_rack || server->info.rack == step->data_rack) &&
+	       mt_name_equal(&server->info.service,
+			     &task->server->info.service);
+}
+
+/**
+ * True if the run would end clearly earlier on the other server.
+ * @param speed speed of the other server
+ */
+static bool ends_sooner_at(const mt_engine_t *engine, const mt_dag_task_t *task,
+			   double speed)
+{
+	double ratio = task->server->slow_ratio *
+		       normal_speed(engine, task->server) / speed;
+
+	return mt_pace_should_restart(task->percent, task->pace, ratio,
+				      task->step->spec->checkpointing);
+}
+
+/**
+ * True if the run would end clearly earlier on the servers that have room for
+ * it. The planner places urgent tasks on the fastest ones, so that one of them
+ * suffices. Other tasks may be placed on any, so that all have to.
+ */
+static bool ends_sooner_elsewhere(const mt_engine_t *engine,
+				  const mt_dag_task_t *task, mt_ms_t now)
+{
+	bool is_urgent = task->step->job->queue.priority == 0;
+	bool found = false;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, engine->backends);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const mt_backend_t *server = value;
+		double speed;
+
+		if (!can_take(engine, server, task, now))
+			continue;
+		speed = mt_speed_model_speed(engine->speeds,
+					     &server->info.target.id);
+		found = ends_sooner_at(engine, task, speed);
+		if (found == is_urgent)
+			return found;
+	}
+	return found;
+}
+
+/**
+ * True if the run is to be moved, as it would end clearly earlier on another
+ * server. Where the speeds of servers are known, they are compared, and a task
+ * is moved only once.
+ */
+static bool crawls(const mt_engine_t *engine, const mt_dag_task_t *task,
+		   mt_ms_t now)
 {
 	const mt_backend_t *server = task->server;
 	const MtDag__Step *spec = task->step->spec;
 
-	return server->slow_at && now - server->slow_at <= SLOW_AGE_MAX_MS &&
-	       has_pace(task, now) && !spec->lasting &&
-	       mt_pace_should_restart(task->percent, task->pace,
-				      server->slow_ratio, spec->checkpointing);
+	if (!server->slow_at || now - server->slow_at > SLOW_AGE_MAX_MS ||
+	    !has_pace(task, now) || spec->lasting)
+		return false;
+	if (!mt_speed_model_is_uneven(engine->speeds))
+		return mt_pace_should_restart(task->percent, task->pace,
+					      server->slow_ratio,
+					      spec->checkpointing);
+	return !task->moved_from_slow &&
+	       ends_sooner_elsewhere(engine, task, now);
+}
+
+/** Notes that the run, or its whole gang, is moved from a slow server. */
+static void note_moved_from_slow(mt_dag_task_t *task)
+{
+	mt_dag_step_t *step = task->step;
+
+	task->moved_from_slow = true;
+	for (uint32_t i = 0; step->spec->gang && i < step->spec->count; i++)
+		step->tasks[i].moved_from_slow = true;
 }
 
 /* Ends of runs. */
@@ -320,7 +423,8 @@
 						     now + AVOID_STALLED_MS);
 			count_stall(task->step, now);
 			relocate(engine, task, "stands still");
-		} else if (crawls(task, now)) {
+		} else if (crawls(engine, task, now)) {
+			note_moved_from_slow(task);
 			relocate(engine, task, "its server is slow");
 		} else if (should_evacuate(engine, task, now)) {
 			relocate(engine, task, "its server leaves");
--- a/tests/unit/engine_fixture.c
+++ b/tests/unit/engine_fixture.c
@@ -50,7 +50,8 @@
 	return fixture->records_age_ms;
 }
 
-static mt_backend_t *add_server(mt_engine_fixture_t *fixture, const char *id)
+mt_backend_t *mt_engine_fixture_add_server(mt_engine_fixture_t *fixture,
+					   const char *id)
 {
 	mt_backend_t *server = g_new0(mt_backend_t, 1);
 
@@ -84,8 +85,8 @@
 	deps.records_age_ms = records_age_ms;
 	deps.records_age_ctx = fixture;
 	fixture->engine = mt_engine_new(&deps);
-	fixture->servers[0] = add_server(fixture, "server-0");
-	fixture->servers[1] = add_server(fixture, "server-1");
+	fixture->servers[0] = mt_engine_fixture_add_server(fixture, "server-0");
+	fixture->servers[1] = mt_engine_fixture_add_server(fixture, "server-1");
 }
 
 void mt_engine_fixture_answer_hold(mt_engine_fixture_t *fixture,
@@ -171,3 +172,26 @@
 	task->start_settled_at = 9000;
 	return task;
 }
+
+void mt_engine_fixture_teach_speeds(mt_engine_fixture_t *fixture)
+{
+	mt_speed_sample_t sample = {.run = 1, .at = 10000, .error = 0.01};
+
+	for (uint64_t job = 100; job < 110; job++) {
+		for (uint32_t i = 0; i < 12; i++) {
+			char name[16];
+
+			g_snprintf(name, sizeof(name), "other-%u", i);
+			sample.job = job;
+			sample.task = i;
+			sample.rate = i % 2 ? 16 : 6;
+			sample.server =
+				i < MT_ENGINE_FIXTURE_SERVERS
+					? fixture->servers[i]->info.target.id
+					: mt_name(name);
+			mt_speed_model_observe(fixture->engine->speeds,
+					       &sample);
+		}
+	}
+	mt_speed_model_update(fixture->engine->speeds, 10000);
+}
--- a/tests/unit/engine_fixture.h
+++ b/tests/unit/engine_fixture.h
@@ -56,6 +56,17 @@
 /** Places a running task of a new job, 1, on the first server. */
 mt_dag_task_t *mt_engine_fixture_add_running_task(mt_engine_fixture_t *fixture);
 
+/** Adds an idle server like the first two. */
+mt_backend_t *mt_engine_fixture_add_server(mt_engine_fixture_t *fixture,
+					   const char *id);
+
+/**
+ * Teaches the model that the first server and "other-2", "other-4" to
+ * "other-10" run at 0.375 of the speed of the second one and "other-3",
+ * "other-5" to "other-11".
+ */
+void mt_engine_fixture_teach_speeds(mt_engine_fixture_t *fixture);
+
 /** Runs the timers of the fixture for `ms`, which is a multiple of 100. */
 void mt_engine_fixture_advance(mt_engine_fixture_t *fixture, mt_ms_t ms);
 
--- a/tests/unit/test_relocation.c
+++ b/tests/unit/test_relocation.c
@@ -118,30 +118,6 @@
 	mt_engine_fixture_close(&fixture);
 }
 
-/** Teaches the model that every second server runs at 0.375 of the others. */
-static void teach_speeds(mt_engine_fixture_t *fixture)
-{
-	mt_speed_sample_t sample = {.run = 1, .at = 10000, .error = 0.01};
-
-	for (uint64_t job = 100; job < 110; job++) {
-		for (uint32_t i = 0; i < 12; i++) {
-			char name[16];
-
-			g_snprintf(name, sizeof(name), "other-%u", i);
-			sample.job = job;
-			sample.task = i;
-			sample.rate = i % 2 ? 16 : 6;
-			sample.server =
-				i < MT_ENGINE_FIXTURE_SERVERS
-					? fixture->servers[i]->info.target.id
-					: mt_name(name);
-			mt_speed_model_observe(fixture->engine->speeds,
-					       &sample);
-		}
-	}
-	mt_speed_model_update(fixture->engine->speeds, 10000);
-}
-
 /** True if a server is found slow that runs at 0.375 of the other's rate. */
 static bool is_found_slow(bool speeds_are_known)
 {
@@ -151,7 +127,7 @@
 
 	mt_engine_fixture_open(&fixture);
 	if (speeds_are_known)
-		teach_speeds(&fixture);
+		mt_engine_fixture_teach_speeds(&fixture);
 	step = mt_engine_fixture_add_job(&fixture, 1, 1, 4)->steps;
 	for (uint32_t i = 0; i < 4; i++) {
 		mt_dag_task_t *task = &step->tasks[i];
@@ -178,7 +154,212 @@
 	CU_ASSERT_FALSE(is_found_slow(true));
 }
 
+/**
+ * A run of the fixture's first server, which has become slow, and the server
+ * to which it could move. The first server's normal speed is about 0.5, that of
+ * the second one 1.5.
+ */
+typedef struct mt_crawler_t {
+	mt_engine_fixture_t fixture;
+	mt_dag_task_t *task;
+	mt_backend_t *other;
+} mt_crawler_t;
+
+/** The run has done 20% at a rate of 4% per second. */
+static void measure_crawler(const mt_crawler_t *crawler)
+{
+	mt_dag_task_t *task = crawler->task;
+	mt_ms_t now = mt_timers_now(crawler->fixture.timers);
+
+	task->percent = 20;
+	task->pace = 4;
+	task->paced_at = now;
+	task->progressed_at = now;
+	task->server->slow_at = now;
+	task->server->slow_ratio = 0.3;
+}
+
+/** @param is_on_slower the run is on the server of the lower normal speed */
+static void open_crawler(mt_crawler_t *crawler, uint32_t priority,
+			 bool is_on_slower)
+{
+	mt_engine_fixture_t *fixture = &crawler->fixture;
+	mt_backend_t *server;
+
+	mt_engine_fixture_open(fixture);
+	mt_engine_fixture_teach_speeds(fixture);
+	server = fixture->servers[is_on_slower ? 0 : 1];
+	crawler->other = fixture->servers[is_on_slower ? 1 : 0];
+	crawler->task = mt_engine_fixture_add_job(fixture, 1, priority, 1)
+				->steps->tasks;
+	mt_dag_task_place(crawler->task, server, 1, 10000);
+	crawler->task->placement_stored = true;
+	crawler->task->phase = MT_TASK_PHASE_RUNNING;
+	crawler->task->start_settled_at = 10000;
+	measure_crawler(crawler);
+}
+
+/** True if the run is stopped in order to move. */
+static bool is_moved(mt_crawler_t *crawler)
+{
+	mt_relocation_tick(crawler->fixture.engine, crawler->task->server);
+	return crawler->task->stop_wanted;
+}
+
+/**
+ * Guards against: a run on a fast server that has become slow moves to a server
+ * whose normal speed is hardly higher, and loses its work for nothing; a run on
+ * a slow server does not move although a fast one is idle.
+ */
+static void a_run_moves_only_to_where_it_ends_sooner(void)
+{
+	for (unsigned on_slower = 0; on_slower <= 1; on_slower++) {
+		mt_crawler_t crawler;
+
+		open_crawler(&crawler, 2, on_slower);
+		CU_ASSERT_EQUAL(is_moved(&crawler), on_slower);
+		mt_engine_fixture_close(&crawler.fixture);
+	}
+}
+
+/** Guards against: a run stops although no other server has room for it. */
+static void a_run_does_not_move_without_room(void)
+{
+	mt_crawler_t crawler;
+
+	open_crawler(&crawler, 2, true);
+	crawler.other->used.gpu = 1;
+	CU_ASSERT_FALSE(is_moved(&crawler));
+	crawler.other->used.gpu = 0;
+	crawler.other->suspect_until = 99999; /* after the test */
+	CU_ASSERT_FALSE(is_moved(&crawler));
+	crawler.other->suspect_until = 0;
+	CU_ASSERT_TRUE(is_moved(&crawler));
+	mt_engine_fixture_close(&crawler.fixture);
+}
+
+/**
+ * Guards against: a run that is not urgent moves as a fast server is idle, and
+ * is then placed on a slow one; an urgent run stays, as a slow one is idle,
+ * too.
+ */
+static void the_speed_counts_of_the_servers_that_the_planner_chooses(void)
+{
+	for (uint32_t priority = 0; priority <= 2; priority += 2) {
+		mt_crawler_t crawler;
+
+		open_crawler(&crawler, priority, false);
+		mt_engine_fixture_add_server(&crawler.fixture, "other-3");
+		CU_ASSERT_EQUAL(is_moved(&crawler), priority == 0);
+		mt_engine_fixture_close(&crawler.fixture);
+	}
+}
+
+/** Starts the run anew on the same server, after it was stopped. */
+static void start_crawler_again(const mt_crawler_t *crawler)
+{
+	mt_dag_task_t *task = crawler->task;
+	mt_backend_t *server = task->server;
+
+	mt_dag_task_unplace(task);
+	mt_dag_task_place(task, server, task->run + 1, 10000);
+	task->placement_stored = true;
+	task->phase = MT_TASK_PHASE_RUNNING;
+	task->start_settled_at = 10000;
+	task->stop_wanted = false;
+	measure_crawler(crawler);
+}
+
+/**
+ * Guards against: a task moves from one slow server to the next, and never
+ * ends; it no longer moves away from a stall, either.
+ */
+static void a_task_moves_once_from_slow_servers(void)
+{
+	mt_crawler_t crawler;
+
+	open_crawler(&crawler, 2, true);
+	CU_ASSERT_TRUE(is_moved(&crawler));
+	start_crawler_again(&crawler);
+	CU_ASSERT_FALSE(is_moved(&crawler));
+	mt_timers_advance(crawler.fixture.timers, 30000);
+	crawler.task->server->answered_at = 30000;
+	CU_ASSERT_TRUE(is_moved(&crawler));
+	mt_engine_fixture_close(&crawler.fixture);
+}
+
+/**
+ * Starts the gang of two anew: the member `slow` on the first server, the other
+ * one on `sound`.
+ */
+static void start_gang(mt_crawler_t *crawler, mt_dag_step_t *gang,
+		       uint32_t slow, mt_backend_t *sound)
+{
+	for (uint32_t i = 0; i < 2; i++) {
+		mt_dag_task_t *task = &gang->tasks[i];
+
+		if (task->server)
+			mt_dag_task_unplace(task);
+		mt_dag_task_place(
+			task, i == slow ? crawler->fixture.servers[0] : sound,
+			task->run + 1, 10000);
+		task->placement_stored = true;
+		task->phase = MT_TASK_PHASE_RUNNING;
+		task->start_settled_at = 10000;
+		task->stop_wanted = false;
+	}
+	crawler->task = &gang->tasks[slow];
+	measure_crawler(crawler);
+}
+
+/**
+ * Guards against: a gang is moved for each of its members, and all of them lose
+ * their work each time.
+ */
+static void a_gang_moves_once_from_slow_servers(void)
+{
+	mt_crawler_t crawler;
+	mt_dag_step_t *gang;
+	mt_backend_t *sound;
+
+	mt_engine_fixture_open(&crawler.fixture);
+	mt_engine_fixture_teach_speeds(&crawler.fixture);
+	sound = mt_engine_fixture_add_server(&crawler.fixture, "other-3");
+	gang = mt_engine_fixture_add_job(&crawler.fixture, 1, 2, 2)->steps;
+	start_gang(&crawler, gang, 0, sound);
+	CU_ASSERT_TRUE(is_moved(&crawler));
+	CU_ASSERT_TRUE(gang->tasks[1].stop_wanted);
+	start_gang(&crawler, gang, 1, sound);
+	CU_ASSERT_FALSE(is_moved(&crawler));
+	mt_engine_fixture_close(&crawler.fixture);
+}
+
+/** Guards against: where speeds are not known, runs move less often. */
+static void runs_on_even_servers_move_as_before(void)
+{
+	mt_crawler_t crawler;
+
+	open_crawler(&crawler, 2, false);
+	mt_server_speeds_clear(crawler.fixture.engine);
+	crawler.other->used.gpu = 1;
+	CU_ASSERT_TRUE(is_moved(&crawler));
+	start_crawler_again(&crawler);
+	CU_ASSERT_TRUE(is_moved(&crawler));
+	mt_engine_fixture_close(&crawler.fixture);
+}
+
 const mt_test_t mt_relocation_tests[] = {
+	{"a run moves only to where it ends sooner",
+	 a_run_moves_only_to_where_it_ends_sooner},
+	{"a run does not move without room", a_run_does_not_move_without_room},
+	{"the speed counts of the servers that the planner chooses",
+	 the_speed_counts_of_the_servers_that_the_planner_chooses},
+	{"a task moves once from slow servers",
+	 a_task_moves_once_from_slow_servers},
+	{"a gang moves once from slow servers",
+	 a_gang_moves_once_from_slow_servers},
+	{"runs on even servers move as before",
+	 runs_on_even_servers_move_as_before},
 	{"a stalled run is moved", a_stalled_run_is_moved},
 	{"a gang member that waits for the others is not stalled",
 	 a_gang_member_that_waits_for_the_others_is_not_stalled},
