planner: share the fast servers between accounts

Steps of equal rank were ordered by latest start alone, so that an account with many early jobs could keep all fast servers.

Where the servers are uneven, accounts are grouped into levels by the cores that their tasks use on fast servers, and steps of lower levels come first. A step gives way for 1 s at most, and not beyond its latest start. Where the servers are even, the order is the same as before.

Tests of the planner with uneven speeds are new: an urgent gang is placed on the fast servers, and another job only if it would be late on a slow one.

--- a/lib/dag/candidates.c
+++ b/lib/dag/candidates.c
@@ -1,6 +1,7 @@
 /**
  * @file candidates.c Lists the steps that wait to start, in scheduling order.
  */
+#include "dag/fast_share.h"
 #include "dag/planner_internal.h"
 
 /**
@@ -37,6 +38,13 @@
  */
 #define DEFER_MAX_MS 30000u
 
+/**
+ * Where servers are uneven, a step gives way to those of accounts that use less
+ * of the fast servers for this long at most. It is below the time within which
+ * guaranteed jobs have to begin, see reclaim_ms.
+ */
+#define FAST_SHARE_WAIT_MAX_MS 1000u
+
 bool mt_planner_may_use(const mt_planner_t *planner,
 			const mt_backend_t *backend)
 {
@@ -253,7 +261,7 @@
 
 /**
  * Sorts guaranteed jobs first, then by priority, then by `late` and
- * `over_share`, then by latest start.
+ * `over_share`, then by `fast_level`, then by latest start.
  */
 static gint compare_candidates(gconstpointer a, gconstpointer b)
 {
@@ -270,6 +278,8 @@
 		return x->late ? 1 : -1;
 	if (x->over_share != y->over_share)
 		return x->over_share ? 1 : -1;
+	if (x->fast_level != y->fast_level)
+		return x->fast_level < y->fast_level ? -1 : 1;
 	if (x->latest_start_ms != y->latest_start_ms)
 		return x->latest_start_ms < y->latest_start_ms ? -1 : 1;
 	if (x->step->job->id != y->step->job->id)
@@ -294,6 +304,80 @@
 			g_hash_table_size(planner->account_use);
 }
 
+/** Adds the capacity of a server and the tasks that run there. */
+static void add_fast_use(mt_fast_share_t *share, const mt_engine_t *engine,
+			 const mt_backend_t *backend)
+{
+	double speed =
+		mt_speed_model_speed(engine->speeds, &backend->info.target.id);
+
+	mt_fast_share_add_server(
+		share, speed, mt_dag_resources_cores(&backend->info.capacity));
+	for (guint i = 0; i < backend->tasks->len; i++) {
+		const mt_dag_task_t *task = backend->tasks->pdata[i];
+
+		if (!task->stop_wanted)
+			mt_fast_share_add_task(
+				share, task->step->job->spec->account, speed,
+				mt_dag_step_cores(task->step));
+	}
+}
+
+/** Finds what the accounts with running or waiting steps use. */
+static mt_fast_share_t *find_fast_share(const mt_planner_t *planner)
+{
+	mt_fast_share_t *share = mt_fast_share_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, planner->engine->backends);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const mt_backend_t *backend = value;
+
+		if (backend->listed &&
+		    mt_name_equal(&backend->info.service, planner->service))
+			add_fast_use(share, planner->engine, backend);
+	}
+	for (guint i = 0; i < planner->candidates->len; i++)
+		mt_fast_share_add_account(share,
+					  g_array_index(planner->candidates,
+							mt_candidate_step_t, i)
+						  .step->job->spec->account);
+	mt_fast_share_rank(share);
+	return share;
+}
+
+/** True if the step can still begin early enough after giving way to others. */
+static bool may_give_way(const mt_planner_t *planner,
+			 const mt_candidate_step_t *candidate)
+{
+	return candidate->waited_ms <= FAST_SHARE_WAIT_MAX_MS &&
+	       (int64_t)planner->now < candidate->latest_start_ms;
+}
+
+/** Sets `fast_level` of the candidates, if the servers are uneven. */
+static void share_fast_servers(mt_planner_t *planner)
+{
+	mt_kernel_t *kernel = planner->engine->deps.kernel;
+	mt_fast_share_t *share;
+
+	if (planner->candidates->len < 2 ||
+	    !mt_speed_model_is_uneven(planner->engine->speeds))
+		return;
+	share = find_fast_share(planner);
+	for (guint i = 0; i < planner->candidates->len; i++) {
+		mt_candidate_step_t *candidate = &g_array_index(
+			planner->candidates, mt_candidate_step_t, i);
+
+		if (may_give_way(planner, candidate))
+			candidate->fast_level = mt_fast_share_level(
+				share, candidate->step->job->spec->account);
+		if (candidate->fast_level)
+			++*mt_kernel_counter(kernel, "fast_share_waits_total");
+	}
+	mt_fast_share_free(share);
+}
+
 void mt_candidates_collect(mt_planner_t *planner)
 {
 	GHashTableIter iter;
@@ -310,5 +394,6 @@
 		    mt_name_equal(&job->queue.service, planner->service))
 			add_steps(planner, job);
 	}
+	share_fast_servers(planner);
 	g_array_sort(planner->candidates, compare_candidates);
 }
--- a/lib/dag/planner_internal.h
+++ b/lib/dag/planner_internal.h
@@ -24,6 +24,9 @@
 	/** The job's account uses more than an even share of what is left of
 	 * the service beyond the guarantees. */
 	bool over_share;
+	/** How much the account uses of the fast servers, see fast_share.h; 0
+	 * where servers are even, and once the step may not wait any longer. */
+	unsigned fast_level;
 	/** Has waited for OVERDUE_MS (candidates.c) on an underused service
 	 * while nothing of its job ran. */
 	bool overdue;
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -95,6 +95,7 @@
 	add_suite("odd entries", mt_odd_entries_tests);
 	add_suite("evacuations", mt_evacuations_tests);
 	add_suite("cold", mt_cold_tests);
+	add_suite("fast share", mt_fast_share_tests);
 	add_suite("http guard", mt_http_guard_tests);
 	CU_basic_set_mode(CU_BRM_NORMAL);
 	CU_basic_run_tests();
--- a/tests/unit/test_planner.c
+++ b/tests/unit/test_planner.c
@@ -364,7 +364,134 @@
 	mt_catalog_free(catalog);
 }
 
+/** When a job of an account that uses the fast server comes first. */
+typedef struct mt_fast_rivalry_t {
+	bool is_uneven;
+	unsigned server;   /**< of the running task; 1 is the fast one */
+	mt_ms_t waited_ms; /**< by the older job */
+	float slack_factor;
+	bool comes_first; /**< though another account uses no fast server */
+} mt_fast_rivalry_t;
+
+static const mt_fast_rivalry_t fast_rivalries[] = {
+	{true, 1, 0, 3, false},	  {true, 1, 1000, 3, false},
+	{true, 1, 1100, 3, true}, {true, 1, 0, 1, true},
+	{true, 0, 0, 3, true},	  {false, 1, 0, 3, true},
+};
+
+/**
+ * The older job is of an account whose task runs, and the newer one of another
+ * account. Both need all of the server that is idle.
+ */
+static void open_fast_rivals(mt_rivals_t *rivals,
+			     const mt_fast_rivalry_t *rivalry)
+{
+	mt_engine_fixture_t *fixture = &rivals->fixture;
+
+	mt_engine_fixture_open(fixture);
+	if (rivalry->is_uneven)
+		mt_engine_fixture_teach_speeds(fixture);
+	mt_timers_advance(fixture->timers, RIVALS_NOW_MS);
+	rivals->running =
+		add_rival(rivals, 1, MT_ENGINE_FIXTURE_GPU, RIVALS_NOW_MS);
+	mt_dag_task_place(&rivals->running->steps[0].tasks[0],
+			  fixture->servers[rivalry->server], 1, RIVALS_NOW_MS);
+	rivals->older = add_rival(rivals, 2, MT_ENGINE_FIXTURE_GPU,
+				  RIVALS_NOW_MS - 2000);
+	rivals->older->queue.slack_factor = rivalry->slack_factor;
+	rivals->older->steps[0].waiting_since =
+		RIVALS_NOW_MS - rivalry->waited_ms;
+	rivals->newer = add_rival(rivals, 3, MT_ENGINE_FIXTURE_GPU,
+				  RIVALS_NOW_MS - 1000);
+	set_account(rivals->running, "user of fast servers");
+	set_account(rivals->older, "user of fast servers");
+	set_account(rivals->newer, "other");
+}
+
+/**
+ * Guards against: one account keeps the fast servers; its jobs wait for the
+ * others without a bound or until they are late; the order changes where the
+ * servers are even, or where no fast server is in use.
+ */
+static void accounts_share_the_fast_servers(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(fast_rivalries); i++) {
+		mt_rivals_t rivals;
+
+		open_fast_rivals(&rivals, &fast_rivalries[i]);
+		CU_ASSERT_EQUAL(older_comes_first(&rivals),
+				fast_rivalries[i].comes_first);
+	}
+}
+
+/**
+ * Pattern: servers of very different speeds.
+ * Guards against: the plan does not get the speeds of the servers, and an
+ * urgent gang is placed on the slow ones or on both kinds.
+ */
+static void an_urgent_gang_is_placed_on_the_fast_servers(void)
+{
+	mt_engine_fixture_t fixture;
+	mt_backend_t *fast;
+	mt_dag_step_t *gang;
+
+	mt_engine_fixture_open(&fixture);
+	mt_engine_fixture_teach_speeds(&fixture);
+	mt_engine_fixture_add_server(&fixture, "other-2");
+	fast = mt_engine_fixture_add_server(&fixture, "other-3");
+	gang = mt_engine_fixture_add_job(&fixture, 1, 0, 2)->steps;
+	mt_planner_run(fixture.engine);
+	CU_ASSERT_EQUAL(gang->tasks[0].phase, MT_TASK_PHASE_STARTING);
+	CU_ASSERT_EQUAL(fixture.servers[1]->tasks->len, 1);
+	CU_ASSERT_EQUAL(fast->tasks->len, 1);
+	mt_engine_fixture_close(&fixture);
+}
+
+/** A job of priority 2, and the server that it needs in order to be in time. */
+typedef struct mt_timing_t {
+	uint32_t estimate_ms;
+	uint32_t objective_ms; /**< from 1 s before the plan */
+	unsigned server;       /**< 0: the slow one, 1: the fast one */
+} mt_timing_t;
+
+static const mt_timing_t timings[] = {
+	{5000, 15000, 0},
+	{5000, 7500, 1},
+	{10000, 15000, 1},
+	{10000, 30000, 0},
+};
+
+/**
+ * Guards against: the plan gets a wrong run time or time left, so that a job is
+ * late on a slow server, or occupies a fast one without need.
+ */
+static void a_job_uses_a_fast_server_only_if_needed(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(timings); i++) {
+		mt_engine_fixture_t fixture;
+		mt_dag_job_t *job;
+
+		mt_engine_fixture_open(&fixture);
+		mt_engine_fixture_teach_speeds(&fixture);
+		job = mt_engine_fixture_add_job(&fixture, 1, 2, 1);
+		((MtDag__Step *)job->steps[0].spec)->estimate_ms =
+			timings[i].estimate_ms;
+		job->critical_path_ms = timings[i].estimate_ms;
+		job->queue.slack_factor = 0;
+		job->queue.objective_extra_ms = timings[i].objective_ms;
+		CU_ASSERT_TRUE(is_placed_next(&fixture, job));
+		CU_ASSERT_PTR_EQUAL(job->steps[0].tasks[0].server,
+				    fixture.servers[timings[i].server]);
+		mt_engine_fixture_close(&fixture);
+	}
+}
+
 const mt_test_t mt_planner_tests[] = {
+	{"accounts share the fast servers", accounts_share_the_fast_servers},
+	{"an urgent gang is placed on the fast servers",
+	 an_urgent_gang_is_placed_on_the_fast_servers},
+	{"a job uses a fast server only if needed",
+	 a_job_uses_a_fast_server_only_if_needed},
 	{"late jobs give way on a contended service",
 	 late_jobs_give_way_on_a_contended_service},
 	{"a late job runs when there is room",
--- a/tests/unit/tests.h
+++ b/tests/unit/tests.h
@@ -33,6 +33,7 @@
 extern const mt_test_t mt_odd_entries_tests[];
 extern const mt_test_t mt_evacuations_tests[];
 extern const mt_test_t mt_cold_tests[];
+extern const mt_test_t mt_fast_share_tests[];
 extern const mt_test_t mt_admission_tests[];
 extern const mt_test_t mt_http_guard_tests[];
 
