node, jobs, kernel, ctl, soak: remove members and parameters that nothing reads

Hard to read: some members were marked "unused", "never set or read" or "no code reads it", and some parameters were passed on only to be ignored; a reader had to search for their use. Change: removes mt_run_t.resume and .outcome, the event count of the kernel, the kernel of the table of jobs, the membership of the list sync, cancel_sent of the load command, refused_answers and the sender of a frame of the soak, and the runner and load parameters of two functions. Nothing read any of them.

--- a/lib/jobs/jobs.c
+++ b/lib/jobs/jobs.c
@@ -17,7 +17,6 @@
 } mt_deferred_record_t;
 
 struct mt_jobs_t {
-	mt_kernel_t *kernel;
 	GHashTable *all;       /**< mt_job_id_t to mt_job_t, which it owns */
 	GHashTable *live;      /**< the jobs of `all` without an outcome */
 	GArray *deferred;      /**< of mt_deferred_record_t; NULL once loaded */
@@ -45,11 +44,10 @@
 	g_bytes_unref(deferred->packed);
 }
 
-mt_jobs_t *mt_jobs_new(mt_kernel_t *kernel)
+mt_jobs_t *mt_jobs_new(void)
 {
 	mt_jobs_t *jobs = g_new0(mt_jobs_t, 1);
 
-	jobs->kernel = kernel;
 	jobs->all = g_hash_table_new_full(mt_job_id_hash, mt_job_id_key_equal,
 					  NULL, free_job);
 	jobs->live = g_hash_table_new(mt_job_id_hash, mt_job_id_key_equal);
--- a/lib/jobs/jobs.h
+++ b/lib/jobs/jobs.h
@@ -118,7 +118,7 @@
 
 typedef struct mt_jobs_t mt_jobs_t;
 
-mt_jobs_t *mt_jobs_new(mt_kernel_t *kernel);
+mt_jobs_t *mt_jobs_new(void);
 void mt_jobs_free(mt_jobs_t *jobs);
 void mt_jobs_subscribe(mt_jobs_t *jobs, mt_job_cb cb, void *ctx);
 
--- a/lib/kernel/kernel.c
+++ b/lib/kernel/kernel.c
@@ -18,7 +18,6 @@
 	mt_log_sink_cb sink;
 	void *sink_ctx;
 	bool events_enabled;
-	uint64_t events;       /**< unused; may be removed */
 	mt_ms_t events_second; /**< second that `events_left` counts for */
 	unsigned events_left;  /**< events that may still be written in it */
 	mt_breach_cb on_breach;
--- a/lib/node/list_sync.c
+++ b/lib/node/list_sync.c
@@ -8,8 +8,6 @@
 	mt_kernel_t *kernel;
 	const mt_settings_t *settings;
 	mt_lists_t *lists;
-	/** Unused: the peers are taken from the settings, live or not. */
-	mt_membership_t *membership;
 	mt_peer_port_t peers;
 	mt_tail_t *tail;
 	uint64_t timer;
@@ -81,8 +79,7 @@
 
 mt_list_sync_t *mt_list_sync_new(mt_kernel_t *kernel,
 				 const mt_settings_t *settings,
-				 mt_lists_t *lists, mt_membership_t *membership,
-				 const mt_log_port_t *log,
+				 mt_lists_t *lists, const mt_log_port_t *log,
 				 const mt_peer_port_t *peers)
 {
 	mt_list_sync_t *list_sync = g_new0(mt_list_sync_t, 1);
@@ -91,7 +88,6 @@
 	list_sync->kernel = kernel;
 	list_sync->settings = settings;
 	list_sync->lists = lists;
-	list_sync->membership = membership;
 	list_sync->peers = *peers;
 	list_sync->tail = mt_tail_new(kernel, log, MT_LIST_STREAM, &handler);
 	return list_sync;
--- a/lib/node/list_sync.h
+++ b/lib/node/list_sync.h
@@ -25,8 +25,7 @@
 
 mt_list_sync_t *mt_list_sync_new(mt_kernel_t *kernel,
 				 const mt_settings_t *settings,
-				 mt_lists_t *lists, mt_membership_t *membership,
-				 const mt_log_port_t *log,
+				 mt_lists_t *lists, const mt_log_port_t *log,
 				 const mt_peer_port_t *peers);
 void mt_list_sync_free(mt_list_sync_t *list_sync);
 void mt_list_sync_start(mt_list_sync_t *list_sync, mt_list_record_cb cb,
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -254,7 +254,7 @@
 	mt_tail_handler_t handler = {node, on_job_reset, on_job_record,
 				     on_job_page};
 
-	node->jobs = mt_jobs_new(node->kernel);
+	node->jobs = mt_jobs_new();
 	node->lists = mt_lists_new();
 	node->health = mt_health_new(mt_kernel_rand(node->kernel));
 	node->estimator = mt_estimator_new();
@@ -262,9 +262,9 @@
 	node->membership =
 		mt_membership_new(node->kernel, node->settings,
 				  &node->incarnation, &node->ports.peers);
-	node->list_sync = mt_list_sync_new(
-		node->kernel, node->settings, node->lists, node->membership,
-		&node->ports.log, &node->ports.peers);
+	node->list_sync =
+		mt_list_sync_new(node->kernel, node->settings, node->lists,
+				 &node->ports.log, &node->ports.peers);
 	node->job_tail = mt_tail_new(node->kernel, &node->ports.log,
 				     MT_JOBS_STREAM, &handler);
 	node->job_appender =
--- a/lib/node/recover.c
+++ b/lib/node/recover.c
@@ -193,10 +193,8 @@
 	return server->leased && server->last_ok_sent_at > run->created_at;
 }
 
-void mt_run_mark_absent_parts(mt_runner_t *runner, mt_run_t *run,
-			      const mt_fleet_server_t *server)
+void mt_run_mark_absent_parts(mt_run_t *run, const mt_fleet_server_t *server)
 {
-	(void)runner;
 	for (guint i = 0; i < run->parts->len; i++) {
 		mt_run_part_t *part = mt_run_part(run, i);
 
@@ -234,7 +232,7 @@
 			mt_fleet_find(runner->deps.fleet, &part->server);
 
 		if (!part->presence_known && server)
-			mt_run_mark_absent_parts(runner, run, server);
+			mt_run_mark_absent_parts(run, server);
 		if (!part->presence_known &&
 		    mt_fleet_is_gone(runner->deps.fleet, &part->server)) {
 			part->presence_known = true;
--- a/lib/node/run_events.c
+++ b/lib/node/run_events.c
@@ -178,7 +178,7 @@
 		if (!run)
 			continue;
 		if (run->phase == MT_PHASE_RECOVER)
-			mt_run_mark_absent_parts(runner, run, server);
+			mt_run_mark_absent_parts(run, server);
 		else
 			mark_lost_parts(run, server);
 		mt_run_advance(runner, run);
--- a/lib/node/runner.h
+++ b/lib/node/runner.h
@@ -121,11 +121,6 @@
 	bool checkpointable;
 	bool urgent; /**< declared urgent and has one member only */
 	bool direct; /**< see mt_job_t */
-	/**
-	 * Never set or read. Whether START resumes from a checkpoint is decided
-	 * by fill_start_request() in run_commands.c.
-	 */
-	bool resume;
 	/**
 	 * Stop without a checkpoint: a server refused one, or the capacity is
 	 * needed at once.
@@ -150,8 +145,6 @@
 	/** Since when only some parts run; 0 while all of them or none do. */
 	mt_ms_t partially_running_since;
 	uint64_t record_id; /**< of the pending record in the appender, or 0 */
-	/** Never set or read; see mt_run_record_outcome(). */
-	MtPb__OutcomeKind outcome;
 	/** Detail of `cause`, for the metric and the Outcome record. */
 	const char *reason;
 	GBytes *result;
--- a/lib/node/runner_internal.h
+++ b/lib/node/runner_internal.h
@@ -106,8 +106,7 @@
  * last report as stopped, or as lost if the server has restarted. Does nothing
  * if the report is older than the run; see is_report_conclusive() in recover.c.
  */
-void mt_run_mark_absent_parts(mt_runner_t *runner, mt_run_t *run,
-			      const mt_fleet_server_t *server);
+void mt_run_mark_absent_parts(mt_run_t *run, const mt_fleet_server_t *server);
 
 /** Writes the outcome to the log, or passes it on for a direct job. */
 void mt_run_record_outcome(mt_runner_t *runner, mt_run_t *run,
--- a/programs/ctl/load.h
+++ b/programs/ctl/load.h
@@ -56,7 +56,6 @@
 	mt_ms_t cancel_at; /**< 0: never */
 	mt_load_state_t state;
 	bool done;	   /**< ended, and the result, if any, was fetched */
-	bool cancel_sent;  /**< a cancellation was sent; never read */
 	bool once;	   /**< not idempotent: must begin at most once */
 	bool not_run;	   /**< reported as not run */
 	bool wrong_result; /**< the result differs from the expected one */
--- a/programs/ctl/load_run.c
+++ b/programs/ctl/load_run.c
@@ -182,8 +182,7 @@
 	g_free(load_request);
 }
 
-static void fill_request(mt_load_t *load, mt_load_job_t *job,
-			 mt_load_request_kind_t kind,
+static void fill_request(const mt_load_job_t *job, mt_load_request_kind_t kind,
 			 mt_http_request_t *request, char **path)
 {
 	request->method = "GET";
@@ -201,7 +200,6 @@
 	} else {
 		*path = g_strdup_printf("/v1/jobs/%s/result", job->id.text);
 	}
-	(void)load;
 }
 
 static void send_request(mt_load_t *load, mt_load_job_t *job,
@@ -227,7 +225,7 @@
 
 	if (kind == MT_REQUEST_SUBMIT)
 		job->attempts++;
-	fill_request(load, job, kind, &request, &path);
+	fill_request(job, kind, &request, &path);
 	request.path = path;
 	request.headers = headers;
 	*load_request = (mt_load_request_t){load, job, kind, host};
@@ -249,11 +247,9 @@
 {
 	mt_load_request_t *load_request = ctx;
 
-	if (!load_request->job->done) {
-		load_request->job->cancel_sent = true;
+	if (!load_request->job->done)
 		send_request(load_request->load, load_request->job,
 			     MT_REQUEST_CANCEL);
-	}
 	g_free(load_request);
 }
 
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -44,8 +44,7 @@
 struct mt_callers_t {
 	mt_world_t *world;
 	GPtrArray *jobs;
-	guint open_jobs;       /**< jobs that are not `done` */
-	guint refused_answers; /**< for a debugger; no code reads it */
+	guint open_jobs; /**< jobs that are not `done` */
 };
 
 typedef struct mt_request_t {
@@ -218,7 +217,6 @@
 
 static void handle_refusal(mt_caller_job_t *job, const mt_answer_t *answer)
 {
-	job->callers->refused_answers++;
 	if (answer->not_run) {
 		job->not_run = true;
 		mark_done(job);
--- a/tests/soak/world.c
+++ b/tests/soak/world.c
@@ -604,7 +604,6 @@
 /* Links between hosts. */
 
 typedef struct mt_fake_frame_t {
-	mt_host_ref_t from; /**< sender; no code reads it */
 	mt_host_t *to;
 	mt_peer_id_t id; /**< of the sender */
 	GByteArray *bytes;
@@ -653,7 +652,6 @@
 		    is_link_cut(host, to) || !to->alive)
 			continue;
 		sent = g_new0(mt_fake_frame_t, 1);
-		sent->from = host_ref(host);
 		sent->to = to;
 		sent->id = (mt_peer_id_t){host->settings->host,
 					  host->settings->dc, *incarnation};
--- a/tests/unit/script_jobs.c
+++ b/tests/unit/script_jobs.c
@@ -43,7 +43,7 @@
 
 	fixture->timers = mt_timers_new(0);
 	fixture->kernel = mt_kernel_new("test", fixture->timers, 1);
-	fixture->jobs = mt_jobs_new(fixture->kernel);
+	fixture->jobs = mt_jobs_new();
 	mt_jobs_subscribe(fixture->jobs, on_change, fixture);
 	return fixture;
 }
--- a/tests/unit/test_runner.c
+++ b/tests/unit/test_runner.c
@@ -187,7 +187,7 @@
 	mt_kernel_set_level(fixture->kernel, MT_LOG_ERR);
 	fixture->records =
 		g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
-	fixture->jobs = mt_jobs_new(fixture->kernel);
+	fixture->jobs = mt_jobs_new();
 	fixture->appender =
 		mt_appender_new(fixture->kernel, &log, "jobs", 50, 100);
 	fixture->health = mt_health_new(mt_kernel_rand(fixture->kernel));
