Make functions static that only their own file calls

Hard to read: nine functions stood in headers (two of them without a comment), although no other file called them; a reader had to look for callers elsewhere. Change: mt_phase_name, mt_server_capacity_members, mt_waiting_job_score, mt_lists_patch, mt_json_repair, mt_load_print, mt_world_server_index and mt_odd_json_value are static, under shorter names; mt_lists_plan, a look-up in a table, stands in its only caller.

--- a/lib/decide/decide.c
+++ b/lib/decide/decide.c
@@ -76,8 +76,9 @@
 	return 1;
 }
 
-double mt_waiting_job_score(const mt_view_t *view,
-			    const mt_view_waiting_job_t *job)
+/** Score of a waiting job within its class; higher scores go first. */
+static double waiting_job_score(const mt_view_t *view,
+				const mt_view_waiting_job_t *job)
 {
 	const mt_policy_t *policy = &view->policy;
 	double run_s = (double)MAX(1000, job->expected_run_ms) / 1000;
@@ -147,7 +148,7 @@
 		mt_queue_entry_t entry = {i, class_of(state, job), 0};
 
 		entry.score = state->algorithm == MT_ALGORITHM_FULL
-				      ? mt_waiting_job_score(state->view, job)
+				      ? waiting_job_score(state->view, job)
 				      : (double)job->waited_ms;
 		g_array_append_val(queue, entry);
 	}
--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -77,8 +77,4 @@
 mt_decision_t *mt_decide(const mt_view_t *view, mt_algorithm_t algorithm);
 void mt_decision_free(mt_decision_t *decision);
 
-/** Score of a waiting job within its class; higher scores go first. */
-double mt_waiting_job_score(const mt_view_t *view,
-			    const mt_view_waiting_job_t *job);
-
 #endif
--- a/lib/decide/place.c
+++ b/lib/decide/place.c
@@ -76,8 +76,9 @@
 	}
 }
 
-uint32_t mt_server_capacity_members(const mt_server_capacity_t *capacity,
-				    const mt_resources_t *each)
+/** Number of members that fit into the capacity, if each one needs `each`. */
+static uint32_t capacity_members(const mt_server_capacity_t *capacity,
+				 const mt_resources_t *each)
 {
 	uint32_t members = capacity->slots;
 
@@ -290,7 +291,7 @@
 			mt_server_capacity_t empty = {server->total,
 						      server->slots};
 
-			sum += mt_server_capacity_members(&empty, each);
+			sum += capacity_members(&empty, each);
 		}
 		best = MAX(best, sum);
 	}
@@ -340,7 +341,7 @@
 
 	for (guint i = 0; i < count; i++) {
 		if (!excluded || !excluded[i])
-			members_per_server[i] = mt_server_capacity_members(
+			members_per_server[i] = capacity_members(
 				&free_capacity->per_server[i], &shape->each);
 	}
 	if (sum_members(members_per_server, 0, count) >= shape->members) {
--- a/lib/decide/place.h
+++ b/lib/decide/place.h
@@ -44,10 +44,6 @@
 void mt_free_capacity_release(mt_free_capacity_t *free_capacity,
 			      const mt_shape_t *shape, const GArray *parts);
 
-/** Number of members that fit into the capacity, if each one needs `each`. */
-uint32_t mt_server_capacity_members(const mt_server_capacity_t *capacity,
-				    const mt_resources_t *each);
-
 /**
  * Places all members or none.
  * @param excluded per server: true if it must not be used; or NULL
--- a/lib/lists/lists.c
+++ b/lib/lists/lists.c
@@ -275,8 +275,9 @@
 	return json_pack("{s:o, s:o}", "set", set, "remove", removed);
 }
 
-json_t *mt_lists_patch(const json_t *content, const json_t *delta,
-		       GError **error)
+/** Copy of `content` with `delta` applied, or NULL with an error. */
+static json_t *patch_content(const json_t *content, const json_t *delta,
+			     GError **error)
 {
 	json_t *patched;
 	const json_t *set = json_object_get(delta, "set");
@@ -305,7 +306,7 @@
 {
 	json_t *delta = json_loads(text, JSON_REJECT_DUPLICATES, NULL);
 	json_t *patched =
-		mt_lists_patch(lists->states[list].content, delta, error);
+		patch_content(lists->states[list].content, delta, error);
 
 	json_decref(delta);
 	if (!patched)
@@ -475,17 +476,12 @@
 	return g_hash_table_lookup(lists->accounts, name);
 }
 
-const mt_plan_t *mt_lists_plan(const mt_lists_t *lists, const mt_name_t *name)
-{
-	return g_hash_table_lookup(lists->plans, name);
-}
-
 const mt_quota_t *mt_lists_quota(const mt_lists_t *lists,
 				 const mt_name_t *account, const mt_name_t *dc)
 {
 	const mt_account_t *found = mt_lists_account(lists, account);
 	const mt_plan_t *plan =
-		found ? mt_lists_plan(lists, &found->plan) : NULL;
+		found ? g_hash_table_lookup(lists->plans, &found->plan) : NULL;
 
 	for (guint i = 0; plan && i < plan->quotas->len; i++) {
 		const mt_quota_t *quota =
--- a/lib/lists/lists.h
+++ b/lib/lists/lists.h
@@ -134,13 +134,8 @@
 /** Delta that turns `from` into `to`: {"set": {...}, "remove": [...]}. */
 json_t *mt_lists_diff(const json_t *from, const json_t *to);
 
-/** Copy of `content` with `delta` applied, or NULL with an error. */
-json_t *mt_lists_patch(const json_t *content, const json_t *delta,
-		       GError **error);
-
 const mt_account_t *mt_lists_account(const mt_lists_t *lists,
 				     const mt_name_t *name);
-const mt_plan_t *mt_lists_plan(const mt_lists_t *lists, const mt_name_t *name);
 
 /** Quota of the account in `dc`, or NULL if its plan has none there. */
 const mt_quota_t *mt_lists_quota(const mt_lists_t *lists,
--- a/lib/net/json_repair.c
+++ b/lib/net/json_repair.c
@@ -112,7 +112,11 @@
 		scan->depth--;
 }
 
-char *mt_json_repair(mt_str_t text)
+/**
+ * Returns a copy of the text with the replacements that mt_json_parse_list()
+ * states; freed with g_free(). The copy may still be malformed.
+ */
+static char *repair(mt_str_t text)
 {
 	char *valid =
 		g_utf8_make_valid(text.data ? text.data : "", (gssize)text.len);
@@ -141,7 +145,7 @@
 
 	if (json || !body.len)
 		return json;
-	repaired = mt_json_repair(body);
+	repaired = repair(body);
 	json = json_loads(repaired, 0, NULL);
 	g_free(repaired);
 	return json;
--- a/lib/net/json_repair.h
+++ b/lib/net/json_repair.h
@@ -11,19 +11,12 @@
 #include "kernel/name.h"
 
 /**
- * Returns a copy of the text in which these parts are replaced by null:
- * numbers that are too large or malformed, unknown words, and what is nested
- * too deeply. In strings, bytes that are not UTF-8, escapes of surrogates and
- * zero bytes, and control characters are replaced by U+FFFD. The copy may still
- * be malformed.
- * @return a new string, freed with g_free()
- */
-char *mt_json_repair(mt_str_t text);
-
-/**
- * Parses like mt_json_parse(), but makes up for parts that cannot be read, see
- * mt_json_repair(); of duplicate keys the last one counts. For lists to which
- * others contribute. NULL if the text as a whole is malformed.
+ * Parses like mt_json_parse(), but replaces the parts that cannot be read. Null
+ * stands for numbers that are too large or malformed, unknown words, and what
+ * is nested too deeply. In strings, bytes that are not UTF-8, escapes of
+ * surrogates and zero bytes, and control characters become U+FFFD. Of duplicate
+ * keys the last one counts. For lists to which others contribute.
+ * @return NULL if the text is malformed even so
  */
 json_t *mt_json_parse_list(mt_str_t body);
 
--- a/lib/node/runner.c
+++ b/lib/node/runner.c
@@ -68,7 +68,7 @@
 	return runner->by_job;
 }
 
-const char *mt_phase_name(mt_phase_t phase)
+static const char *phase_name(mt_phase_t phase)
 {
 	static const char *const names[MT_PHASE_COUNT] = {
 		"claim",   "hold",   "release", "run",
@@ -194,8 +194,7 @@
 void mt_run_set_phase(mt_runner_t *runner, mt_run_t *run, mt_phase_t phase)
 {
 	mt_log(runner->deps.kernel, MT_LOG_DEBUG, "runner", "job %s: %s to %s",
-	       run->job_text.text, mt_phase_name(run->phase),
-	       mt_phase_name(phase));
+	       run->job_text.text, phase_name(run->phase), phase_name(phase));
 	run->phase = phase;
 	run->phase_entered_at = mt_kernel_now(runner->deps.kernel);
 }
--- a/lib/node/runner.h
+++ b/lib/node/runner.h
@@ -228,6 +228,4 @@
 /** Drops all runs but leaves their tasks running for the next scheduler. */
 void mt_runner_drop_all(mt_runner_t *runner);
 
-const char *mt_phase_name(mt_phase_t phase);
-
 #endif
--- a/programs/ctl/cmd_load.c
+++ b/programs/ctl/cmd_load.c
@@ -151,7 +151,12 @@
 	json_decref(object);
 }
 
-guint mt_load_print(const mt_load_t *load, bool json)
+/**
+ * Prints the results.
+ * @return sum of the numbers of jobs lost, run twice, begun though reported as
+ *         not run, and with a wrong result; may count a job more than once
+ */
+static guint print_results(const mt_load_t *load, bool json)
 {
 	mt_load_sums_t sums = compute_sums(load);
 
@@ -222,6 +227,6 @@
 	mt_load_run(&load, (mt_ms_t)timeout->ival[0] * MS_PER_S);
 	if (audit->count)
 		mt_load_audit(&load, &audit_endpoint);
-	return mt_load_print(&load, json->count > 0) ? MT_EXIT_FAILED
+	return print_results(&load, json->count > 0) ? MT_EXIT_FAILED
 						     : MT_EXIT_OK;
 }
--- a/programs/ctl/load.h
+++ b/programs/ctl/load.h
@@ -94,11 +94,4 @@
 /** Asks the test platform at `audit` how often each job began. */
 void mt_load_audit(mt_load_t *load, const mt_endpoint_t *audit);
 
-/**
- * Prints the results.
- * @return sum of the numbers of jobs lost, run twice, begun though reported as
- *         not run, and with a wrong result; may count a job more than once
- */
-guint mt_load_print(const mt_load_t *load, bool json);
-
 #endif
--- a/tests/soak/world.c
+++ b/tests/soak/world.c
@@ -519,7 +519,8 @@
 		      command);
 }
 
-int mt_world_server_index(const mt_world_t *world, const mt_name_t *id)
+/** Index of the server with this id, or -1. */
+static int server_index(const mt_world_t *world, const mt_name_t *id)
 {
 	for (guint i = 0; i < world->server_infos->len; i++) {
 		if (mt_name_equal(server_id(world, i), id))
@@ -536,8 +537,7 @@
 	mt_fake_command_t *command = g_new0(mt_fake_command_t, 1);
 
 	command->origin = host_ref(host);
-	command->server =
-		(guint)mt_world_server_index(host->world, &server->id);
+	command->server = (guint)server_index(host->world, &server->id);
 	command->request = *request;
 	if (request->skip)
 		g_array_ref(command->request.skip);
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -114,9 +114,6 @@
 void mt_world_breach(mt_world_t *world, const char *format, ...)
 	G_GNUC_PRINTF(2, 3);
 
-/** Index of the server with this id, or -1. */
-int mt_world_server_index(const mt_world_t *world, const mt_name_t *id);
-
 /** A random host that is alive and not frozen, or NULL. */
 mt_host_t *mt_world_pick_host(mt_world_t *world);
 bool mt_host_is_frozen(const mt_host_t *host);
--- a/tests/unit/odd_json.c
+++ b/tests/unit/odd_json.c
@@ -27,7 +27,8 @@
 	g_free(name);
 }
 
-void mt_odd_json_value(GString *out, GRand *rand)
+/** Appends an odd value, which may not even be JSON. */
+static void append_odd_value(GString *out, GRand *rand)
 {
 	static const char *const values[] = {
 		"null",
@@ -140,7 +141,7 @@
 		(guint)g_rand_int_range(rand, 0, (gint32)offsets->len));
 
 	g_string_append_len(out, valid, (gssize)at);
-	mt_odd_json_value(out, rand);
+	append_odd_value(out, rand);
 	g_string_append(out, valid + at + value_len(valid + at));
 	g_array_unref(offsets);
 	return out;
--- a/tests/unit/odd_json.h
+++ b/tests/unit/odd_json.h
@@ -9,9 +9,6 @@
 #include <glib.h>
 #include <stdbool.h>
 
-/** Appends an odd value, which may not even be JSON. */
-void mt_odd_json_value(GString *out, GRand *rand);
-
 /**
  * Returns the text of a valid object or array with one of its values replaced
  * by an odd one.
