--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -49,20 +49,22 @@
 
 /** Faults in effect, besides those of mt_server_faults_t and mt_host_t. */
 typedef struct mt_active_faults_t {
-	bool log_away;	    /**< the log refuses all requests */
-	double log_lost;    /**< share of appends that execute without an
-			       answer */
-	double log_late;    /**< share of appends that execute late (up to
-			       DELAY_MAX_MS in world.c) and without an
-			       answer */
-	double server_lost; /**< share of commands to servers, except RENEW
-			       (MT_SERVER_RENEW), that execute without an
-			       answer */
-	double server_late; /**< share of commands to servers, except RENEW,
-			       that execute late (up to DELAY_MAX_MS) and
-			       without an answer */
-	bool platform_cut[MT_SOAK_DCS]; /**< no link to the log and the server
-					   list */
+	bool log_away;	 /**< the log refuses all requests */
+	double log_lost; /**< share of appends that execute without an answer */
+	/**
+	 * Share of appends that execute late, by up to MT_SOAK_DELAY_MAX_MS,
+	 * and without an answer.
+	 */
+	double log_late;
+	/**
+	 * Share of commands to servers, except RENEW (MT_SERVER_RENEW), that
+	 * execute without an answer.
+	 */
+	double server_lost;
+	/** As `server_lost`, but executed late, as those of `log_late`. */
+	double server_late;
+	/** Per data centre: no link to the log and the server list. */
+	bool platform_cut[MT_SOAK_DCS];
 	bool dc_cut[MT_SOAK_DCS][MT_SOAK_DCS];	     /**< [from][to] */
 	bool host_cut[MT_SOAK_HOSTS][MT_SOAK_HOSTS]; /**< [from][to] */
 	bool *server_unreachable;		     /**< per server */
