appender: one function packs and submits a record

Hard to read: four functions packed a record, submitted it and released the packed bytes, in the same three steps. Change: mt_appender_submit_record() does this.

--- a/lib/node/appender.c
+++ b/lib/node/appender.c
@@ -159,6 +159,18 @@
 	return item->id;
 }
 
+uint64_t mt_appender_submit_record(mt_appender_t *appender,
+				   const MtPb__Record *record,
+				   mt_priority_t priority, mt_read_back_cb cb,
+				   void *ctx)
+{
+	GBytes *packed = mt_record_pack(record);
+	uint64_t id = mt_appender_submit(appender, packed, priority, cb, ctx);
+
+	g_bytes_unref(packed);
+	return id;
+}
+
 void mt_appender_drop_callback(mt_appender_t *appender, uint64_t id)
 {
 	mt_item_t *item = g_hash_table_lookup(appender->by_id, &id);
--- a/lib/node/appender.h
+++ b/lib/node/appender.h
@@ -14,6 +14,7 @@
 
 #include "kernel/kernel.h"
 #include "net/log_port.h"
+#include "wire/codec.h"
 
 /**
  * Records of MT_PRIORITY_CRITICAL are appended first, and any number of them
@@ -55,6 +56,12 @@
 			    mt_priority_t priority, mt_read_back_cb cb,
 			    void *ctx);
 
+/** Like mt_appender_submit(), but packs the record first. */
+uint64_t mt_appender_submit_record(mt_appender_t *appender,
+				   const MtPb__Record *record,
+				   mt_priority_t priority, mt_read_back_cb cb,
+				   void *ctx);
+
 /** Drops the callback of a record; the record is still appended. */
 void mt_appender_drop_callback(mt_appender_t *appender, uint64_t id);
 
--- a/lib/node/job_api.c
+++ b/lib/node/job_api.c
@@ -473,17 +473,14 @@
 {
 	MtPb__Record record = MT_PB__RECORD__INIT;
 	MtPb__Cancel cancel = MT_PB__CANCEL__INIT;
-	GBytes *packed;
 
 	cancel.job = mt_job_id_field(&cancellation->id);
 	cancel.account = (char *)cancellation->account.text;
 	cancel.once = cancellation->once;
 	record.body_case = MT_PB__RECORD__BODY_CANCEL;
 	record.cancel = &cancel;
-	packed = mt_record_pack(&record);
-	mt_appender_submit(api->deps.appender, packed, MT_PRIORITY_CRITICAL,
-			   NULL, NULL);
-	g_bytes_unref(packed);
+	mt_appender_submit_record(api->deps.appender, &record,
+				  MT_PRIORITY_CRITICAL, NULL, NULL);
 }
 
 /** Reason to refuse a cancellation, or MT_REFUSAL_NONE. */
--- a/lib/node/run_records.c
+++ b/lib/node/run_records.c
@@ -29,7 +29,6 @@
 	guint count = run->parts->len;
 	MtPb__ClaimTarget *targets = g_new0(MtPb__ClaimTarget, count);
 	MtPb__ClaimTarget **pointers = g_new0(MtPb__ClaimTarget *, count);
-	GBytes *packed;
 
 	for (guint i = 0; i < count; i++) {
 		mt_run_part_t *part = mt_run_part(run, i);
@@ -49,11 +48,9 @@
 	claim.targets = pointers;
 	record.body_case = MT_PB__RECORD__BODY_CLAIM;
 	record.claim = &claim;
-	packed = mt_record_pack(&record);
-	run->record_id = mt_appender_submit(runner->deps.appender, packed,
-					    MT_PRIORITY_CRITICAL,
-					    on_claim_read_back, run);
-	g_bytes_unref(packed);
+	run->record_id = mt_appender_submit_record(
+		runner->deps.appender, &record, MT_PRIORITY_CRITICAL,
+		on_claim_read_back, run);
 	g_free(pointers);
 	g_free(targets);
 }
--- a/lib/node/scheduler_moves.c
+++ b/lib/node/scheduler_moves.c
@@ -28,7 +28,6 @@
 {
 	MtPb__Record record = MT_PB__RECORD__INIT;
 	MtPb__Move move = MT_PB__MOVE__INIT;
-	GBytes *packed;
 
 	mt_log(scheduler->deps.kernel, MT_LOG_INFO, "scheduler",
 	       "moving job %s to %s", mt_job_id_text(&job->id).text, dc->text);
@@ -38,10 +37,8 @@
 	move.dc = (char *)dc->text;
 	record.body_case = MT_PB__RECORD__BODY_MOVE;
 	record.move = &move;
-	packed = mt_record_pack(&record);
-	mt_appender_submit(scheduler->deps.appender, packed,
-			   MT_PRIORITY_CRITICAL, NULL, NULL);
-	g_bytes_unref(packed);
+	mt_appender_submit_record(scheduler->deps.appender, &record,
+				  MT_PRIORITY_CRITICAL, NULL, NULL);
 }
 
 /** True when the account's limit in `dc` allows the job. */
--- a/lib/node/unwind.c
+++ b/lib/node/unwind.c
@@ -121,16 +121,13 @@
 {
 	MtPb__Record record = MT_PB__RECORD__INIT;
 	MtPb__ClaimVoid claim_void = MT_PB__CLAIM_VOID__INIT;
-	GBytes *packed;
 
 	claim_void.job = mt_job_id_field(&run->job);
 	claim_void.number = run->claim_number;
 	record.body_case = MT_PB__RECORD__BODY_CLAIM_VOID;
 	record.claim_void = &claim_void;
-	packed = mt_record_pack(&record);
-	mt_appender_submit(runner->deps.appender, packed, MT_PRIORITY_CRITICAL,
-			   NULL, NULL);
-	g_bytes_unref(packed);
+	mt_appender_submit_record(runner->deps.appender, &record,
+				  MT_PRIORITY_CRITICAL, NULL, NULL);
 }
 
 /** Outcome of a claimed job whose program has started: it never runs again. */
