peer_links: parse addresses in one place

Hard to read: the same four lines tried an address as IPv4 and as IPv6, once for links to peers and once to listen.

--- a/lib/net/peer_links.c
+++ b/lib/net/peer_links.c
@@ -41,6 +41,15 @@
 
 static void connect_outbound(void *ctx);
 
+/** @return false if `address` is not an IP address */
+static bool parse_address(const mt_name_t *address, uint16_t port,
+			  struct sockaddr_storage *parsed)
+{
+	return !uv_ip4_addr(address->text, port,
+			    (struct sockaddr_in *)parsed) ||
+	       !uv_ip6_addr(address->text, port, (struct sockaddr_in6 *)parsed);
+}
+
 /* Outbound links. */
 
 static void on_outbound_closed(uv_handle_t *handle)
@@ -147,10 +156,7 @@
 
 	out->links = links;
 	out->host = *host;
-	if (uv_ip4_addr(address->text, port,
-			(struct sockaddr_in *)&out->address) &&
-	    uv_ip6_addr(address->text, port,
-			(struct sockaddr_in6 *)&out->address)) {
+	if (!parse_address(address, port, &out->address)) {
 		g_free(out);
 		return;
 	}
@@ -287,10 +293,7 @@
 {
 	struct sockaddr_storage socket_address;
 
-	if (uv_ip4_addr(address->text, port,
-			(struct sockaddr_in *)&socket_address) &&
-	    uv_ip6_addr(address->text, port,
-			(struct sockaddr_in6 *)&socket_address))
+	if (!parse_address(address, port, &socket_address))
 		return false;
 	uv_tcp_init(mt_loop_uv(links->loop), &links->listener);
 	links->listener.data = links;
