ctl: split the functions of load, report and check

Hard to read: three functions of 51 to 60 lines parsed the command line, did the work and printed the results; the defaults of load were plain numbers. Change: load parses into a struct, with named defaults; report prints its table and its JSON in functions of their own; check reads and checks the files in check_file().

--- a/programs/ctl/cmd_check.c
+++ b/programs/ctl/cmd_check.c
@@ -47,6 +47,33 @@
 	return false;
 }
 
+/**
+ * Checks a configuration file and prints what was found.
+ * @param against path of the configuration in force, or NULL
+ * @return the exit code
+ */
+static int check_file(const char *path, const char *against,
+		      const mt_check_capacity_t *capacity, bool json)
+{
+	json_t *config = mt_ctl_read_json(path);
+	json_t *in_force = against ? mt_ctl_read_json(against) : NULL;
+	GArray *findings;
+	int code;
+
+	if (!config || (against && !in_force))
+		return MT_EXIT_USAGE;
+	findings = mt_config_check(config, in_force, capacity);
+	if (json)
+		print_json(findings);
+	else
+		print_lines(findings);
+	code = has_faults(findings) ? MT_EXIT_FAILED : MT_EXIT_OK;
+	g_array_unref(findings);
+	json_decref(config);
+	json_decref(in_force);
+	return code;
+}
+
 /** Checks a configuration of the platform of mimosaturn-entry. */
 static int check_config(int argc, char **argv)
 {
@@ -65,9 +92,6 @@
 	struct arg_end *end = arg_end(8);
 	void *table[] = {file, against, gpus, evacuated, json, help, end};
 	mt_check_capacity_t capacity = {0};
-	json_t *config;
-	json_t *in_force = NULL;
-	GArray *findings;
 	int code;
 
 	if (!mt_ctl_parse(argc, argv, table, help, end,
@@ -81,25 +105,13 @@
 			  " 1 faults found,\n2 bad command line or file.\n",
 			  &code))
 		return code;
-	config = mt_ctl_read_json(file->filename[0]);
-	if (against->count)
-		in_force = mt_ctl_read_json(against->filename[0]);
-	if (!config || (against->count && !in_force))
-		return MT_EXIT_USAGE;
 	if (gpus->count)
 		capacity.gpus = (unsigned)MAX(0, gpus->ival[0]);
 	if (evacuated->count)
 		capacity.evacuated_gpus = (unsigned)MAX(0, evacuated->ival[0]);
-	findings = mt_config_check(config, in_force, &capacity);
-	if (json->count)
-		print_json(findings);
-	else
-		print_lines(findings);
-	code = has_faults(findings) ? MT_EXIT_FAILED : MT_EXIT_OK;
-	g_array_unref(findings);
-	json_decref(config);
-	json_decref(in_force);
-	return code;
+	return check_file(file->filename[0],
+			  against->count ? against->filename[0] : NULL,
+			  &capacity, json->count > 0);
 }
 
 int mt_cmd_check(int argc, char **argv)
--- a/programs/ctl/cmd_load.c
+++ b/programs/ctl/cmd_load.c
@@ -6,6 +6,12 @@
 
 #define MS_PER_S 1000u
 
+/** Defaults of the options. */
+#define DEFAULT_JOBS 100
+#define DEFAULT_JOBS_PER_S 20
+#define DEFAULT_SEED 1
+#define DEFAULT_TIMEOUT_S 60
+
 /** Results of the load command. All are numbers of jobs but `unanswered`. */
 typedef struct mt_load_sums_t {
 	guint states[MT_LOAD_STATE_COUNT];
@@ -168,7 +174,20 @@
 	       sums.wrong_results;
 }
 
-int mt_cmd_load(int argc, char **argv)
+/** Values of the command line. */
+typedef struct mt_load_args_t {
+	const char *hosts;
+	const char *mix_path;
+	int jobs;
+	double jobs_per_s;
+	guint32 seed;
+	int timeout_s;
+	const char *audit; /**< NULL if not given */
+	bool json;
+} mt_load_args_t;
+
+/** @return false if the command must exit, with `*code` */
+static bool parse_args(int argc, char **argv, mt_load_args_t *args, int *code)
 {
 	struct arg_str *hosts =
 		arg_str1(NULL, "hosts", "IP:PORT,...",
@@ -192,15 +211,11 @@
 	struct arg_end *end = arg_end(8);
 	void *table[] = {hosts,	  mix,	 jobs, rate, seed,
 			 timeout, audit, json, help, end};
-	mt_load_t load = {0};
-	mt_endpoint_t audit_endpoint;
-	guint32 chosen_seed;
-	int code;
 
-	jobs->ival[0] = 100;
-	rate->dval[0] = 20;
-	seed->ival[0] = 1;
-	timeout->ival[0] = 60;
+	jobs->ival[0] = DEFAULT_JOBS;
+	rate->dval[0] = DEFAULT_JOBS_PER_S;
+	seed->ival[0] = DEFAULT_SEED;
+	timeout->ival[0] = DEFAULT_TIMEOUT_S;
 	if (!mt_ctl_parse(
 		    argc, argv, table, help, end,
 		    "Examples:\n"
@@ -209,24 +224,40 @@
 		    "Exit codes: 0 no job was lost, run twice, begun "
 		    "though reported as not run,\nor answered wrongly; "
 		    "1 such jobs were found; 2 bad command line or file.\n",
-		    &code))
+		    code))
+		return false;
+	*args = (mt_load_args_t){.hosts = hosts->sval[0],
+				 .mix_path = mix->filename[0],
+				 .jobs = jobs->ival[0],
+				 .jobs_per_s = rate->dval[0],
+				 .seed = (guint32)seed->ival[0],
+				 .timeout_s = timeout->ival[0],
+				 .audit = audit->count ? audit->sval[0] : NULL,
+				 .json = json->count > 0};
+	return true;
+}
+
+int mt_cmd_load(int argc, char **argv)
+{
+	mt_load_args_t args;
+	mt_load_t load = {0};
+	mt_endpoint_t audit;
+	int code;
+
+	if (!parse_args(argc, argv, &args, &code))
 		return code;
-	load.hosts = mt_endpoints_parse(hosts->sval[0]);
-	if (!load.hosts || rate->dval[0] <= 0 || jobs->ival[0] < 1 ||
-	    !mt_load_read_mix(mix->filename[0], &load.mix) ||
-	    (audit->count &&
-	     !mt_endpoint_parse(audit->sval[0], &audit_endpoint)))
+	load.hosts = mt_endpoints_parse(args.hosts);
+	if (!load.hosts || args.jobs_per_s <= 0 || args.jobs < 1 ||
+	    !mt_load_read_mix(args.mix_path, &load.mix) ||
+	    (args.audit && !mt_endpoint_parse(args.audit, &audit)))
 		return MT_EXIT_USAGE;
-	chosen_seed = (guint32)seed->ival[0];
-	load.ctl = mt_ctl_new(chosen_seed);
-	load.rand = g_rand_new_with_seed(chosen_seed);
+	load.ctl = mt_ctl_new(args.seed);
+	load.rand = g_rand_new_with_seed(args.seed);
 	load.unanswered = g_new0(uint64_t, load.hosts->len);
-	load.quiet = json->count > 0;
-	mt_load_make_jobs(&load, (guint)jobs->ival[0], rate->dval[0],
-			  chosen_seed);
-	mt_load_run(&load, (mt_ms_t)timeout->ival[0] * MS_PER_S);
-	if (audit->count)
-		mt_load_audit(&load, &audit_endpoint);
-	return print_results(&load, json->count > 0) ? MT_EXIT_FAILED
-						     : MT_EXIT_OK;
+	load.quiet = args.json;
+	mt_load_make_jobs(&load, (guint)args.jobs, args.jobs_per_s, args.seed);
+	mt_load_run(&load, (mt_ms_t)args.timeout_s * MS_PER_S);
+	if (args.audit)
+		mt_load_audit(&load, &audit);
+	return print_results(&load, args.json) ? MT_EXIT_FAILED : MT_EXIT_OK;
 }
--- a/programs/ctl/cmd_report.c
+++ b/programs/ctl/cmd_report.c
@@ -204,6 +204,32 @@
 	return fclose(out) == 0;
 }
 
+static void print_json(const json_t *merged)
+{
+	json_t *rows = json_array();
+
+	for_each_burn(merged, add_json, rows);
+	json_dumpf(rows, stdout, JSON_INDENT(2));
+	printf("\n");
+	json_decref(rows);
+}
+
+static void print_table(const json_t *merged)
+{
+	printf("%-20s %-10s %8s %6s %10s %9s %9s\n", "account", "objective",
+	       "good", "bad", "budget", "burn 5m", "burn 1h");
+	for_each_burn(merged, print_burn, NULL);
+}
+
+static bool have_all_answered(const json_t *responses)
+{
+	for (size_t i = 0; i < json_array_size(responses); i++) {
+		if (json_is_null(json_array_get(responses, i)))
+			return false;
+	}
+	return true;
+}
+
 int mt_cmd_report(int argc, char **argv)
 {
 	struct arg_str *hosts =
@@ -238,26 +264,15 @@
 	ctl = mt_ctl_new(1);
 	responses = mt_ctl_fetch_all(&ctl, endpoints, "/v1/slo");
 	merged = merge_counts(responses);
-	if (json->count) {
-		json_t *rows = json_array();
-
-		for_each_burn(merged, add_json, rows);
-		json_dumpf(rows, stdout, JSON_INDENT(2));
-		printf("\n");
-		json_decref(rows);
-	} else {
-		printf("%-20s %-10s %8s %6s %10s %9s %9s\n", "account",
-		       "objective", "good", "bad", "budget", "burn 5m",
-		       "burn 1h");
-		for_each_burn(merged, print_burn, NULL);
-	}
+	if (json->count)
+		print_json(merged);
+	else
+		print_table(merged);
 	if (page->count && !write_page(page->filename[0], merged))
 		return MT_EXIT_USAGE;
-	for (size_t i = 0; i < json_array_size(responses); i++) {
-		if (json_is_null(json_array_get(responses, i))) {
-			fprintf(stderr, "mimosaturn: a host does not answer\n");
-			return MT_EXIT_FAILED;
-		}
+	if (!have_all_answered(responses)) {
+		fprintf(stderr, "mimosaturn: a host does not answer\n");
+		return MT_EXIT_FAILED;
 	}
 	return MT_EXIT_OK;
 }
