decide, job API, settings, soak: name constants

Hard to read: points of scores, divisors, latencies, the start of the virtual clock and the load of the soak were plain numbers, partly explained far away; the names of the data centres of the soak stood in two arrays. Change: names for them; mt_soak_dc_name() in place of the second array; the policy of the soak is set by member. settings.h named a file that no longer declares the score. The comment of mt_earmark_t is shorter.

--- a/lib/decide/decide.c
+++ b/lib/decide/decide.c
@@ -20,6 +20,13 @@
 /** A deadline within this many expected run times raises a job's score. */
 #define DEADLINE_SLACK_RUNS 2
 
+/** A run time of this length halves the weight of the response ratio. */
+#define SHORT_RUN_S 60
+
+/** Points for each `aging_s` of waiting, and for a deadline that is close. */
+#define AGING_POINTS 100
+#define DEADLINE_POINTS 100
+
 /** Classes of waiting jobs, in the order in which they are considered. */
 typedef enum mt_class_t {
 	MT_CLASS_URGENT,
@@ -34,12 +41,12 @@
 } mt_queue_entry_t;
 
 /**
- * Placement of a waiting job for which capacity is reclaimed. What is already
- * free of this capacity is not given to other jobs in the rest of this
- * decision. What runs still occupy is not marked as taken, since
- * mt_free_capacity_allocate() takes no more than is free. No run has to be
- * stopped if runs that are ending anyway free enough, or if the job fits on
- * free capacity and was not started only because of the guarantee deficit.
+ * Placement of a waiting job for which capacity is reclaimed. The part of it
+ * that is free is not given to other jobs in the rest of this decision. The
+ * part that runs still occupy needs no mark, since no job can be placed there.
+ * No run has to be stopped if runs that are ending anyway free enough, or if
+ * the job fits on free capacity and was not started only because of the
+ * guarantee deficit.
  */
 typedef struct mt_earmark_t {
 	mt_shape_t shape;
@@ -91,17 +98,19 @@
 
 	/* In the order of the terms:
 	 *  - the response ratio, which grows with the wait divided by the run
-	 *    time; it is divided by 1 + run time / 60 s, which favours
-	 *    short jobs;
+	 *    time; it is divided by a number that grows with the run time,
+	 *    which favours short jobs;
 	 *  - the job's value per accelerator second;
 	 *  - the size, which counts more the longer the job waits;
-	 *  - 100 points for each `aging_s` of waiting;
-	 *  - 100 points if the deadline is close. */
-	return policy->completion_weight * response_ratio / (1 + run_s / 60) +
+	 *  - the wait alone;
+	 *  - the deadline, if it is close. */
+	return policy->completion_weight * response_ratio /
+		       (1 + run_s / SHORT_RUN_S) +
 	       policy->value_weight * value_rate +
 	       policy->fragmentation_weight * size * waited_s /
 		       policy->aging_s +
-	       100 * waited_s / policy->aging_s + 100 * deadline_bonus(job);
+	       AGING_POINTS * waited_s / policy->aging_s +
+	       DEADLINE_POINTS * deadline_bonus(job);
 }
 
 /**
--- a/lib/decide/reclaim.c
+++ b/lib/decide/reclaim.c
@@ -7,6 +7,12 @@
  */
 #define DEFRAGMENT_GAIN 2
 
+/**
+ * A gang must have waited for this part of `aging_s` before runs are stopped
+ * for defragmentation.
+ */
+#define DEFRAGMENT_WAIT_DIVISOR 4
+
 /**
  * Added to the run time of an urgent run when its cost is computed, so that it
  * usually sorts after the other runs. The cost also grows with accelerators and
@@ -258,8 +264,7 @@
 bool mt_reclaim_may_defragment(const mt_view_t *view,
 			       const mt_view_waiting_job_t *job)
 {
-	/* After a quarter of `aging_s`, the wait has added 25 points to the
-	 * job's score; a wait of `aging_s` adds 100. */
 	return job->shape.members > 1 &&
-	       job->waited_ms > (mt_ms_t)view->policy.aging_s * 1000 / 4;
+	       job->waited_ms > (mt_ms_t)view->policy.aging_s * 1000 /
+					DEFRAGMENT_WAIT_DIVISOR;
 }
--- a/lib/node/job_api.c
+++ b/lib/node/job_api.c
@@ -14,6 +14,12 @@
 /** Wait for the result of a direct run, whatever the caller's `wait_ms` is. */
 #define DIRECT_WAIT_MS 60000u
 
+/** Points of a data centre for a job; see score_dc(). */
+#define POINTS_LOCAL 1	       /**< the data centre of this host */
+#define POINTS_GUARANTEED 2    /**< the guarantee there is large enough */
+#define POINTS_SCHEDULER 4     /**< has an active scheduler */
+#define POINTS_FREE_CAPACITY 2 /**< its scheduler reports room for the job */
+
 typedef enum mt_waiting_for_t {
 	MT_WAIT_ACCEPT, /**< the job's Accept record in the log */
 	MT_WAIT_END,	/**< the job's Outcome record in the log */
@@ -242,24 +248,20 @@
 		mt_lists_quota(api->deps.lists, &submission->account, dc);
 	const MtPb__DcSummary *summary =
 		mt_membership_summary(api->deps.membership, dc);
-	/* The sum of 1 for the local data centre, 2 if the account's guarantee
-	 * there is large enough for the job, 4 if the data centre has an active
-	 * scheduler, and 2 if that scheduler reports free capacity for the
-	 * job. */
 	int score = 0;
 
 	if (!quota || !mt_resources_within(total, quota->limit))
 		return -1;
 	if (mt_name_equal(dc, &api->deps.settings->dc))
-		score += 1;
+		score += POINTS_LOCAL;
 	if (mt_resources_within(total, quota->guarantee))
-		score += 2;
+		score += POINTS_GUARANTEED;
 	if (summary)
-		score += 4;
+		score += POINTS_SCHEDULER;
 	if (summary && summary->largest_free_block >= total.accelerators &&
 	    summary->free_accelerators >=
 		    total.accelerators + summary->queued_accelerators)
-		score += 2;
+		score += POINTS_FREE_CAPACITY;
 	return score;
 }
 
--- a/lib/settings/settings.c
+++ b/lib/settings/settings.c
@@ -7,6 +7,12 @@
 
 #define MS_PER_MINUTE 60000
 
+/** Minimum number of renewals in the term of a lease. */
+#define RENEWALS_PER_TERM 3
+
+/** Minimum number of heartbeats in the time-out of a peer. */
+#define HEARTBEATS_PER_TIMEOUT 3
+
 typedef enum mt_field_type_t {
 	MT_FIELD_NAME,
 	MT_FIELD_ADDRESS,
@@ -278,10 +284,11 @@
 /** Checks the rules that involve more than one value. */
 static void check_relations(const mt_settings_t *settings, GPtrArray *errors)
 {
-	if (settings->renew_ms * 3 > settings->lease_term_ms)
+	if (settings->renew_ms * RENEWALS_PER_TERM > settings->lease_term_ms)
 		add_error(errors, "timing", "renew_ms",
 			  "must be at most a third of timing.lease_term_ms");
-	if (settings->heartbeat_ms * 3 > settings->peer_timeout_ms)
+	if (settings->heartbeat_ms * HEARTBEATS_PER_TIMEOUT >
+	    settings->peer_timeout_ms)
 		add_error(errors, "timing", "heartbeat_ms",
 			  "must be at most a third of "
 			  "timing.peer_timeout_ms");
--- a/lib/settings/settings.h
+++ b/lib/settings/settings.h
@@ -19,7 +19,7 @@
 
 /**
  * Weights in the score of a waiting job; see waiting_job_score() in
- * decide/decide.h. Independently of these values, 100 is added to the score of
+ * decide/decide.c. Independently of these values, 100 is added to the score of
  * a job whose deadline is at most twice its expected run time away.
  */
 typedef struct mt_policy_t {
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -13,6 +13,17 @@
 /** Time for which a host may hold a request until the job ends. */
 #define LONG_POLL_MS 5000u
 
+/** Memory that a job declares for each member. */
+#define DECLARED_MB 4000u
+
+/**
+ * Memory that each task uses: within the declared size or, for one job in
+ * JOBS_PER_OVERRUN, above that of two members.
+ */
+#define USED_MB 1000u
+#define OVERRUN_MB 9000u
+#define JOBS_PER_OVERRUN 20u
+
 /** A job as its caller knows it. */
 typedef struct mt_caller_job_t {
 	mt_callers_t *callers;
@@ -323,14 +334,13 @@
 		       mt_world_random_below(world, kind->run_max_ms -
 							    kind->run_min_ms);
 	bool fails = mt_world_random_below(world, 100) < kind->fail_share;
-	/* Each task of one job in 20 uses 9000 MB. A task declares 4000 MB for
-	 * each of its members, so it fails if it has one or two of them. */
 	char *payload = g_strdup_printf(
 		"{\"run_ms\":%u,\"result\":\"%s\",\"once\":%s,\"fail\":%s,"
 		"\"use_memory_mb\":%u}",
 		run_ms, job->expected, kind->idempotent ? "false" : "true",
 		fails ? "true" : "false",
-		mt_world_random_below(world, 20) ? 1000 : 9000);
+		mt_world_random_below(world, JOBS_PER_OVERRUN) ? USED_MB
+							       : OVERRUN_MB);
 
 	mt_pb__spec__init(&job->spec);
 	job->spec.kind = (char *)kind->name;
@@ -340,7 +350,7 @@
 	job->spec.members = kind->members;
 	job->spec.accelerators = kind->accelerators;
 	job->spec.processors = 2;
-	job->spec.memory_mb = 4000;
+	job->spec.memory_mb = DECLARED_MB;
 	/* The declared run time is 1 s plus 1 to 4 times the actual one, which
 	 * is first rounded down to whole seconds. */
 	job->spec.run_s =
--- a/tests/soak/fake_links.c
+++ b/tests/soak/fake_links.c
@@ -54,10 +54,8 @@
 		sent->id = (mt_peer_id_t){host->settings->host,
 					  host->settings->dc, *incarnation};
 		sent->bytes = g_bytes_unref_to_array(mt_frame_pack(frame));
-		mt_world_after(world,
-			       mt_network_latency(world, (host->dc == 2) !=
-								 (to->dc == 2)),
-			       deliver_frame, sent);
+		mt_world_after(world, mt_link_latency(host, to), deliver_frame,
+			       sent);
 	}
 }
 
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -31,6 +31,22 @@
  */
 #define PROPAGATION_MS 8000u
 
+/** Guarantee and limit of the plan at first, in accelerators. */
+#define FIRST_GUARANTEE 8u
+#define FIRST_LIMIT 48u
+
+/** Time between two arrivals: a minimum and the bound of a random part. */
+#define ARRIVAL_MIN_MS 50u
+#define ARRIVAL_RANGE_MS 1500u
+
+/** One arrival in ARRIVALS_PER_BURST brings BURST_JOBS jobs, others one. */
+#define ARRIVALS_PER_BURST 60u
+#define BURST_JOBS 30u
+
+/** Time between two disturbances: a minimum and the bound of a random part. */
+#define DISTURBANCE_MIN_MS 1000u
+#define DISTURBANCE_RANGE_MS 12000u
+
 typedef struct mt_soak_t {
 	mt_world_t *world;
 	mt_callers_t *callers;
@@ -64,16 +80,15 @@
 static char *usage_delta(guint guarantee, guint limit)
 {
 	GString *text = g_string_new("{\"remove\":[],\"set\":{\"shop\":{");
-	static const char *const dcs[] = {"tunis", "bizerte", "sfax"};
 
-	for (size_t i = 0; i < G_N_ELEMENTS(dcs); i++)
+	for (guint i = 0; i < MT_SOAK_DCS; i++)
 		g_string_append_printf(
 			text,
 			"%s\"%s\":{\"guarantee\":{\"accelerators\":%u,"
 			"\"adjacent\":%u,\"processors\":%u,\"memory_mb\":%u},"
 			"\"limit\":{\"accelerators\":%u,\"processors\":%u,"
 			"\"memory_mb\":%u}}",
-			i ? "," : "", dcs[i], guarantee, guarantee,
+			i ? "," : "", mt_soak_dc_name(i), guarantee, guarantee,
 			2 * guarantee, 8000 * guarantee, limit, 64 * limit,
 			32000 * limit);
 	g_string_append(text, "}}}");
@@ -82,7 +97,7 @@
 
 static void publish_first_lists(mt_soak_t *soak)
 {
-	char *usage = usage_delta(8, 48);
+	char *usage = usage_delta(FIRST_GUARANTEE, FIRST_LIMIT);
 	GString *plans;
 
 	append_edit(soak, MT_LIST_USAGE, 0, usage);
@@ -222,15 +237,16 @@
 static void on_arrival(void *ctx)
 {
 	mt_soak_t *soak = ctx;
-	/* One arrival in 60 is a burst of 30 jobs. */
-	guint burst = mt_world_random_below(soak->world, 60) ? 1 : 30;
+	bool single = mt_world_random_below(soak->world, ARRIVALS_PER_BURST);
+	guint count = single ? 1 : BURST_JOBS;
 
 	if (!soak->under_load)
 		return;
-	while (burst--)
+	while (count--)
 		mt_callers_submit(soak->callers);
 	mt_timers_after(soak->world->world_timers,
-			50 + mt_world_random_below(soak->world, 1500),
+			ARRIVAL_MIN_MS + mt_world_random_below(
+						 soak->world, ARRIVAL_RANGE_MS),
 			on_arrival, soak);
 }
 
@@ -251,7 +267,9 @@
 			soak->callers,
 			1 + mt_world_random_below(soak->world, 15));
 	mt_timers_after(soak->world->world_timers,
-			1000 + mt_world_random_below(soak->world, 12000),
+			DISTURBANCE_MIN_MS +
+				mt_world_random_below(soak->world,
+						      DISTURBANCE_RANGE_MS),
 			on_disturbance, soak);
 }
 
@@ -338,9 +356,9 @@
 		mt_world_print_trace(soak.world);
 		printf("seed %u: %u breaches\n", seed, breaches);
 	} else {
-		/* The virtual clock starts at 1000 s. */
 		printf("seed %u: %.0f s\n", seed,
-		       (double)mt_world_now(soak.world) / 1000 - 1000);
+		       (double)(mt_world_now(soak.world) - MT_SOAK_START_MS) /
+			       1000);
 	}
 	mt_callers_print_summary(soak.callers);
 	mt_world_free(soak.world);
--- a/tests/soak/world.c
+++ b/tests/soak/world.c
@@ -13,11 +13,27 @@
  * breach. */
 #define LEAVING_GRACE_MS 3000u
 
+/** Latency of a message: a minimum and the bound of a random part. */
+#define LOCAL_LATENCY_MS 1u
+#define REMOTE_LATENCY_MS 20u
+#define LATENCY_RANGE_MS 3u
+
+/**
+ * Index of the data centre that is in another region than the platform and the
+ * other data centres.
+ */
+#define REMOTE_DC 2u
+
 static const char *const dc_names[MT_SOAK_DCS] = {"tunis", "bizerte", "sfax"};
 
 /** Data centre of each host, as an index of dc_names. */
 static const guint host_dcs[MT_SOAK_HOSTS] = {0, 0, 0, 1, 1, 2, 2};
 
+const char *mt_soak_dc_name(guint dc)
+{
+	return dc_names[dc];
+}
+
 guint mt_world_random_below(mt_world_t *world, guint below)
 {
 	return (guint)g_rand_int_range(world->rand, 0, (gint32)below);
@@ -94,16 +110,19 @@
 
 mt_ms_t mt_network_latency(mt_world_t *world, bool between_regions)
 {
-	return (between_regions ? 20 : 1) + mt_world_random_below(world, 3);
+	return (between_regions ? REMOTE_LATENCY_MS : LOCAL_LATENCY_MS) +
+	       mt_world_random_below(world, LATENCY_RANGE_MS);
 }
 
-/**
- * The platform is in the same region as the first two data centres. The third
- * (index 2) is in another region.
- */
 mt_ms_t mt_platform_latency(mt_host_t *host)
 {
-	return mt_network_latency(host->world, host->dc == 2);
+	return mt_network_latency(host->world, host->dc == REMOTE_DC);
+}
+
+mt_ms_t mt_link_latency(const mt_host_t *from, const mt_host_t *to)
+{
+	return mt_network_latency(from->world, (from->dc == REMOTE_DC) !=
+						       (to->dc == REMOTE_DC));
 }
 
 void mt_world_after(mt_world_t *world, mt_ms_t delay, mt_timer_cb cb, void *ctx)
@@ -224,8 +243,10 @@
 		if (i != index)
 			g_array_append_val(settings->peers, peer);
 	}
-	/* Weights of completion, fragmentation and value; aging_s. */
-	settings->policy = (mt_policy_t){70, 30, 5, 300};
+	settings->policy = (mt_policy_t){.completion_weight = 70,
+					 .fragmentation_weight = 30,
+					 .value_weight = 5,
+					 .aging_s = 300};
 	settings->lease_term_ms = MT_SOAK_LEASE_MS;
 	settings->renew_ms = MT_SOAK_RENEW_MS;
 	settings->heartbeat_ms = 400;
@@ -272,9 +293,7 @@
 	mt_world_t *world = g_new0(mt_world_t, 1);
 
 	world->rand = g_rand_new_with_seed(seed);
-	/* Starts at 1000 s: a time of 0 means "unset", for example in
-	 * mt_gang_run_t.partial_since (fleet_model.c). */
-	world->world_timers = mt_timers_new(1000000);
+	world->world_timers = mt_timers_new(MT_SOAK_START_MS);
 	world->log = mt_log_model_new(retention_ms);
 	world->fleet =
 		mt_fleet_model_new(MT_SOAK_PARTIAL_MAX_MS, LEAVING_GRACE_MS);
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -17,6 +17,12 @@
 #define MT_SOAK_SERVERS_PER_DC 6
 #define MT_SOAK_TRACE_LINES 400
 
+/**
+ * The virtual clock starts here, not at 0: a time of 0 means "unset", for
+ * example in mt_gang_run_t.partial_since (fleet_model.c).
+ */
+#define MT_SOAK_START_MS 1000000u
+
 /** Term of the task leases, and interval of their renewal. */
 #define MT_SOAK_LEASE_MS 10000u
 #define MT_SOAK_RENEW_MS 2000u
@@ -91,7 +97,7 @@
 mt_world_t *mt_world_new(guint32 seed, uint64_t retention_ms);
 void mt_world_free(mt_world_t *world);
 
-/** Virtual time; starts at 1000 s. */
+/** Virtual time; starts at MT_SOAK_START_MS. */
 mt_ms_t mt_world_now(const mt_world_t *world);
 void mt_world_start_host(mt_world_t *world, guint index);
 void mt_world_kill_host(mt_world_t *world, guint index);
@@ -116,6 +122,9 @@
 void mt_world_breach(mt_world_t *world, const char *format, ...)
 	G_GNUC_PRINTF(2, 3);
 
+/** Name of a data centre, by its index. */
+const char *mt_soak_dc_name(guint dc);
+
 /** A random host that is alive and not frozen, or NULL. */
 mt_host_t *mt_world_pick_host(mt_world_t *world);
 bool mt_host_is_frozen(const mt_host_t *host);
--- a/tests/soak/world_internal.h
+++ b/tests/soak/world_internal.h
@@ -32,6 +32,9 @@
 /** Latency of one message between the host and the platform; random. */
 mt_ms_t mt_platform_latency(mt_host_t *host);
 
+/** Latency of one message between two hosts; random. */
+mt_ms_t mt_link_latency(const mt_host_t *from, const mt_host_t *to);
+
 /** True when the host has no link to the log and the server list. */
 bool mt_is_platform_cut(const mt_host_t *host);
 
