node, decide, jobs: define words in comments where they are first used

Hard to read: comments used boot id, report, Accept, Carry, START, error budget, burn rate, restated and live without a definition or a reference in the folder; those of the estimator and of adjacency were involved; two in view.h only repeated the name. Change: comments only.

--- a/lib/decide/estimator.h
+++ b/lib/decide/estimator.h
@@ -27,9 +27,8 @@
 /**
  * Records that the server stopped a task for using more memory than it was
  * granted, which may be more than `declared_mb`. The next estimate for the same
- * declared size is above `used_mb`, unless RATIO_MAX in estimator.c prevents
- * it, or the rounding down to whole MB removes the margin (for `used_mb` up to
- * about 10).
+ * declared size is at least `used_mb` times OVERRUN_MARGIN, rounded down to
+ * whole MB, but at most `declared_mb` times RATIO_MAX (both in estimator.c).
  */
 void mt_estimator_observe_memory_overrun(mt_estimator_t *estimator,
 					 const mt_name_t *account,
--- a/lib/decide/place.h
+++ b/lib/decide/place.h
@@ -1,10 +1,9 @@
 /**
  * @file place.h
  * Places the members of a job adjacent to one another: on one server, else in
- * one rack, else in the fewest neighbouring racks. Let n be the number of racks
- * that a gang would need if each rack were empty and had room for as many
- * members as the largest one. The gang counts as adjacent in up to n + 1
- * neighbouring racks; it is not placed in more.
+ * one rack, else in the fewest neighbouring racks. A gang counts as adjacent in
+ * one more rack than it would need if all racks were empty and as large as the
+ * largest one. It is not placed in more racks.
  */
 #ifndef MT_DECIDE_PLACE_H
 #define MT_DECIDE_PLACE_H
--- a/lib/decide/view.h
+++ b/lib/decide/view.h
@@ -16,14 +16,14 @@
  * members is a gang: its members run at the same time or not at all.
  */
 typedef struct mt_shape_t {
-	uint32_t members; /**< number of members */
+	uint32_t members;
 	mt_resources_t each;
 } mt_shape_t;
 
 /** The members of a job that are placed on one server. */
 typedef struct mt_part_t {
-	uint32_t server;  /**< index into mt_view_t.servers */
-	uint32_t members; /**< number of members on the server */
+	uint32_t server; /**< index into mt_view_t.servers */
+	uint32_t members;
 } mt_part_t;
 
 typedef struct mt_view_server_t {
@@ -38,8 +38,8 @@
 	mt_name_t name;
 	mt_resources_t guarantee;
 	/**
-	 * Number of guaranteed accelerators that must be adjacent. 0 stands for
-	 * DEFAULT_BLOCK_ACCELERATORS in guarantee.c.
+	 * Number of guaranteed accelerators that must be adjacent (see
+	 * place.h). 0 stands for DEFAULT_BLOCK_ACCELERATORS in guarantee.c.
 	 */
 	uint32_t guarantee_adjacent;
 	mt_resources_t limit;
--- a/lib/jobs/jobs.h
+++ b/lib/jobs/jobs.h
@@ -1,7 +1,8 @@
 /**
  * @file jobs.h
- * The table of jobs, computed from the records of the job stream alone, except
- * for direct jobs, which have no records (see mt_job_t.direct).
+ * The table of jobs, computed from the records of the job stream alone (see
+ * wire/mimosaturn.proto), except for direct jobs, which have no records (see
+ * mt_job_t.direct).
  *
  * Every reader applies the same records in the same order by the same rules,
  * so all hosts agree on which job an idempotency key refers to, which claim may
--- a/lib/node/appender.h
+++ b/lib/node/appender.h
@@ -21,9 +21,12 @@
  * can be queued. The number of queued records of MT_PRIORITY_NORMAL is limited.
  */
 typedef enum mt_priority_t {
-	/** All records except the Accept and Carry records of jobs. */
-	MT_PRIORITY_CRITICAL,
-	MT_PRIORITY_NORMAL, /**< Accept and Carry records of jobs */
+	MT_PRIORITY_CRITICAL, /**< all other records */
+	/**
+	 * Records that accept a new job (Accept) or state a job again before
+	 * the log drops its older records (Carry); see jobs.h.
+	 */
+	MT_PRIORITY_NORMAL,
 	MT_PRIORITY_COUNT
 } mt_priority_t;
 
--- a/lib/node/fleet.h
+++ b/lib/node/fleet.h
@@ -14,6 +14,10 @@
  * While this host is the scheduler, or is handing over to the next one, the
  * fleet is active: it takes the lease of each server, renews the leases of the
  * tasks there and passes on the server's reports.
+ *
+ * The boot id changes whenever the server's process starts. A report is the
+ * server's list of its tasks, as sent in a reply. Words in capitals, such as
+ * LEASE and RENEW, are the requests to servers in mt_server_op_t.
  */
 #ifndef MT_NODE_FLEET_H
 #define MT_NODE_FLEET_H
--- a/lib/node/job_api.h
+++ b/lib/node/job_api.h
@@ -3,8 +3,9 @@
  * Requests of callers, independent of HTTP: submit, get, wait for and cancel
  * jobs. An answer states only what the log or the backend servers have
  * confirmed; as the exception, mt_job_api_get() without a wait shows a direct
- * job as live. While the log is unavailable, an idempotent job whose caller
- * waits for the outcome is run directly: without records in the log.
+ * job as live, that is, without an outcome. While the log is unavailable, an
+ * idempotent job whose caller waits for the outcome is run directly: without
+ * records in the log. For records and outcomes see jobs.h.
  */
 #ifndef MT_NODE_JOB_API_H
 #define MT_NODE_JOB_API_H
--- a/lib/node/list_sync.c
+++ b/lib/node/list_sync.c
@@ -41,9 +41,8 @@
 					record->list_snapshot, &error);
 	if (!error)
 		return;
-	/* An edit that mt_lists_apply_edit() has deferred until a snapshot also
-	 * gets here. The metric counts it as rejected, although it may still
-	 * be applied. */
+	/* The metric also counts edits that mt_lists_apply_edit() has deferred
+	 * until the next snapshot, which may still be applied. */
 	mt_kernel_count(list_sync->kernel, "list_edits_rejected_total");
 	mt_log(list_sync->kernel, MT_LOG_NOTICE, "config",
 	       "did not apply the record at offset %" G_GUINT64_FORMAT ": %s",
@@ -65,8 +64,8 @@
 {
 	mt_list_sync_t *list_sync = ctx;
 
-	/* Each list is restated in a snapshot before the log drops its
-	 * records. So if the stream holds no snapshot, no edit was dropped, and
+	/* Before the log drops an edit, the refresher appends a snapshot of the
+	 * lists. So if the stream holds no snapshot, no edit was dropped, and
 	 * the edits that mt_lists_apply_edit() has deferred apply to empty
 	 * lists. */
 	if (mt_tail_is_synced(list_sync->tail) &&
--- a/lib/node/recover.c
+++ b/lib/node/recover.c
@@ -1,7 +1,9 @@
 /**
  * @file recover.c
- * Recovers runs that another host, or this one earlier, has started. A stray
- * task is a reported task without an mt_run_t.
+ * Recovers runs that another host, or this one earlier, has started: creates
+ * their mt_run_t from the open claim of the job or, for an idempotent job, from
+ * the tasks that servers report. A stray task is a reported task without an
+ * mt_run_t.
  */
 #include <string.h>
 
--- a/lib/node/runner.h
+++ b/lib/node/runner.h
@@ -8,6 +8,10 @@
  * have done so, the tasks are released. A run that cannot complete is unwound:
  * all its tasks are stopped.
  *
+ * Words in capitals, such as START, are the requests to servers in
+ * mt_server_op_t. For boot ids, fencing tokens and leases see fleet.h, for the
+ * records (Claim, ClaimVoid, Outcome) see jobs.h.
+ *
  * Invariants:
  *  - A non-idempotent job is started only under a claim that this run wrote
  *    and read back from the log, with the boot id and fencing token that each
--- a/lib/node/slo.h
+++ b/lib/node/slo.h
@@ -1,8 +1,9 @@
 /**
  * @file slo.h
  * Service-level objectives per client account. Good and bad events are counted
- * in one-minute buckets, from which the burn rate of the error budget over a
- * short and a long window can be computed.
+ * in one-minute buckets, from which burn rates over a short and a long window
+ * can be computed. The error budget is the share of bad events that the target
+ * allows; the burn rate is the actual share divided by the allowed one.
  */
 #ifndef MT_NODE_SLO_H
 #define MT_NODE_SLO_H
--- a/lib/node/unwind.c
+++ b/lib/node/unwind.c
@@ -3,7 +3,7 @@
 
 #include "node/runner_internal.h"
 
-/** The unwound runs are forgotten when there are this many. */
+/** Size of mt_runner_t.unwound at which the table is emptied. */
 #define UNWOUND_MAX 10000u
 
 void mt_run_unwind(mt_runner_t *runner, mt_run_t *run, mt_unwind_cause_t cause,
