--- a/lib/jobs/jobs.c
+++ b/lib/jobs/jobs.c
@@ -1,7 +1,5 @@
-/** @file jobs.c The table of jobs, built from the records of the log. */
-#include "jobs/jobs.h"
-
-#include <string.h>
+/** @file jobs.c The table of jobs, and the loading of the job stream. */
+#include "jobs/jobs_internal.h"
 
 typedef struct mt_subscriber_t {
 	mt_job_cb cb;
@@ -16,14 +14,6 @@
 	GBytes *packed;
 } mt_deferred_record_t;
 
-struct mt_jobs_t {
-	GHashTable *all;       /**< mt_job_id_t to mt_job_t, which it owns */
-	GHashTable *live;      /**< the jobs of `all` without an outcome */
-	GArray *deferred;      /**< of mt_deferred_record_t; NULL once loaded */
-	GArray *subscribers;   /**< of mt_subscriber_t */
-	uint64_t start_offset; /**< see mt_jobs_reset() */
-};
-
 static void free_job(gpointer data)
 {
 	mt_job_t *job = data;
@@ -73,7 +63,7 @@
 	g_array_append_val(jobs->subscribers, subscriber);
 }
 
-static void notify(mt_jobs_t *jobs, mt_job_t *job, mt_job_change_t change)
+void mt_jobs_notify(mt_jobs_t *jobs, mt_job_t *job, mt_job_change_t change)
 {
 	for (guint i = 0; i < jobs->subscribers->len; i++) {
 		mt_subscriber_t *subscriber =
@@ -83,9 +73,9 @@
 	}
 }
 
-static void drop_job(mt_jobs_t *jobs, mt_job_t *job)
+void mt_jobs_drop(mt_jobs_t *jobs, mt_job_t *job)
 {
-	notify(jobs, job, MT_JOB_DROPPED);
+	mt_jobs_notify(jobs, job, MT_JOB_DROPPED);
 	g_hash_table_remove(jobs->live, &job->id);
 	g_hash_table_remove(jobs->all, &job->id);
 }
@@ -95,7 +85,7 @@
 	GList *all = g_hash_table_get_values(jobs->all);
 
 	for (GList *at = all; at; at = at->next)
-		drop_job(jobs, at->data);
+		mt_jobs_drop(jobs, at->data);
 	g_list_free(all);
 	g_clear_pointer(&jobs->deferred, g_array_unref);
 	jobs->start_offset = offset;
@@ -140,18 +130,8 @@
 	}
 }
 
-static bool is_accept_well_formed(const MtPb__Accept *accept)
-{
-	return accept->spec && accept->spec->members &&
-	       accept->body_digest.len == MT_DIGEST_BYTES &&
-	       accept->payload.len <= MT_PAYLOAD_MAX_BYTES &&
-	       mt_name_is_valid(mt_str_from(accept->account)) &&
-	       mt_name_is_valid(mt_str_from(accept->dc));
-}
-
-static mt_job_t *new_job(const mt_job_id_t *id, const char *account,
-			 const MtPb__Spec *spec,
-			 const ProtobufCBinaryData *payload)
+mt_job_t *mt_job_new(const mt_job_id_t *id, const char *account,
+		     const MtPb__Spec *spec, const ProtobufCBinaryData *payload)
 {
 	mt_job_t *job = g_new0(mt_job_t, 1);
 
@@ -163,289 +143,19 @@
 	return job;
 }
 
-static void insert_job(mt_jobs_t *jobs, mt_job_t *job)
+void mt_jobs_insert(mt_jobs_t *jobs, mt_job_t *job)
 {
 	g_hash_table_insert(jobs->all, &job->id, job);
 	if (mt_job_is_live(job))
 		g_hash_table_insert(jobs->live, &job->id, job);
 }
 
-static mt_job_t *job_from_accept(const MtPb__Accept *accept,
-				 const mt_job_id_t *id, uint64_t at_ms)
-{
-	mt_job_t *job =
-		new_job(id, accept->account, accept->spec, &accept->payload);
-
-	job->dc = mt_name(accept->dc);
-	memcpy(job->body_digest, accept->body_digest.data, MT_DIGEST_BYTES);
-	job->accepted_at_ms = at_ms;
-	job->oldest_record_at_ms = at_ms;
-	return job;
-}
-
-static bool is_tombstone_expired(const mt_job_t *job, uint64_t at_ms)
+bool mt_job_is_tombstone_expired(const mt_job_t *job, uint64_t at_ms)
 {
 	return !mt_job_is_live(job) && !job->direct &&
 	       at_ms > job->ended_at_ms + MT_KEY_RETENTION_MS;
 }
 
-static void apply_accept(mt_jobs_t *jobs, const mt_job_id_t *id,
-			 uint64_t offset, uint64_t at_ms,
-			 const MtPb__Accept *accept)
-{
-	mt_job_t *job = mt_jobs_find(jobs, id);
-
-	if (!is_accept_well_formed(accept))
-		return;
-	if (job && is_tombstone_expired(job, at_ms)) {
-		drop_job(jobs, job);
-		job = NULL;
-	}
-	if (job)
-		return;
-	job = job_from_accept(accept, id, at_ms);
-	job->last_change_offset = offset;
-	insert_job(jobs, job);
-	notify(jobs, job, MT_JOB_ADDED);
-}
-
-static bool apply_claim(mt_job_t *job, const MtPb__Claim *claim)
-{
-	if (!mt_job_is_live(job) || job->cancel_requested || job->claim ||
-	    claim->epoch != job->epoch ||
-	    claim->number != job->last_claim_number + 1 || !claim->n_targets)
-		return false;
-	job->claim = mt_claim_dup(claim);
-	job->last_claim_number = claim->number;
-	return true;
-}
-
-static bool apply_claim_void(mt_job_t *job, const MtPb__ClaimVoid *claim_void)
-{
-	if (!mt_job_is_live(job) || !job->claim ||
-	    job->claim->number != claim_void->number)
-		return false;
-	mt_pb__claim__free_unpacked(job->claim, NULL);
-	job->claim = NULL;
-	return true;
-}
-
-/** True for the outcomes that a job can have without having started. */
-static bool is_possible_without_start(MtPb__OutcomeKind kind)
-{
-	return kind == MT_PB__OUTCOME_KIND__OUTCOME_REFUSED ||
-	       kind == MT_PB__OUTCOME_KIND__OUTCOME_CANCELLED;
-}
-
-static bool is_outcome_valid(const mt_job_t *job, const MtPb__Outcome *outcome)
-{
-	if (!mt_job_is_live(job) || outcome->epoch != job->epoch ||
-	    outcome->kind == MT_PB__OUTCOME_KIND__OUTCOME_NONE ||
-	    outcome->result.len > MT_RESULT_MAX_BYTES)
-		return false;
-	if (job->spec->idempotent)
-		return true;
-	if (!job->claim)
-		return is_possible_without_start(outcome->kind);
-	return outcome->claim_number == job->claim->number;
-}
-
-static void set_outcome(mt_job_t *job, const MtPb__Outcome *outcome)
-{
-	job->outcome = outcome->kind;
-	job->reason = g_strdup(outcome->reason);
-	if (outcome->kind == MT_PB__OUTCOME_KIND__OUTCOME_FINISHED)
-		job->result = mt_bytes_from_field(&outcome->result);
-	g_clear_pointer(&job->payload, g_bytes_unref);
-}
-
-static bool apply_outcome(mt_jobs_t *jobs, mt_job_t *job, uint64_t at_ms,
-			  const MtPb__Outcome *outcome)
-{
-	if (!is_outcome_valid(job, outcome))
-		return false;
-	job->not_run = !job->spec->idempotent && !job->claim;
-	job->ended_at_ms = at_ms;
-	set_outcome(job, outcome);
-	g_hash_table_remove(jobs->live, &job->id);
-	return true;
-}
-
-static bool apply_move(mt_job_t *job, const MtPb__Move *move)
-{
-	if (!mt_job_is_live(job) || job->claim ||
-	    move->epoch != job->epoch + 1 ||
-	    !mt_name_is_valid(mt_str_from(move->dc)))
-		return false;
-	job->epoch = move->epoch;
-	job->dc = mt_name(move->dc);
-	return true;
-}
-
-static bool apply_cancel(mt_job_t *job)
-{
-	if (!mt_job_is_live(job) || job->cancel_requested)
-		return false;
-	job->cancel_requested = true;
-	return true;
-}
-
-/** @return the mt_job_change_t, or -1 when the record is not valid */
-static int apply_to_job(mt_jobs_t *jobs, mt_job_t *job, uint64_t at_ms,
-			const MtPb__Record *record)
-{
-	switch (record->body_case) {
-	case MT_PB__RECORD__BODY_CLAIM:
-		return apply_claim(job, record->claim) ? MT_JOB_CLAIMED : -1;
-	case MT_PB__RECORD__BODY_CLAIM_VOID:
-		return apply_claim_void(job, record->claim_void)
-			       ? MT_JOB_CLAIM_VOIDED
-			       : -1;
-	case MT_PB__RECORD__BODY_OUTCOME:
-		return apply_outcome(jobs, job, at_ms, record->outcome)
-			       ? MT_JOB_ENDED
-			       : -1;
-	case MT_PB__RECORD__BODY_CANCEL:
-		return apply_cancel(job) ? MT_JOB_CANCEL_REQUESTED : -1;
-	case MT_PB__RECORD__BODY_MOVE:
-		return apply_move(job, record->move) ? MT_JOB_MOVED : -1;
-	default:
-		return -1;
-	}
-}
-
-static void apply_change(mt_jobs_t *jobs, mt_job_t *job, uint64_t offset,
-			 uint64_t at_ms, const MtPb__Record *record)
-{
-	int change = apply_to_job(jobs, job, at_ms, record);
-
-	if (change < 0)
-		return;
-	job->last_change_offset = offset;
-	notify(jobs, job, (mt_job_change_t)change);
-}
-
-static bool is_carry_well_formed(const MtPb__Carry *carry)
-{
-	return is_accept_well_formed(carry->accept) &&
-	       (!carry->outcome ||
-		carry->outcome->result.len <= MT_RESULT_MAX_BYTES);
-}
-
-static mt_job_t *job_from_carry(const MtPb__Carry *carry, const mt_job_id_t *id,
-				uint64_t at_ms)
-{
-	mt_job_t *job =
-		job_from_accept(carry->accept, id, carry->accepted_at_ms);
-
-	job->oldest_record_at_ms = at_ms;
-	job->epoch = carry->epoch;
-	job->cancel_requested = carry->cancel;
-	job->never_accepted = carry->never_accepted;
-	job->last_claim_number = carry->claims;
-	if (carry->claim)
-		job->claim = mt_claim_dup(carry->claim);
-	if (carry->outcome) {
-		set_outcome(job, carry->outcome);
-		job->not_run = carry->not_run;
-		job->ended_at_ms = carry->ended_at_ms;
-	}
-	return job;
-}
-
-/**
- * Creates a job from a Carry, unless the log has dropped records that the Carry
- * does not cover.
- */
-static void create_from_carry(mt_jobs_t *jobs, const mt_job_id_t *id,
-			      uint64_t at_ms, const MtPb__Carry *carry)
-{
-	mt_job_t *job;
-
-	if (carry->as_of + 1 < jobs->start_offset ||
-	    !is_carry_well_formed(carry))
-		return;
-	job = job_from_carry(carry, id, at_ms);
-	job->last_change_offset = carry->as_of;
-	insert_job(jobs, job);
-	notify(jobs, job, MT_JOB_ADDED);
-}
-
-/**
- * Creates the job if it is unknown, because the log has dropped its other
- * records. Otherwise only updates the time of the oldest record that it needs.
- */
-static void apply_carry(mt_jobs_t *jobs, const mt_job_id_t *id, uint64_t at_ms,
-			const MtPb__Carry *carry)
-{
-	mt_job_t *job = mt_jobs_find(jobs, id);
-
-	if (!job)
-		create_from_carry(jobs, id, at_ms, carry);
-	/* A Carry replaces the older records only if it covers the last one
-	 * that changed the job. */
-	else if (carry->as_of >= job->last_change_offset)
-		job->oldest_record_at_ms = at_ms;
-}
-
-/**
- * Inserts a tombstone for an unknown job that is cancelled, so that a later
- * Accept of the job is invalid.
- */
-static void insert_cancelled_before_accept(mt_jobs_t *jobs,
-					   const mt_job_id_t *id,
-					   uint64_t offset, uint64_t at_ms,
-					   const MtPb__Cancel *cancel)
-{
-	static const ProtobufCBinaryData no_payload;
-	MtPb__Spec spec = MT_PB__SPEC__INIT;
-	mt_job_t *job;
-
-	if (!mt_name_is_valid(mt_str_from(cancel->account)))
-		return;
-	/* A Carry of the tombstone is valid only with members and the name of a
-	 * data centre, so both are set although the job was never accepted. */
-	spec.members = 1;
-	job = new_job(id, cancel->account, &spec, &no_payload);
-	g_clear_pointer(&job->payload, g_bytes_unref);
-	job->dc = mt_name("none");
-	job->accepted_at_ms = at_ms;
-	job->oldest_record_at_ms = at_ms;
-	job->ended_at_ms = at_ms;
-	job->last_change_offset = offset;
-	job->cancel_requested = true;
-	job->never_accepted = true;
-	/* `once` states that the job is not idempotent. It then cannot have run
-	 * directly either. */
-	job->not_run = cancel->once;
-	job->outcome = MT_PB__OUTCOME_KIND__OUTCOME_CANCELLED;
-	job->reason = g_strdup("cancelled_before_acceptance");
-	insert_job(jobs, job);
-	notify(jobs, job, MT_JOB_ENDED);
-}
-
-static void apply_record(mt_jobs_t *jobs, const mt_job_id_t *id,
-			 uint64_t offset, uint64_t at_ms,
-			 const MtPb__Record *record)
-{
-	mt_job_t *job = mt_jobs_find(jobs, id);
-
-	/* A record in the log takes precedence over a direct run. */
-	if (job && job->direct) {
-		drop_job(jobs, job);
-		job = NULL;
-	}
-	if (record->body_case == MT_PB__RECORD__BODY_ACCEPT)
-		apply_accept(jobs, id, offset, at_ms, record->accept);
-	else if (record->body_case == MT_PB__RECORD__BODY_CARRY)
-		apply_carry(jobs, id, at_ms, record->carry);
-	else if (job)
-		apply_change(jobs, job, offset, at_ms, record);
-	else if (record->body_case == MT_PB__RECORD__BODY_CANCEL)
-		insert_cancelled_before_accept(jobs, id, offset, at_ms,
-					       record->cancel);
-}
-
 static void defer_record(mt_jobs_t *jobs, const mt_job_id_t *id,
 			 uint64_t offset, uint64_t at_ms,
 			 const MtPb__Record *record)
@@ -466,7 +176,7 @@
 	if (jobs->deferred)
 		defer_record(jobs, &id, offset, at_ms, record);
 	else
-		apply_record(jobs, &id, offset, at_ms, record);
+		mt_jobs_apply_record(jobs, &id, offset, at_ms, record);
 }
 
 static void visit_deferred(mt_jobs_t *jobs, const GArray *records,
@@ -490,8 +200,8 @@
 {
 	if (record->body_case == MT_PB__RECORD__BODY_CARRY &&
 	    !mt_jobs_find(jobs, &deferred->job))
-		create_from_carry(jobs, &deferred->job, deferred->at_ms,
-				  record->carry);
+		mt_jobs_create_from_carry(jobs, &deferred->job, deferred->at_ms,
+					  record->carry);
 }
 
 /** Applies a record unless the Carry that created the job covers it. */
@@ -502,8 +212,8 @@
 	const mt_job_t *job = mt_jobs_find(jobs, &deferred->job);
 
 	if (!job || deferred->offset > job->last_change_offset)
-		apply_record(jobs, &deferred->job, deferred->offset,
-			     deferred->at_ms, record);
+		mt_jobs_apply_record(jobs, &deferred->job, deferred->offset,
+				     deferred->at_ms, record);
 }
 
 void mt_jobs_finish_loading(mt_jobs_t *jobs)
@@ -531,11 +241,11 @@
 
 	g_hash_table_iter_init(&iter, jobs->all);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (is_tombstone_expired(value, log_now_ms))
+		if (mt_job_is_tombstone_expired(value, log_now_ms))
 			g_ptr_array_add(expired, value);
 	}
 	for (guint i = 0; i < expired->len; i++)
-		drop_job(jobs, expired->pdata[i]);
+		mt_jobs_drop(jobs, expired->pdata[i]);
 	g_ptr_array_unref(expired);
 }
 
@@ -557,51 +267,6 @@
 	return old;
 }
 
-static void fill_outcome(const mt_job_t *job, MtPb__Outcome *outcome)
-{
-	outcome->job = mt_job_id_field(&job->id);
-	outcome->epoch = job->epoch;
-	outcome->kind = job->outcome;
-	outcome->reason = job->reason ? job->reason : outcome->reason;
-	outcome->claim_number = job->last_claim_number;
-	if (job->result)
-		outcome->result = mt_field_from_bytes(job->result);
-}
-
-GBytes *mt_job_pack_carry(const mt_job_t *job, uint64_t as_of)
-{
-	MtPb__Record record = MT_PB__RECORD__INIT;
-	MtPb__Carry carry = MT_PB__CARRY__INIT;
-	MtPb__Accept accept = MT_PB__ACCEPT__INIT;
-	MtPb__Outcome outcome = MT_PB__OUTCOME__INIT;
-
-	accept.job = mt_job_id_field(&job->id);
-	accept.account = (char *)job->account.text;
-	accept.dc = (char *)job->dc.text;
-	accept.spec = job->spec;
-	accept.body_digest = (ProtobufCBinaryData){MT_DIGEST_BYTES,
-						   (uint8_t *)job->body_digest};
-	if (job->payload)
-		accept.payload = mt_field_from_bytes(job->payload);
-	carry.accept = &accept;
-	carry.accepted_at_ms = job->accepted_at_ms;
-	carry.epoch = job->epoch;
-	carry.cancel = job->cancel_requested;
-	carry.never_accepted = job->never_accepted;
-	carry.claim = job->claim;
-	carry.claims = job->last_claim_number;
-	carry.as_of = as_of;
-	if (!mt_job_is_live(job)) {
-		fill_outcome(job, &outcome);
-		carry.outcome = &outcome;
-		carry.not_run = job->not_run;
-		carry.ended_at_ms = job->ended_at_ms;
-	}
-	record.body_case = MT_PB__RECORD__BODY_CARRY;
-	record.carry = &carry;
-	return mt_record_pack(&record);
-}
-
 mt_job_t *mt_jobs_add_direct(mt_jobs_t *jobs, const MtPb__DirectRun *run)
 {
 	mt_job_id_t id;
@@ -610,17 +275,17 @@
 	if (!run->spec || !run->spec->idempotent || !run->spec->members ||
 	    !mt_job_id_read(&run->job, &id) || mt_jobs_find(jobs, &id))
 		return NULL;
-	job = new_job(&id, run->account, run->spec, &run->payload);
+	job = mt_job_new(&id, run->account, run->spec, &run->payload);
 	job->direct = true;
-	insert_job(jobs, job);
-	notify(jobs, job, MT_JOB_ADDED);
+	mt_jobs_insert(jobs, job);
+	mt_jobs_notify(jobs, job, MT_JOB_ADDED);
 	return job;
 }
 
 void mt_jobs_drop_direct(mt_jobs_t *jobs, mt_job_t *job)
 {
 	g_assert(job->direct);
-	drop_job(jobs, job);
+	mt_jobs_drop(jobs, job);
 }
 
 void mt_jobs_drop_all_direct(mt_jobs_t *jobs)
@@ -629,7 +294,7 @@
 
 	for (GList *at = live; at; at = at->next) {
 		if (((mt_job_t *)at->data)->direct)
-			drop_job(jobs, at->data);
+			mt_jobs_drop(jobs, at->data);
 	}
 	g_list_free(live);
 }
--- a/tests/scripts/mutants.sh
+++ b/tests/scripts/mutants.sh
@@ -82,11 +82,11 @@
 	's/\s*job->claim->run == run->id &&//'
 mutant "claim voided although a task may have begun" lib/node/unwind.c \
 	's/if \(!began && !lost\)/if (!lost)/'
-mutant "outcome of another claim accepted" lib/jobs/jobs.c \
+mutant "outcome of another claim accepted" lib/jobs/job_records.c \
 	's/return outcome->claim_number == job->claim->number;/return true;/'
-mutant "claim valid after a cancellation" lib/jobs/jobs.c \
+mutant "claim valid after a cancellation" lib/jobs/job_records.c \
 	's/!mt_job_is_live\(job\) \|\| job->cancel_requested \|\| job->claim/!mt_job_is_live(job) || job->claim/'
-mutant "job accepted although cancelled before its acceptance" lib/jobs/jobs.c \
+mutant "job accepted although cancelled before its acceptance" lib/jobs/job_records.c \
 	's/insert_cancelled_before_accept\(jobs, id, offset, at_ms,\s*record->cancel\);/(void)insert_cancelled_before_accept;/'
 mutant "record withdrawn although it may be in the log" lib/node/appender.c \
 	's/!item \|\| item->may_be_in_log \|\|/!item ||/'
@@ -108,7 +108,7 @@
 	's/if \(lists->complete && edit->base_version == version\)/if (lists->complete)/'
 mutant "result with a wrong digest accepted" lib/net/server_codec.c \
 	's/digest_matches = !strcmp\(computed, digest\);/digest_matches = true;/'
-mutant "moved job finished by its old data centre" lib/jobs/jobs.c \
+mutant "moved job finished by its old data centre" lib/jobs/job_records.c \
 	's/outcome->epoch != job->epoch \|\|//'
 mutant "task forgotten before its outcome is in the log" lib/node/run_phases.c \
 	's/(record_success\(runner, run\);)/$1 mt_run_forget_tasks(runner, run);/'
