soak: one look-up of the id of a server

Hard to read: the same function stood in the fake servers and in the faults; mt_host_is_frozen() was declared for other files, but only world.c calls it. Change: mt_world_server_id() in world.c; is_frozen() is static.

--- a/tests/soak/fake_servers.c
+++ b/tests/soak/fake_servers.c
@@ -48,18 +48,13 @@
 		       answer_command, command);
 }
 
-static const mt_name_t *server_id(const mt_world_t *world, guint index)
-{
-	return &g_array_index(world->server_infos, mt_server_info_t, index).id;
-}
-
 static void execute(mt_fake_command_t *command)
 {
 	mt_world_t *world = command->origin.host->world;
 
-	mt_fleet_model_call(world->fleet, server_id(world, command->server),
-			    &command->request, mt_world_now(world),
-			    &command->reply);
+	mt_fleet_model_call(
+		world->fleet, mt_world_server_id(world, command->server),
+		&command->request, mt_world_now(world), &command->reply);
 }
 
 static void execute_delayed(void *ctx)
@@ -81,7 +76,7 @@
 	mt_fake_command_t *command = ctx;
 	mt_world_t *world = command->origin.host->world;
 	uint64_t version = mt_fleet_model_version(
-		world->fleet, server_id(world, command->server));
+		world->fleet, mt_world_server_id(world, command->server));
 
 	if (command->reply.status == MT_REPLY_OK &&
 	    version == command->request.seen &&
@@ -92,7 +87,8 @@
 	if (command->reply.status == MT_REPLY_OK) {
 		mt_server_reply_clear(&command->reply);
 		mt_fleet_model_renew_reply(
-			world->fleet, server_id(world, command->server),
+			world->fleet,
+			mt_world_server_id(world, command->server),
 			&command->request, mt_world_now(world),
 			&command->reply);
 	}
@@ -146,7 +142,7 @@
 static int server_index(const mt_world_t *world, const mt_name_t *id)
 {
 	for (guint i = 0; i < world->server_infos->len; i++) {
-		if (mt_name_equal(server_id(world, i), id))
+		if (mt_name_equal(mt_world_server_id(world, i), id))
 			return (int)i;
 	}
 	return -1;
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -221,11 +221,6 @@
 	return mt_world_random_below(world, world->server_infos->len);
 }
 
-static const mt_name_t *server_id(mt_world_t *world, guint index)
-{
-	return &g_array_index(world->server_infos, mt_server_info_t, index).id;
-}
-
 static void on_commands_restored(void *ctx)
 {
 	mt_fault_end_t *end = ctx;
@@ -271,7 +266,7 @@
 	guint index = pick_server(world);
 
 	mt_world_trace(world, "server %u reboots", index);
-	mt_fleet_model_reboot(world->fleet, server_id(world, index),
+	mt_fleet_model_reboot(world->fleet, mt_world_server_id(world, index),
 			      mt_world_now(world));
 }
 
@@ -286,7 +281,7 @@
 	guint index = pick_server(world);
 
 	mt_world_trace(world, "server %u replaced", index);
-	mt_fleet_model_reboot(world->fleet, server_id(world, index),
+	mt_fleet_model_reboot(world->fleet, mt_world_server_id(world, index),
 			      mt_world_now(world));
 	world->active_faults.server_unreachable[index] = true;
 	world->active_faults.server_unlisted[index] = true;
@@ -298,7 +293,7 @@
 {
 	mt_fault_end_t *end = ctx;
 	mt_server_faults_t *faults = mt_fleet_model_faults(
-		end->world->fleet, server_id(end->world, end->target));
+		end->world->fleet, mt_world_server_id(end->world, end->target));
 
 	memset(faults, 0, sizeof(*faults));
 	g_free(end);
@@ -309,8 +304,8 @@
 	guint index = pick_server(world);
 
 	mt_world_trace(world, "server %u fails all tasks", index);
-	mt_fleet_model_faults(world->fleet, server_id(world, index))->fail_all =
-		true;
+	mt_fleet_model_faults(world->fleet, mt_world_server_id(world, index))
+		->fail_all = true;
 	schedule_fault_end(world, random_between(world, 5000, 60000),
 			   on_server_faults_ended, index, 0);
 }
@@ -320,7 +315,8 @@
 	guint index = pick_server(world);
 
 	mt_world_trace(world, "server %u leaves", index);
-	mt_fleet_model_set_leaving(world->fleet, server_id(world, index),
+	mt_fleet_model_set_leaving(world->fleet,
+				   mt_world_server_id(world, index),
 				   mt_world_now(world));
 	schedule_fault_end(world, random_between(world, 10000, 60000),
 			   on_server_faults_ended, index, 0);
@@ -330,8 +326,8 @@
 static void impair_checkpoints(mt_world_t *world)
 {
 	guint index = pick_server(world);
-	mt_server_faults_t *faults =
-		mt_fleet_model_faults(world->fleet, server_id(world, index));
+	mt_server_faults_t *faults = mt_fleet_model_faults(
+		world->fleet, mt_world_server_id(world, index));
 
 	faults->refuse_checkpoint = mt_world_random_below(world, 2);
 	faults->checkpoint_ms = (uint32_t)random_between(world, 100, 30000);
@@ -343,7 +339,7 @@
 {
 	guint index = pick_server(world);
 
-	mt_fleet_model_faults(world->fleet, server_id(world, index))
+	mt_fleet_model_faults(world->fleet, mt_world_server_id(world, index))
 		->refuse_start = true;
 	schedule_fault_end(world, random_between(world, 2000, 30000),
 			   on_server_faults_ended, index, 0);
@@ -383,7 +379,7 @@
 	world->active_faults.server_late = 0;
 	for (guint i = 0; i < world->server_infos->len; i++) {
 		mt_server_faults_t *faults = mt_fleet_model_faults(
-			world->fleet, server_id(world, i));
+			world->fleet, mt_world_server_id(world, i));
 
 		memset(faults, 0, sizeof(*faults));
 		world->active_faults.server_unreachable[i] = false;
--- a/tests/soak/world.c
+++ b/tests/soak/world.c
@@ -49,7 +49,7 @@
 	return mt_timers_now(world->world_timers);
 }
 
-bool mt_host_is_frozen(const mt_host_t *host)
+static bool is_frozen(const mt_host_t *host)
 {
 	return mt_world_now(host->world) < host->frozen_until;
 }
@@ -65,6 +65,11 @@
 	       origin->host->incarnation_number == origin->incarnation_number;
 }
 
+const mt_name_t *mt_world_server_id(const mt_world_t *world, guint index)
+{
+	return &g_array_index(world->server_infos, mt_server_info_t, index).id;
+}
+
 /* Trace. */
 
 void mt_world_trace(mt_world_t *world, const char *format, ...)
@@ -135,7 +140,7 @@
 {
 	mt_world_t *world = origin->host->world;
 
-	if (!mt_host_ref_is_current(origin) || !mt_host_is_frozen(origin->host))
+	if (!mt_host_ref_is_current(origin) || !is_frozen(origin->host))
 		return false;
 	mt_world_after(world, origin->host->frozen_until - mt_world_now(world),
 		       cb, ctx);
@@ -345,7 +350,7 @@
 	for (guint i = 0; i < MT_SOAK_HOSTS; i++) {
 		mt_host_t *host = &world->hosts[(start + i) % MT_SOAK_HOSTS];
 
-		if (host->alive && !mt_host_is_frozen(host))
+		if (host->alive && !is_frozen(host))
 			return host;
 	}
 	return NULL;
@@ -377,6 +382,6 @@
 	}
 	world->steps++;
 	mt_timers_advance(world->world_timers, MAX(next, mt_world_now(world)));
-	if (first && first->alive && !mt_host_is_frozen(first))
+	if (first && first->alive && !is_frozen(first))
 		mt_host_advance(first);
 }
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -125,9 +125,11 @@
 /** Name of a data centre, by its index. */
 const char *mt_soak_dc_name(guint dc);
 
+/** Id of a server, by its index in `server_infos`. */
+const mt_name_t *mt_world_server_id(const mt_world_t *world, guint index);
+
 /** A random host that is alive and not frozen, or NULL. */
 mt_host_t *mt_world_pick_host(mt_world_t *world);
-bool mt_host_is_frozen(const mt_host_t *host);
 
 /** Appends a record to the log without latency or faults. */
 void mt_world_append(mt_world_t *world, const char *stream, GBytes *record);
