--- a/lib/decide/decide.c
+++ b/lib/decide/decide.c
@@ -20,6 +20,13 @@
 /** A deadline within this many expected run times raises a job's score. */
 #define DEADLINE_SLACK_RUNS 2
 
+/** A run time of this length halves the weight of the response ratio. */
+#define SHORT_RUN_S 60
+
+/** Points for each `aging_s` of waiting, and for a deadline that is close. */
+#define AGING_POINTS 100
+#define DEADLINE_POINTS 100
+
 /** Classes of waiting jobs, in the order in which they are considered. */
 typedef enum mt_class_t {
 	MT_CLASS_URGENT,
@@ -34,12 +41,12 @@
 } mt_queue_entry_t;
 
 /**
- * Placement of a waiting job for which capacity is reclaimed. What is already
- * free of this capacity is not given to other jobs in the rest of this
- * decision. What runs still occupy is not marked as taken, since
- * mt_free_capacity_allocate() takes no more than is free. No run has to be
- * stopped if runs that are ending anyway free enough, or if the job fits on
- * free capacity and was not started only because of the guarantee deficit.
+ * Placement of a waiting job for which capacity is reclaimed. The part of it
+ * that is free is not given to other jobs in the rest of this decision. The
+ * part that runs still occupy needs no mark, since no job can be placed there.
+ * No run has to be stopped if runs that are ending anyway free enough, or if
+ * the job fits on free capacity and was not started only because of the
+ * guarantee deficit.
  */
 typedef struct mt_earmark_t {
 	mt_shape_t shape;
@@ -76,8 +83,9 @@
 	return 1;
 }
 
-double mt_waiting_job_score(const mt_view_t *view,
-			    const mt_view_waiting_job_t *job)
+/** Score of a waiting job within its class; higher scores go first. */
+static double waiting_job_score(const mt_view_t *view,
+				const mt_view_waiting_job_t *job)
 {
 	const mt_policy_t *policy = &view->policy;
 	double run_s = (double)MAX(1000, job->expected_run_ms) / 1000;
@@ -90,17 +98,19 @@
 
 	/* In the order of the terms:
 	 *  - the response ratio, which grows with the wait divided by the run
-	 *    time; it is divided by 1 + run time / 60 s, which favours
-	 *    short jobs;
+	 *    time; it is divided by a number that grows with the run time,
+	 *    which favours short jobs;
 	 *  - the job's value per accelerator second;
 	 *  - the size, which counts more the longer the job waits;
-	 *  - 100 points for each `aging_s` of waiting;
-	 *  - 100 points if the deadline is close. */
-	return policy->completion_weight * response_ratio / (1 + run_s / 60) +
+	 *  - the wait alone;
+	 *  - the deadline, if it is close. */
+	return policy->completion_weight * response_ratio /
+		       (1 + run_s / SHORT_RUN_S) +
 	       policy->value_weight * value_rate +
 	       policy->fragmentation_weight * size * waited_s /
 		       policy->aging_s +
-	       100 * waited_s / policy->aging_s + 100 * deadline_bonus(job);
+	       AGING_POINTS * waited_s / policy->aging_s +
+	       DEADLINE_POINTS * deadline_bonus(job);
 }
 
 /**
@@ -147,7 +157,7 @@
 		mt_queue_entry_t entry = {i, class_of(state, job), 0};
 
 		entry.score = state->algorithm == MT_ALGORITHM_FULL
-				      ? mt_waiting_job_score(state->view, job)
+				      ? waiting_job_score(state->view, job)
 				      : (double)job->waited_ms;
 		g_array_append_val(queue, entry);
 	}
--- a/lib/jobs/jobs.h
+++ b/lib/jobs/jobs.h
@@ -1,7 +1,8 @@
 /**
  * @file jobs.h
- * The table of jobs, computed from the records of the job stream alone, except
- * for direct jobs, which have no records (see mt_job_t.direct).
+ * The table of jobs, computed from the records of the job stream alone (see
+ * wire/mimosaturn.proto), except for direct jobs, which have no records (see
+ * mt_job_t.direct).
  *
  * Every reader applies the same records in the same order by the same rules,
  * so all hosts agree on which job an idempotency key refers to, which claim may
@@ -118,7 +119,7 @@
 
 typedef struct mt_jobs_t mt_jobs_t;
 
-mt_jobs_t *mt_jobs_new(mt_kernel_t *kernel);
+mt_jobs_t *mt_jobs_new(void);
 void mt_jobs_free(mt_jobs_t *jobs);
 void mt_jobs_subscribe(mt_jobs_t *jobs, mt_job_cb cb, void *ctx);
 
--- a/lib/node/runner.h
+++ b/lib/node/runner.h
@@ -8,6 +8,10 @@
  * have done so, the tasks are released. A run that cannot complete is unwound:
  * all its tasks are stopped.
  *
+ * Words in capitals, such as START, are the requests to servers in
+ * mt_server_op_t. For boot ids, fencing tokens and leases see fleet.h, for the
+ * records (Claim, ClaimVoid, Outcome) see jobs.h.
+ *
  * Invariants:
  *  - A non-idempotent job is started only under a claim that this run wrote
  *    and read back from the log, with the boot id and fencing token that each
@@ -121,11 +125,6 @@
 	bool checkpointable;
 	bool urgent; /**< declared urgent and has one member only */
 	bool direct; /**< see mt_job_t */
-	/**
-	 * Never set or read. Whether START resumes from a checkpoint is decided
-	 * by fill_start_request() in run_commands.c.
-	 */
-	bool resume;
 	/**
 	 * Stop without a checkpoint: a server refused one, or the capacity is
 	 * needed at once.
@@ -150,8 +149,6 @@
 	/** Since when only some parts run; 0 while all of them or none do. */
 	mt_ms_t partially_running_since;
 	uint64_t record_id; /**< of the pending record in the appender, or 0 */
-	/** Never set or read; see mt_run_record_outcome(). */
-	MtPb__OutcomeKind outcome;
 	/** Detail of `cause`, for the metric and the Outcome record. */
 	const char *reason;
 	GBytes *result;
@@ -235,6 +232,4 @@
 /** Drops all runs but leaves their tasks running for the next scheduler. */
 void mt_runner_drop_all(mt_runner_t *runner);
 
-const char *mt_phase_name(mt_phase_t phase);
-
 #endif
--- a/programs/ctl/load.h
+++ b/programs/ctl/load.h
@@ -56,7 +56,6 @@
 	mt_ms_t cancel_at; /**< 0: never */
 	mt_load_state_t state;
 	bool done;	   /**< ended, and the result, if any, was fetched */
-	bool cancel_sent;  /**< a cancellation was sent; never read */
 	bool once;	   /**< not idempotent: must begin at most once */
 	bool not_run;	   /**< reported as not run */
 	bool wrong_result; /**< the result differs from the expected one */
@@ -95,11 +94,4 @@
 /** Asks the test platform at `audit` how often each job began. */
 void mt_load_audit(mt_load_t *load, const mt_endpoint_t *audit);
 
-/**
- * Prints the results.
- * @return sum of the numbers of jobs lost, run twice, begun though reported as
- *         not run, and with a wrong result; may count a job more than once
- */
-guint mt_load_print(const mt_load_t *load, bool json);
-
 #endif
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -17,6 +17,12 @@
 #define MT_SOAK_SERVERS_PER_DC 6
 #define MT_SOAK_TRACE_LINES 400
 
+/**
+ * The virtual clock starts here, not at 0: a time of 0 means "unset", for
+ * example in mt_gang_run_t.partial_since (fleet_model.c).
+ */
+#define MT_SOAK_START_MS 1000000u
+
 /** Term of the task leases, and interval of their renewal. */
 #define MT_SOAK_LEASE_MS 10000u
 #define MT_SOAK_RENEW_MS 2000u
@@ -49,20 +55,22 @@
 
 /** Faults in effect, besides those of mt_server_faults_t and mt_host_t. */
 typedef struct mt_active_faults_t {
-	bool log_away;	    /**< the log refuses all requests */
-	double log_lost;    /**< share of appends that execute without an
-			       answer */
-	double log_late;    /**< share of appends that execute late (up to
-			       DELAY_MAX_MS in world.c) and without an
-			       answer */
-	double server_lost; /**< share of commands to servers, except RENEW
-			       (MT_SERVER_RENEW), that execute without an
-			       answer */
-	double server_late; /**< share of commands to servers, except RENEW,
-			       that execute late (up to DELAY_MAX_MS) and
-			       without an answer */
-	bool platform_cut[MT_SOAK_DCS]; /**< no link to the log and the server
-					   list */
+	bool log_away;	 /**< the log refuses all requests */
+	double log_lost; /**< share of appends that execute without an answer */
+	/**
+	 * Share of appends that execute late, by up to MT_SOAK_DELAY_MAX_MS,
+	 * and without an answer.
+	 */
+	double log_late;
+	/**
+	 * Share of commands to servers, except RENEW (MT_SERVER_RENEW), that
+	 * execute without an answer.
+	 */
+	double server_lost;
+	/** As `server_lost`, but executed late, as those of `log_late`. */
+	double server_late;
+	/** Per data centre: no link to the log and the server list. */
+	bool platform_cut[MT_SOAK_DCS];
 	bool dc_cut[MT_SOAK_DCS][MT_SOAK_DCS];	     /**< [from][to] */
 	bool host_cut[MT_SOAK_HOSTS][MT_SOAK_HOSTS]; /**< [from][to] */
 	bool *server_unreachable;		     /**< per server */
@@ -89,7 +97,7 @@
 mt_world_t *mt_world_new(guint32 seed, uint64_t retention_ms);
 void mt_world_free(mt_world_t *world);
 
-/** Virtual time; starts at 1000 s. */
+/** Virtual time; starts at MT_SOAK_START_MS. */
 mt_ms_t mt_world_now(const mt_world_t *world);
 void mt_world_start_host(mt_world_t *world, guint index);
 void mt_world_kill_host(mt_world_t *world, guint index);
@@ -114,12 +122,14 @@
 void mt_world_breach(mt_world_t *world, const char *format, ...)
 	G_GNUC_PRINTF(2, 3);
 
-/** Index of the server with this id, or -1. */
-int mt_world_server_index(const mt_world_t *world, const mt_name_t *id);
+/** Name of a data centre, by its index. */
+const char *mt_soak_dc_name(guint dc);
+
+/** Id of a server, by its index in `server_infos`. */
+const mt_name_t *mt_world_server_id(const mt_world_t *world, guint index);
 
 /** A random host that is alive and not frozen, or NULL. */
 mt_host_t *mt_world_pick_host(mt_world_t *world);
-bool mt_host_is_frozen(const mt_host_t *host);
 
 /** Appends a record to the log without latency or faults. */
 void mt_world_append(mt_world_t *world, const char *stream, GBytes *record);
