dag: findings of a review

Cause: a unit could count on the end of a run that was preempted for another, whose resources it then expected twice; runs that one unit waits for could be preempted for another, and more ends were claimed than searched. Evacuated servers counted as capacity in the summary of the load. A speed was taken over by a process of unknown start time. The gauge of the load kept its last value on a host that leads no more. A refusal that could not be stored left no log line. Change: ends know their victims; the others as said. Code without callers is gone.

--- a/lib/dag/account_use.c
+++ b/lib/dag/account_use.c
@@ -27,11 +27,9 @@
 {
 	double cores = 0;
 
-	for (uint32_t i = 0; i < job->n_steps_total; i++) {
-		mt_dag_resources_t need = mt_dag_step_need(&job->steps[i]);
-
-		cores += job->steps[i].n_placed * mt_dag_resources_cores(&need);
-	}
+	for (uint32_t i = 0; i < job->n_steps_total; i++)
+		cores += job->steps[i].n_placed *
+			 mt_dag_step_cores(&job->steps[i]);
 	return cores;
 }
 
--- a/lib/dag/admission.c
+++ b/lib/dag/admission.c
@@ -217,15 +217,3 @@
 		return "no_pressure";
 	}
 }
-
-mt_ms_t mt_pressure_backlog_ms(const MtDag__Pressure *pressure)
-{
-	double waiting = 0;
-
-	for (size_t i = 0; i < pressure->n_loads; i++)
-		waiting += (double)pressure->loads[i]->waiting_core_ms;
-	if (!pressure->capacity_millicores)
-		return 0;
-	return (mt_ms_t)(waiting * 1000.0 /
-			 (double)pressure->capacity_millicores);
-}
--- a/lib/dag/admission.h
+++ b/lib/dag/admission.h
@@ -89,10 +89,4 @@
 /** Name of the reason in log events and metrics. */
 const char *mt_admission_reason_name(mt_admission_reason_t reason);
 
-/**
- * Load of the service as a single figure: time in ms for which the waiting work
- * would occupy the whole capacity.
- */
-mt_ms_t mt_pressure_backlog_ms(const MtDag__Pressure *pressure);
-
 #endif
--- a/lib/dag/backend.c
+++ b/lib/dag/backend.c
@@ -26,8 +26,7 @@
 		return;
 	}
 	/* A snapshot delivers the same entry again. */
-	if (backend->cold_until && info->born_ms &&
-	    info->born_ms == backend->info.born_ms &&
+	if (backend->cold_until && info->born_ms == backend->info.born_ms &&
 	    info->cold_remaining_ms == backend->info.cold_remaining_ms)
 		return;
 	backend->cold_until = now + info->cold_remaining_ms;
--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -436,6 +436,7 @@
 	mt_evacuation_log_reset(engine);
 	mt_writer_close(engine->writer);
 	engine->writer = NULL;
+	mt_load_summary_reset_gauges(engine->load_summary, engine);
 	g_clear_pointer(&engine->load_summary, mt_load_summary_free);
 	g_ptr_array_set_size(engine->flushes, 0);
 	g_hash_table_remove_all(engine->jobs);
--- a/lib/dag/evacuations.c
+++ b/lib/dag/evacuations.c
@@ -4,9 +4,8 @@
 #include "dag/follower.h"
 
 /**
- * Part of `evacuation_ms` that is left for a start on its way to the server: of
- * 5,000 ms, 1,000 ms. The time-out of a start is 600 ms (COMMAND_TIMEOUT_MS in
- * platform/wire_names.h).
+ * Part of `evacuation_ms` that is left for a start on its way to the server. It
+ * has to exceed the time-out of a start.
  */
 #define START_MARGIN_DIVISOR 5u
 
@@ -87,6 +86,8 @@
 		return;
 	if (!record->value.len) {
 		g_hash_table_remove(evacuations->zones, &zone);
+		if (evacuations->snapshot_zones)
+			g_hash_table_remove(evacuations->snapshot_zones, &zone);
 		return;
 	}
 	g_hash_table_add(evacuations->zones, mt_name_dup(&zone));
--- a/lib/dag/load_summary.c
+++ b/lib/dag/load_summary.c
@@ -95,13 +95,6 @@
 	return &load->work[MIN(job->queue.priority, MT_LOAD_PRIORITY_MAX)];
 }
 
-static double cores_of(const mt_dag_step_t *step)
-{
-	mt_dag_resources_t need = mt_dag_step_need(step);
-
-	return mt_dag_resources_cores(&need);
-}
-
 void mt_load_summary_note_done(mt_load_summary_t *summary,
 			       const mt_dag_step_t *step, uint32_t count)
 {
@@ -109,14 +102,14 @@
 		find_or_add(summary, &step->job->queue.service);
 
 	work_of(load, step->job)->completed +=
-		count * cores_of(step) * step->spec->estimate_ms;
+		count * mt_dag_step_cores(step) * step->spec->estimate_ms;
 }
 
 /* Work that waits and runs. */
 
 static void add_step(mt_work_t *work, const mt_dag_step_t *step, mt_ms_t now)
 {
-	double cores = cores_of(step);
+	double cores = mt_dag_step_cores(step);
 
 	for (uint32_t i = 0; i < step->spec->count; i++) {
 		const mt_dag_task_t *task = &step->tasks[i];
@@ -175,7 +168,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const mt_backend_t *backend = value;
 
-		if (!backend->listed || backend->info.draining)
+		if (!backend->listed || backend->info.draining ||
+		    mt_engine_is_evacuated(engine, backend))
 			continue;
 		find_or_add(summary, &backend->info.service)->capacity_cores +=
 			mt_dag_resources_cores(&backend->info.capacity);
@@ -308,8 +302,11 @@
 static void write_message(mt_load_summary_t *summary, mt_service_load_t *load,
 			  const mt_engine_t *engine)
 {
-	if (summary->n_list >= MT_LOAD_SERVICES_MAX)
+	if (summary->n_list >= MT_LOAD_SERVICES_MAX) {
+		mt_kernel_count(engine->deps.kernel,
+				"load_summary_services_left_out_total");
 		return;
+	}
 	mt_dag__pressure__init(&load->message);
 	load->message.service = load->name.text;
 	load->message.capacity_millicores =
@@ -330,6 +327,17 @@
 	g_free(name);
 }
 
+void mt_load_summary_reset_gauges(const mt_load_summary_t *summary,
+				  const struct mt_engine_t *engine)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, summary->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		set_gauge(engine, value, 0);
+}
+
 void mt_load_summary_update(mt_load_summary_t *summary,
 			    const struct mt_engine_t *engine)
 {
--- a/lib/dag/load_summary.h
+++ b/lib/dag/load_summary.h
@@ -38,6 +38,10 @@
 void mt_load_summary_update(mt_load_summary_t *summary,
 			    const struct mt_engine_t *engine);
 
+/** Sets the gauges of the load to 0, as this host leads no more. */
+void mt_load_summary_reset_gauges(const mt_load_summary_t *summary,
+				  const struct mt_engine_t *engine);
+
 /**
  * Lists the contended services. The list is valid until the next call of
  * mt_load_summary_update().
--- a/lib/dag/plan.h
+++ b/lib/dag/plan.h
@@ -108,8 +108,8 @@
 	 * while it would be late on the servers that are free now. */
 	bool may_wait_for_speed;
 	/** Maximum cost of the victims that are preempted for the unit; 0: no
-	 * limit. For guaranteed units, only a limit on what is preempted for
-	 * faster servers. */
+	 * limit, as its run time is not known. For guaranteed units, only a
+	 * limit on what is preempted for faster servers. */
 	double cost_max;
 	/** If not all tasks of this unit can be placed, resources are reserved
 	 * for the others, so that later units cannot use them. No resources
@@ -141,6 +141,7 @@
 	 * by priority. */
 	double cost;
 	bool preempted; /**< result: is to be stopped */
+	bool awaited;	/**< result: a unit waits until the run ends */
 } mt_plan_victim_t;
 
 /** A run that is expected to end soon. */
@@ -148,6 +149,9 @@
 	uint32_t server;	   /**< index into mt_plan_t.servers */
 	mt_dag_resources_t amount; /**< resources that are free then */
 	uint32_t in_ms;		   /**< time until it ends */
+	/** Index of the same run in mt_plan_t.victims plus one; 0: it must not
+	 * be preempted. */
+	uint32_t victim_plus_one;
 	bool claimed; /**< result: a unit waits for it instead of preempting */
 } mt_plan_end_t;
 
--- a/lib/dag/plan_preempt.c
+++ b/lib/dag/plan_preempt.c
@@ -16,7 +16,7 @@
 static bool may_preempt_for(const mt_plan_victim_t *victim,
 			    const mt_plan_unit_t *unit)
 {
-	if (victim->preempted)
+	if (victim->preempted || (victim->awaited && !unit->guaranteed))
 		return false;
 	if (victim->priority > unit->priority)
 		return true;
@@ -212,14 +212,25 @@
 
 /* Runs that end soon. */
 
-/** Adds the resources of the first `n` ends that are not claimed. */
+/**
+ * True if a unit may count on the resources that are free after this end. Those
+ * of a preempted run count as being released already.
+ */
+static bool is_end_available(const mt_plan_t *plan, const mt_plan_end_t *end)
+{
+	return !end->claimed &&
+	       (!end->victim_plus_one ||
+		!plan->victims[end->victim_plus_one - 1].preempted);
+}
+
+/** Adds the resources of those of the first `n` ends that are available. */
 static void add_ends(const mt_plan_t *plan, mt_dag_resources_t *freed,
 		     uint32_t n)
 {
 	for (uint32_t i = 0; i < n; i++) {
 		const mt_plan_end_t *end = &plan->ends[i];
 
-		if (!end->claimed)
+		if (is_end_available(plan, end))
 			mt_dag_resources_add(&freed[end->server], &end->amount);
 	}
 }
@@ -260,16 +271,25 @@
 	return low;
 }
 
-/** Marks the first `n` ends on servers of the set as claimed. */
-static void claim_ends(mt_plan_t *plan, const mt_server_set_t *server_set,
+/**
+ * Claims the first `n` ends on servers of the set, of the class `slowest` or
+ * faster: other units neither count on them nor preempt these runs.
+ */
+static void claim_ends(mt_plan_t *plan, const mt_plan_index_t *index,
+		       const mt_server_set_t *server_set, uint32_t slowest,
 		       uint32_t n)
 {
 	for (uint32_t i = 0; i < n; i++) {
 		mt_plan_end_t *end = &plan->ends[i];
 
-		if (!server_set->name ||
-		    plan->servers[end->server].rack == server_set->name)
-			end->claimed = true;
+		if ((server_set->name &&
+		     plan->servers[end->server].rack != server_set->name) ||
+		    index->classes.of_server[end->server] < slowest ||
+		    !is_end_available(plan, end))
+			continue;
+		end->claimed = true;
+		if (end->victim_plus_one)
+			plan->victims[end->victim_plus_one - 1].awaited = true;
 	}
 }
 
@@ -305,7 +325,7 @@
 		g_free(fast.servers);
 	}
 	if (best) {
-		claim_ends(plan, best, best_needed);
+		claim_ends(plan, index, best, slowest, best_needed);
 		plan->n_awaiting++;
 	}
 	return best;
@@ -385,7 +405,7 @@
 
 /**
  * Share of the gain of a unit that it owes to its end in time; it gains the
- * rest also if it is late.
+ * rest also if it is late, see LATE_GAIN_SHARE in planner.c.
  */
 #define IN_TIME_GAIN_SHARE 0.75
 
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -12,7 +12,8 @@
 
 /**
  * How long a guaranteed step may wait for servers on which it ends in time.
- * Guaranteed jobs have to begin within a few seconds, see reclaim_ms.
+ * Guaranteed jobs have to begin within a few seconds, and may have to preempt
+ * afterwards.
  */
 #define GUARANTEED_SPEED_WAIT_MS 900u
 
--- a/lib/dag/refusals.c
+++ b/lib/dag/refusals.c
@@ -1,7 +1,8 @@
 /** @file refusals.c Refuses submissions so that the refusal stays true. */
 #include "dag/refusals.h"
 
-/** Number of attempts to append before other records come in between. */
+/** Maximum number of attempts to append; one fails if another record is
+ * appended first. */
 #define ATTEMPTS_MAX 6u
 
 /** Maximum number of refusals in one append; the others wait for the next. */
@@ -23,12 +24,13 @@
  * record, which outlasts a submission that another host has just received.
  */
 #define VALID_MS (MT_REFUSAL_KEEP_MS - MT_WRITER_EXPIRY_MS - STORE_DELAY_MAX_MS)
+G_STATIC_ASSERT(MT_REFUSAL_KEEP_MS > MT_WRITER_EXPIRY_MS + STORE_DELAY_MAX_MS);
 
-/**
- * The record is not renewed when it is older than this, as the leader may be
- * deleting it.
- */
-#define RENEW_MAX_MS (MT_REFUSAL_KEEP_MS - 10000u)
+/** Time before the end of a record in which the leader may be deleting it. */
+#define DELETION_MARGIN_MS 10000u
+
+/** The record is not renewed when it is older than this. */
+#define RENEW_MAX_MS (MT_REFUSAL_KEEP_MS - DELETION_MARGIN_MS)
 
 /** A submission that is to be refused. */
 typedef struct mt_refusal_t {
@@ -175,12 +177,16 @@
 	mt_refusals_t *refusals = ctx;
 
 	(void)offset;
-	if (result == MT_STORE_WRONG_OFFSET)
+	if (result == MT_STORE_WRONG_OFFSET) {
 		attempt(refusals);
-	else
-		end_round(refusals, result == MT_STORE_DONE
-					    ? MT_REFUSAL_REFUSED
-					    : MT_REFUSAL_UNCERTAIN);
+		return;
+	}
+	if (result != MT_STORE_DONE)
+		mt_log(refusals->deps.kernel, MT_LOG_WARNING, "refusals",
+		       "%u refusals are not stored (store result %d)",
+		       refusals->round->len, result);
+	end_round(refusals, result == MT_STORE_DONE ? MT_REFUSAL_REFUSED
+						    : MT_REFUSAL_UNCERTAIN);
 }
 
 /** Appends the records of the round if the topic ends at `end`. */
--- a/lib/dag/speed_records.c
+++ b/lib/dag/speed_records.c
@@ -104,7 +104,7 @@
 		return;
 	stored->is_taken = true;
 	/* Another process of the server may have another speed. */
-	if (stored->born_ms != backend->born_ms)
+	if (!stored->born_ms || stored->born_ms != backend->born_ms)
 		return;
 	mt_speed_model_restore(engine->speeds, &stored->server, stored->speed,
 			       stored->error, mt_engine_now(engine));
--- a/lib/dag/victims.c
+++ b/lib/dag/victims.c
@@ -207,14 +207,20 @@
 	g_ptr_array_add(collection->planner->victims, task);
 }
 
+/** Adds the end of a run before the run itself is added as a victim. */
 static void add_end(mt_collection_t *collection, const mt_dag_task_t *task,
 		    uint32_t server, const mt_stop_group_t *group)
 {
-	mt_plan_end_t end = {server, mt_dag_step_need(task->step),
-			     (uint32_t)group->time_left, false};
-
-	if (group->time_left <= ENDS_WITHIN_MS)
-		g_array_append_val(collection->ends, end);
+	mt_plan_end_t end = {0};
+
+	if (group->time_left > ENDS_WITHIN_MS)
+		return;
+	end.server = server;
+	end.amount = mt_dag_step_need(task->step);
+	end.in_ms = (uint32_t)group->time_left;
+	if (can_be_victim(collection->planner, task))
+		end.victim_plus_one = collection->victims->len + 1;
+	g_array_append_val(collection->ends, end);
 }
 
 static void collect_server(mt_collection_t *collection, uint32_t server)
--- a/tests/unit/test_plan_preempt.c
+++ b/tests/unit/test_plan_preempt.c
@@ -68,7 +68,7 @@
 static void add_end(mt_fixture_t *fixture, uint32_t server, uint32_t in_ms)
 {
 	fixture->ends[fixture->plan.n_ends++] =
-		(mt_plan_end_t){server, whole_server, in_ms, false};
+		(mt_plan_end_t){server, whole_server, in_ms, 0, false};
 }
 
 /** Runs the plan. Returns the victims that are preempted, as bits. */
@@ -215,7 +215,8 @@
 		plan->ends = g_new0(mt_plan_end_t, size.n_victims + 1);
 		for (uint32_t i = 0; limited && i < plan->n_victims; i++) {
 			mt_plan_end_t end = {plan->victims[i].server,
-					     plan->victims[i].amount, i, false};
+					     plan->victims[i].amount, i, i + 1,
+					     false};
 
 			plan->ends[plan->n_ends++] = end;
 		}
@@ -366,6 +367,25 @@
 	CU_ASSERT_TRUE(first_is_spared(shorten_objective));
 }
 
+/**
+ * Guards against: a unit waits for the end of a run that was preempted for an
+ * earlier unit, whose resources are reserved for that unit.
+ */
+static void a_preempted_run_is_not_awaited(void)
+{
+	for (uint32_t same_run = 0; same_run < 2; same_run++) {
+		mt_fixture_t fixture = {0};
+
+		add_server(&fixture, 1, 5);
+		add_end(&fixture, 0, 100);
+		fixture.ends[0].victim_plus_one = same_run;
+		add_unit(&fixture, 1)->guaranteed = true;
+		add_unit(&fixture, 1)->left_ms = 100 * RUN_MS;
+		CU_ASSERT_EQUAL(run(&fixture), 1);
+		CU_ASSERT_EQUAL(fixture.plan.n_awaiting, !same_run);
+	}
+}
+
 const mt_test_t mt_plan_preempt_tests[] = {
 	{"only the tasks left over need room",
 	 only_the_tasks_left_over_need_room},
@@ -387,5 +407,6 @@
 	 a_long_running_step_may_preempt_at_any_cost},
 	{"runs are spared where a stop costs more",
 	 runs_are_spared_where_a_stop_costs_more},
+	{"a preempted run is not awaited", a_preempted_run_is_not_awaited},
 	{NULL, NULL},
 };
