front: split front.c by job

It keeps the checks and the dispatch of calls. front_op.c has the operations, front_submit.c the submissions and their refusals and confirmations, front_lookup.c the queries and cancellations, and front_forward.c the calls between hosts; front_internal.h is shared. Functions are moved unchanged, and shared ones get the prefix mt_front_. The mutant of should_update_first() follows it to front_lookup.c.

--- a/tests/scripts/mutants.sh
+++ b/tests/scripts/mutants.sh
@@ -130,7 +130,7 @@
 	's/page.age_ms = reply->age_ms;//'
 mutant "fenced leader leads again in its term" lib/dag/leadership.c \
 	's/leadership->term_over = true;//'
-mutant "unfinished job shown to another host without a read" lib/dag/front.c \
+mutant "unfinished job shown to another host without a read" lib/dag/front_lookup.c \
 	's/return exact \|\|/return/'
 mutant "slow servers not found" lib/dag/pace.c \
 	's/return ratio < SLOW_RATIO;/return false;/'
