plan: split plan.c by job

It keeps the order and the two rounds of the units. plan_place.c has the placement of one unit, plan_reserve.c the reservations, and plan_scope.c the sums of resources and what fits into a scope. Functions are moved unchanged, and shared ones get the prefix mt_plan_.

--- a/lib/dag/plan_internal.h
+++ b/lib/dag/plan_internal.h
@@ -1,11 +1,13 @@
 /**
  * @file plan_internal.h
- * Internal interface of the placement plan: plan.c (placement), plan_index.c
- * (lookup tables, built once per plan), plan_speed.c (choice of servers by
- * their speeds), plan_pack.c (weights of the resources) and plan_preempt.c
- * (selection of tasks to preempt). A victim is a placed task that may be
- * preempted. The victims of one gang form a victim group, as they are stopped
- * together; every other victim is a group of its own.
+ * Internal interface of the placement plan: plan.c (order and rounds of units),
+ * plan_place.c (placement of a unit), plan_reserve.c (reservations),
+ * plan_scope.c (resources of a scope), plan_index.c (lookup tables, built once
+ * per plan), plan_speed.c (choice of servers by their speeds), plan_pack.c
+ * (weights of the resources) and plan_preempt.c (selection of tasks to
+ * preempt). A victim is a placed task that may be preempted. The victims of one
+ * gang form a victim group, as they are stopped together; every other victim is
+ * a group of its own.
  */
 #ifndef MT_DAG_PLAN_INTERNAL_H
 #define MT_DAG_PLAN_INTERNAL_H
@@ -81,6 +83,21 @@
 	const mt_dag_resources_t *freed;
 } mt_scope_t;
 
+/** Resources of a server that are reserved for units that cannot start soon. */
+typedef struct mt_kept_t {
+	mt_dag_resources_t free;
+	mt_dag_resources_t releasing;
+	uint32_t tasks_left; /**< see mt_plan_server_t.tasks_left */
+} mt_kept_t;
+
+/** A plan that is being computed. */
+typedef struct mt_plan_run_t {
+	mt_plan_t *plan;
+	const mt_plan_index_t *index;
+	mt_kept_t *kept; /**< per server */
+	uint32_t n_limited_reservations;
+} mt_plan_run_t;
+
 /** Which speeds a unit prefers. */
 typedef struct mt_speed_preference_t {
 	/** The faster, the better. Otherwise the slowest servers are preferred
@@ -229,4 +246,76 @@
 				       const mt_plan_unit_t *unit,
 				       bool one_rack);
 
+/* plan_place.c */
+
+/**
+ * Assigns up to `count` tasks of the unit to servers of the scope.
+ * @param chosen receives the server of each assigned task
+ * @return the number of assigned tasks
+ */
+uint32_t mt_plan_assign_servers(const mt_scope_t *scope, uint32_t *chosen,
+				uint32_t count);
+
+/**
+ * Deducts the resources of the unit's tasks from those of their servers, so
+ * that later units cannot use them: first from the free resources, and the
+ * rest from the resources being released. Also marks the servers as running
+ * fillers or tasks with a latency target.
+ */
+void mt_plan_allocate(mt_plan_t *plan, const mt_plan_unit_t *unit,
+		      const uint32_t *chosen, uint32_t count);
+
+/**
+ * Of the racks into which the whole unit fits, returns the one with the fewest
+ * available accelerators, or NULL if there is none.
+ */
+const mt_server_set_t *mt_plan_find_rack_with_fewest_gpus(
+	const mt_plan_t *plan, const mt_plan_index_t *index,
+	const mt_plan_unit_t *unit, mt_capacity_kind_t kind);
+
+/** True if the speeds of the servers matter for the choice of a set. */
+bool mt_plan_chooses_by_speed(const mt_plan_run_t *run,
+			      const mt_plan_unit_t *unit);
+
+/**
+ * Places tasks of a unit that is restricted to one rack: all of them if they
+ * fit into a rack now. Otherwise those that fit, if the unit is restricted only
+ * by `data_rack` and is not a gang.
+ * @return true if all tasks were placed
+ */
+bool mt_plan_place_in_rack(const mt_plan_run_t *run, mt_plan_unit_t *unit);
+
+/**
+ * Places tasks of a unit that may use all servers.
+ * @return true if all tasks were placed
+ */
+bool mt_plan_place_anywhere(const mt_plan_run_t *run, mt_plan_unit_t *unit);
+
+/* plan_reserve.c */
+
+/**
+ * Reserves resources for the tasks of a unit, none of which is placed, so that
+ * later units cannot use these resources. Uses free resources and resources
+ * being released. Reserves nothing for a gang that cannot fit into the set even
+ * if all other tasks there end, as the resources would stay idle in vain.
+ * @param soon the whole unit fits once the resources being released are free
+ */
+void mt_plan_reserve(mt_plan_run_t *run, const mt_plan_unit_t *unit,
+		     const mt_server_set_t *server_set, bool soon);
+
+/**
+ * The rack into which the largest number of the unit's tasks fits, or NULL if
+ * no task fits into any rack. For a gang, only racks are considered into which
+ * it would fit if no other task ran there. The caller reserves resources in
+ * this rack. As later units cannot use these, the room in this rack grows
+ * whenever a task there ends, and so the next plans tend to select this rack
+ * again.
+ */
+const mt_server_set_t *
+mt_plan_find_rack_fitting_most(const mt_plan_run_t *run,
+			       const mt_plan_unit_t *unit);
+
+/** Returns the resources that are reserved for units that start later. */
+void mt_plan_release_kept(mt_plan_run_t *run);
+
 #endif
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -25,7 +25,7 @@
 /**
  * Units that may preempt always reserve resources. Of the other units, only
  * gangs that have waited for RESERVE_AFTER_MS reserve resources, and at most
- * this many gangs of a service do so. See reserve() in plan.c for gangs that
+ * this many gangs of a service do so. See mt_plan_reserve() for gangs that
  * cannot fit at all.
  */
 #define RESERVING_GANGS_MAX 2u
