--- a/lib/dag/catalog.c
+++ b/lib/dag/catalog.c
@@ -28,8 +28,6 @@
 	catalog->accounts = g_ptr_array_new_with_free_func(free_account);
 	catalog->services = g_array_new(FALSE, TRUE, sizeof(mt_service_t));
 	catalog->accounts_by_key = g_hash_table_new(g_str_hash, g_str_equal);
-	catalog->standby =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return catalog;
 }
 
@@ -38,7 +36,6 @@
 	if (!catalog)
 		return;
 	g_hash_table_destroy(catalog->accounts_by_key);
-	g_hash_table_destroy(catalog->standby);
 	g_ptr_array_unref(catalog->queues);
 	g_ptr_array_unref(catalog->accounts);
 	g_array_unref(catalog->services);
--- a/lib/dag/catalog.h
+++ b/lib/dag/catalog.h
@@ -60,9 +60,6 @@
 	GArray *services;    /**< mt_service_t, only those with a limit */
 	/** Maps API keys to mt_client_account_t. */
 	GHashTable *accounts_by_key;
-	/** Names of the services that the configuration marks as standby: their
-	 * servers are switched off. No code reads this member. */
-	GHashTable *standby;
 } mt_catalog_t;
 
 mt_catalog_t *mt_catalog_new(uint64_t version);
