tests/fleet: servers of unequal speed, and cold servers

The simulation knew neither servers that run at different speeds nor servers that are slow after a restart, so that faults of the learned speeds and of the limit for cold servers showed in unit tests only.

--speeds: 18 servers run at 0.6, 1.0 and 1.6 of the usual speed, a restart changes the speed, and a gang ends with its slowest member. After the faults, jobs go on, and one more server restarts. The speeds in the store must then be nearer to the true ones than to the next of the simulated speeds, also after a restart at another speed, for each server that has completed six tasks under the present leader. 18 servers, as the leader does not use the speeds of fewer than 12 known servers.

--cold: restarted servers are cold for 3 to 10 s and run at half their speed; the configuration limits placements to one per second. The platform's bound (1.5 times the rate, and 5 tasks) is checked on the servers.

Both draw from a generator of their own.

--- a/tests/fleet/fake_servers.c
+++ b/tests/fleet/fake_servers.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "fleet/fake_store.h"
+#include "fleet/speed_audit.h"
 
 /** Latency of a message between a host and a server; see also send_answer(). */
 #define LATENCY_MS 2u
@@ -51,6 +52,25 @@
  */
 #define CANCEL_GRACE_MS 3000u
 
+/** A server is cold for this long after a restart. */
+#define COLD_MIN_MS 3000
+#define COLD_MAX_MS 10000
+
+/**
+ * The speed of a server must be known once it has completed this many tasks of
+ * steps with several tasks under one leader, each longer than the minimum. In
+ * gangs, the leader must see the progress before the work is done.
+ */
+#define OBSERVED_RUNS 6u
+#define OBSERVED_RUN_MIN_MS 1000u
+#define OBSERVED_MEMBER_MIN_MS (2 * REPORT_INTERVAL_MS)
+
+/** Time that the leader has to learn the speed from these and to store it. */
+#define LEARNING_MS 5000u
+
+/** Speeds of the servers, relative to the usual one. */
+static const double server_speeds[] = {0.6, 1.0, 1.6};
+
 typedef struct mt_fake_run_t {
 	mt_task_key_t key;
 	char name[64];
@@ -63,6 +83,9 @@
 	mt_ms_t work_ms;
 	mt_ms_t stop_at; /**< 0: not being stopped */
 	bool fails;	 /**< will fail after `work_ms` */
+	/** Its end shows the leader of term `term` the speed of the server. */
+	bool shows_speed;
+	uint64_t term; /**< of the leader that started it */
 } mt_fake_run_t;
 
 /** An ended run, kept until a hold command acknowledges its number. */
@@ -97,6 +120,12 @@
 	/** Task name to the highest run that has ended or must not start. */
 	GHashTable *highest_ended;
 	GPtrArray *waiting_holds; /**< mt_fake_command_t of hold commands */
+	unsigned speed_index;	  /**< into server_speeds */
+	/** Ends that have shown its speed to the present leader. */
+	unsigned observed_runs;
+	mt_ms_t observed_at;  /**< end number OBSERVED_RUNS; 0: not yet */
+	mt_ms_t cold_until;   /**< it runs at half its speed before this time */
+	unsigned cold_starts; /**< runs begun while it is cold */
 } mt_fake_server_t;
 
 struct mt_fake_fleet_t {
@@ -171,9 +200,13 @@
 /** The report in the text format of mt_fake_store_server_list_format(). */
 static char *text_report(const mt_fake_server_t *server, unsigned remaining_ms)
 {
-	return g_strdup_printf("%s %s %" G_GINT64_FORMAT " %u",
+	mt_ms_t now = fleet_now(server->fleet);
+	mt_ms_t cold_remaining_ms = MAX(server->cold_until, now) - now;
+
+	return g_strdup_printf("%s %s %" G_GINT64_FORMAT " %u %u",
 			       server->draining ? "draining" : "ready",
-			       server->rack, server->born, remaining_ms);
+			       server->rack, server->born, remaining_ms,
+			       (unsigned)cold_remaining_ms);
 }
 
 /** The report in the platform's JSON format. */
@@ -255,6 +288,23 @@
 			    GUINT_TO_POINTER(tasks_done + 1));
 }
 
+static void count_observed_run(mt_fake_server_t *server,
+			       const mt_fake_run_t *run)
+{
+	mt_ms_t now = fleet_now(server->fleet);
+
+	if (!run->shows_speed || run->term != server->term)
+		return;
+	if (++server->observed_runs == OBSERVED_RUNS)
+		server->observed_at = now;
+}
+
+static void reset_observed_runs(mt_fake_server_t *server)
+{
+	server->observed_runs = 0;
+	server->observed_at = 0;
+}
+
 static void add_end(mt_fake_server_t *server, const mt_fake_run_t *run,
 		    mt_end_reason_t reason)
 {
@@ -271,8 +321,10 @@
 	g_hash_table_insert(
 		server->highest_ended, g_strdup(run->name),
 		GUINT_TO_POINTER(MAX(highest_ended, run->run_number)));
-	if (reason == MT_END_DONE)
+	if (reason == MT_END_DONE) {
 		count_success(server->fleet, run);
+		count_observed_run(server, run);
+	}
 	if (reason == MT_END_GANG_INCOMPLETE)
 		server->fleet->incomplete_gangs++;
 }
@@ -344,6 +396,34 @@
 	}
 }
 
+static bool is_work_done(const mt_fake_run_t *run, mt_ms_t now)
+{
+	return run->work_started_at &&
+	       now - run->work_started_at >= run->work_ms;
+}
+
+/**
+ * True while the run has done its work and waits for slower members of its
+ * gang. At equal speeds, the first member to be done ends the gang.
+ */
+static bool waits_for_gang(const mt_fake_fleet_t *fleet,
+			   const mt_fake_run_t *run)
+{
+	if (!fleet->sim->options.speeds || !run->gang || run->fails)
+		return false;
+	for (unsigned i = 0; i < fleet->count; i++) {
+		for (guint k = 0; k < fleet->servers[i].runs->len; k++) {
+			const mt_fake_run_t *other =
+				fleet->servers[i].runs->pdata[k];
+
+			if (same_gang(other, run) &&
+			    !is_work_done(other, fleet_now(fleet)))
+				return true;
+		}
+	}
+	return false;
+}
+
 static void tick_run(mt_fake_server_t *server, guint position)
 {
 	mt_fake_run_t *run = server->runs->pdata[position];
@@ -351,13 +431,15 @@
 
 	if (server->stalled && run->work_started_at)
 		run->work_started_at += TICK_MS;
+	else if (now < server->cold_until && run->work_started_at)
+		run->work_started_at =
+			MIN(now, run->work_started_at + TICK_MS / 2);
 	if (run->stop_at && now >= run->stop_at)
 		end_run_and_gang(server, position, MT_END_STOPPED);
 	else if (!run->work_started_at &&
 		 now - run->started_at > GANG_START_TIMEOUT_MS)
 		end_run_and_gang(server, position, MT_END_GANG_INCOMPLETE);
-	else if (run->work_started_at &&
-		 now - run->work_started_at >= run->work_ms)
+	else if (is_work_done(run, now) && !waits_for_gang(server->fleet, run))
 		end_run_and_gang(server, position,
 				 run->fails ? MT_END_FAILED : MT_END_DONE);
 }
@@ -465,6 +547,29 @@
 			      server->rack);
 }
 
+/**
+ * Reports more starts on a cold server than the platform allows, which is
+ * SIM_COLD_OVERRUN times its limit and SIM_COLD_SLACK tasks. Those that the
+ * network has delayed do not count.
+ */
+static void audit_cold_start(mt_fake_server_t *server,
+			     const mt_fake_command_t *command)
+{
+	mt_fake_fleet_t *fleet = server->fleet;
+	mt_ms_t now = fleet_now(fleet);
+	double allowed = SIM_COLD_OVERRUN * SIM_COLD_PER_S *
+				 (double)(now - server->started_at) / 1000 +
+			 SIM_COLD_SLACK;
+
+	if (now >= server->cold_until || command->late)
+		return;
+	if (++server->cold_starts > allowed)
+		mt_sim_breach(fleet->sim,
+			      "%u starts on %s, which is cold for %u ms",
+			      server->cold_starts, server->id,
+			      (unsigned)(now - server->started_at));
+}
+
 /**
  * Once a host has acknowledged a task's success, the task must not start
  * again. This does not hold when the lease expired before the acknowledgement:
@@ -656,6 +761,18 @@
 	return NULL;
 }
 
+/** Siblings do the same work, give or take 20%. */
+static mt_ms_t time_of_work(const mt_fake_server_t *server, uint32_t work_ms)
+{
+	mt_sim_t *sim = server->fleet->sim;
+
+	if (!sim->options.speeds)
+		return work_ms;
+	return (mt_ms_t)(work_ms *
+			 g_rand_double_range(sim->server_rand, 0.8, 1.2) /
+			 server_speeds[server->speed_index]);
+}
+
 static void begin_run(mt_fake_server_t *server,
 		      const mt_fake_command_t *command, const char *name,
 		      const MtDag__Job *job)
@@ -673,12 +790,18 @@
 	run->members = step->count;
 	run->started_at = fleet_now(fleet);
 	run->work_started_at = step->gang ? 0 : run->started_at;
-	run->work_ms = step->estimate_ms;
+	run->work_ms = time_of_work(server, step->estimate_ms);
+	run->shows_speed = step->count > 1 &&
+			   run->started_at >= server->cold_until &&
+			   run->work_ms >= (step->gang ? OBSERVED_MEMBER_MIN_MS
+						       : OBSERVED_RUN_MIN_MS);
+	run->term = command->term;
 	run->fails = mt_sim_chance(fleet->sim, FAIL_SHARE);
 	audit_single_run(fleet, run);
 	audit_step_order(fleet, run, job);
 	audit_forbidden_start(fleet, run);
 	audit_evacuated_start(server, command);
+	audit_cold_start(server, command);
 	g_ptr_array_add(server->runs, run);
 	if (run->gang)
 		start_gang_if_complete(fleet, run);
@@ -774,6 +897,8 @@
 
 	if (command->term < server->term)
 		return MT_COMMAND_FENCED;
+	if (command->term > server->term)
+		reset_observed_runs(server);
 	server->term = command->term;
 	if (command->kind == MT_FAKE_COMMAND_START)
 		return execute_start(command);
@@ -1051,10 +1176,47 @@
 
 /* Restarts and shutdowns of servers. */
 
+/** The speed of a server changes with each restart. */
+static void choose_speed(mt_fake_server_t *server, bool restarted)
+{
+	GRand *rand = server->fleet->sim->server_rand;
+	unsigned n_speeds = G_N_ELEMENTS(server_speeds);
+
+	if (!server->fleet->sim->options.speeds)
+		return;
+	if (!restarted)
+		server->speed_index = server->index % n_speeds;
+	else
+		server->speed_index =
+			(server->speed_index +
+			 (unsigned)g_rand_int_range(rand, 1, (int)n_speeds)) %
+			n_speeds;
+}
+
+static void begin_cold_time(mt_fake_server_t *server)
+{
+	mt_sim_t *sim = server->fleet->sim;
+
+	server->cold_starts = 0;
+	if (sim->options.cold)
+		server->cold_until =
+			mt_sim_now(sim) +
+			(mt_ms_t)g_rand_int_range(sim->server_rand, COLD_MIN_MS,
+						  COLD_MAX_MS);
+	/* So that its entry is written anew once it is reachable. */
+	if (sim->options.cold)
+		server->listed = false;
+}
+
 static void start_server(void *ctx)
 {
 	mt_fake_server_t *server = ctx;
+	bool restarted = server->born != 0;
 
+	choose_speed(server, restarted);
+	reset_observed_runs(server);
+	if (restarted)
+		begin_cold_time(server);
 	server->up = true;
 	server->draining = false;
 	server->shutdown_at = 0;
@@ -1112,6 +1274,7 @@
 {
 	for (unsigned i = 0; i < fleet->count; i++) {
 		fleet->servers[i].stalled = false;
+		reset_observed_runs(&fleet->servers[i]);
 		if (fleet->servers[i].up)
 			fleet->servers[i].unreachable = false;
 	}
@@ -1179,7 +1342,8 @@
 		server->fleet = fleet;
 		server->index = i;
 		snprintf(server->id, sizeof(server->id), "server-%u", i);
-		snprintf(server->rack, sizeof(server->rack), "r%u", i / 4);
+		snprintf(server->rack, sizeof(server->rack), "r%u",
+			 i * SIM_ZONES / count);
 		server->runs = g_ptr_array_new();
 		server->ends = g_ptr_array_new();
 		server->waiting_holds = g_ptr_array_new();
@@ -1226,6 +1390,28 @@
 	return g_hash_table_contains(fleet->started_jobs, &job);
 }
 
+unsigned mt_fake_fleet_check_speeds(const mt_fake_fleet_t *fleet)
+{
+	GArray *known = g_array_new(FALSE, FALSE, sizeof(mt_true_speed_t));
+	mt_ms_t now = fleet_now(fleet);
+	unsigned n_known;
+
+	for (unsigned i = 0; i < fleet->count; i++) {
+		const mt_fake_server_t *server = &fleet->servers[i];
+		mt_true_speed_t speed = {server->id, server->born,
+					 server_speeds[server->speed_index]};
+
+		if (server->up && server->observed_at &&
+		    now - server->observed_at >= LEARNING_MS)
+			g_array_append_val(known, speed);
+	}
+	n_known = known->len;
+	mt_speed_audit(fleet->sim, (const mt_true_speed_t *)known->data,
+		       n_known);
+	g_array_unref(known);
+	return n_known;
+}
+
 unsigned mt_fake_fleet_incomplete_gangs(const mt_fake_fleet_t *fleet)
 {
 	return fleet->incomplete_gangs;
--- a/tests/fleet/fake_servers.h
+++ b/tests/fleet/fake_servers.h
@@ -3,9 +3,9 @@
  * In-memory backend servers that audit the commands they receive: a task never
  * has two runs at once and does not run again after its success was
  * acknowledged, steps run in the order of their dependencies, tasks of
- * cancelled or refused jobs do not start, and none start in an evacuated data
- * centre. A start beyond a server's capacity is no breach; the server refuses
- * it.
+ * cancelled or refused jobs do not start, none start in an evacuated data
+ * centre, and few on a cold server. A start beyond a server's capacity is no
+ * breach; the server refuses it.
  */
 #ifndef MT_FLEET_FAKE_SERVERS_H
 #define MT_FLEET_FAKE_SERVERS_H
@@ -58,7 +58,10 @@
 void mt_fake_fleet_set_stalled(mt_fake_fleet_t *fleet, unsigned server_index,
 			       bool stalled);
 
-/** Ends all stalls, and makes all servers that are up reachable. */
+/**
+ * Ends all stalls, and makes all servers that are up reachable. The runs that
+ * make the speed of a server known are counted from here on.
+ */
 void mt_fake_fleet_repair(mt_fake_fleet_t *fleet);
 
 /**
@@ -68,6 +71,13 @@
 void mt_fake_fleet_drain(mt_fake_fleet_t *fleet, unsigned server_index,
 			 mt_ms_t shutdown_after_ms);
 
+/**
+ * Checks the speeds of servers that the leader has stored against the true
+ * ones, for the servers whose speeds must be known by now.
+ * @return the number of these servers
+ */
+unsigned mt_fake_fleet_check_speeds(const mt_fake_fleet_t *fleet);
+
 /** Number of ends reported as MT_END_GANG_INCOMPLETE. */
 unsigned mt_fake_fleet_incomplete_gangs(const mt_fake_fleet_t *fleet);
 
--- a/tests/fleet/fake_store.c
+++ b/tests/fleet/fake_store.c
@@ -525,8 +525,8 @@
 /* Simple text formats in place of the platform's JSON. */
 
 /**
- * Decodes "STATE RACK BORN REMAINING_MS". Each rack is a data centre of its
- * own.
+ * Decodes "STATE RACK BORN REMAINING_MS COLD_REMAINING_MS". Each rack is a data
+ * centre of its own.
  */
 static bool decode_report(const mt_store_record_t *record,
 			  mt_backend_info_t *info)
@@ -536,8 +536,10 @@
 	char rack[16];
 	gint64 born;
 	unsigned remaining;
-	bool valid = sscanf(text, "%15s %15s %" G_GINT64_MODIFIER "d %u", state,
-			    rack, &born, &remaining) == 4;
+	unsigned cold_remaining;
+	bool valid =
+		sscanf(text, "%15s %15s %" G_GINT64_MODIFIER "d %u %u", state,
+		       rack, &born, &remaining, &cold_remaining) == 5;
 
 	g_free(text);
 	info->service = mt_name("service");
@@ -546,6 +548,7 @@
 	info->draining = valid && !strcmp(state, "draining");
 	info->born_ms = born;
 	info->remaining_ms = remaining;
+	info->cold_remaining_ms = cold_remaining;
 	info->capacity = (mt_dag_resources_t){64000, 262144, 8};
 	info->labels[0] = g_quark_from_string("a");
 	info->labels[1] = g_quark_from_string(valid ? rack : "");
@@ -578,16 +581,23 @@
 	return queue;
 }
 
-/** Decodes a configuration, which is just its version number. */
+/** Decodes a configuration: "VERSION", or "VERSION COLD_PER_S". */
 static mt_catalog_t *decode_config(mt_str_t text)
 {
-	uint64_t version;
+	char *copy = g_strndup(text.data, text.len);
+	guint64 version;
+	mt_service_t service = {.name = mt_name("service")};
 	mt_catalog_t *catalog;
 	mt_client_account_t *account;
+	int n_fields = sscanf(copy, "%" G_GINT64_MODIFIER "u %lf", &version,
+			      &service.cold_per_s);
 
-	if (!mt_str_to_u64(text, &version))
+	g_free(copy);
+	if (n_fields < 1)
 		return NULL;
 	catalog = mt_catalog_new(version);
+	if (service.cold_per_s > 0)
+		g_array_append_val(catalog->services, service);
 	add_queue(catalog, "urgent", 0);
 	add_queue(catalog, "batch", 2);
 	add_queue(catalog, "advised", 1)->advised = true;
--- a/tests/fleet/fake_store.h
+++ b/tests/fleet/fake_store.h
@@ -35,7 +35,9 @@
 
 /*
  * Decoders for the simulation's formats: reports of servers and configurations
- * are short texts, and submitted jobs are packed MtDag__Job messages.
+ * are short texts, and submitted jobs are packed MtDag__Job messages. A
+ * configuration is "VERSION", or "VERSION COLD_PER_S" with a limit of the
+ * placements per second on a cold server.
  */
 
 /** Format of the servers' reports; the directory of lib/dag reads these. */
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -3,7 +3,10 @@
  * Simulates entry hosts on virtual time with random faults. A seed passes when
  * no invariant was violated, every host shows every accepted job as ended, and
  * ended jobs are deleted in time. With --overload, jobs come faster than they
- * can be run, and no job may run that was refused for lack of capacity.
+ * can be run, and no job may run that was refused for lack of capacity. With
+ * --speeds, servers run at unequal speeds, and the leader must learn these.
+ * With
+ * --cold, servers that have restarted are slow for some time.
  */
 #include <argtable2.h>
 #include <stdio.h>
@@ -14,16 +17,20 @@
 #include "fleet/fake_store.h"
 
 /*
- * Phases of a simulation: start-up without jobs or faults; jobs and faults; and
- * settling, without new jobs or faults, in which the accepted jobs end.
+ * Phases of a simulation: start-up without jobs or faults; jobs and faults;
+ * with
+ * --speeds, jobs without faults; and settling, without new jobs or faults, in
+ * which the accepted jobs end.
  */
 #define WARM_UP_MS 4000u
 #define TRAFFIC_MS 40000u
+#define FAULTLESS_MS 35000u
 #define SETTLE_MS 120000u
 #define SETTLE_OVERLOAD_MS 150000u
 
 /* Mean intervals, approximately. */
 #define JOB_INTERVAL_MS 350
+#define JOB_INTERVAL_SPEEDS_MS 230
 #define JOB_INTERVAL_OVERLOAD_MS 110
 #define FAULT_INTERVAL_MS 2500
 
@@ -53,8 +60,8 @@
 /** Mean time between two changes of the evacuations, approximately. */
 #define EVACUATION_INTERVAL_MS 2500
 
-/** Data centres with servers; one more has none. */
-#define ZONES (SIM_SERVERS / 4)
+/** Time for which a server is down that restarts at another speed. */
+#define RESTART_MS 1000u
 
 /** Longer than a simulation: the server is not restarted. */
 #define NEVER_MS 10000000u
@@ -81,11 +88,13 @@
 	mt_sim_t *sim;
 	GPtrArray *jobs; /**< mt_submitted_job_t */
 	uint64_t last_id;
+	bool faultless;	    /**< no further faults */
 	bool settling;	    /**< no further jobs and faults */
 	mt_ms_t revoked_at; /**< when the API key "revoked" was removed */
 	/** Of the evacuations: without these, a seed has the same faults. */
 	GRand *evacuation_rand;
-	bool evacuated[ZONES + 1]; /**< by number of the data centre */
+	/** By number of the data centre; the last one has no servers. */
+	bool evacuated[SIM_ZONES + 1];
 	int job_interval_ms;
 	unsigned n_refused; /**< refusals for lack of capacity */
 };
@@ -344,13 +353,22 @@
 			  on_revoked_key_reply, revoked_call);
 }
 
+static void put_config(const mt_sim_t *sim, unsigned version)
+{
+	char text[32];
+	int len = snprintf(text, sizeof(text), "%u", version);
+
+	if (sim->options.cold)
+		snprintf(text + len, sizeof(text) - (size_t)len, " %d",
+			 SIM_COLD_PER_S);
+	mt_fake_store_put(sim->store, "keyed.op", "config", mt_str_from(text));
+}
+
 static void revoke_key(void *ctx)
 {
 	mt_workload_t *workload = ctx;
 
-	/* Version SIM_KEY_REVOKED_VERSION of the configuration. */
-	mt_fake_store_put(workload->sim->store, "keyed.op", "config",
-			  MT_STR("2"));
+	put_config(workload->sim, SIM_KEY_REVOKED_VERSION);
 	workload->revoked_at = mt_sim_now(workload->sim);
 	mt_timers_every(workload->sim->timers, REVOKED_CALL_INTERVAL_MS,
 			call_with_revoked_key, workload);
@@ -506,7 +524,8 @@
 static void inject_server_fault(mt_sim_t *sim, unsigned kind,
 				mt_ms_t duration_ms)
 {
-	unsigned index = (unsigned)g_rand_int_range(sim->rand, 0, SIM_SERVERS);
+	unsigned index =
+		(unsigned)g_rand_int_range(sim->rand, 0, (int)sim->n_servers);
 
 	if (kind == 3) {
 		remove_server(sim, index);
@@ -536,7 +555,7 @@
 	mt_ms_t duration_ms = (mt_ms_t)g_rand_int_range(sim->rand, 300, 7000);
 	int choice = g_rand_int_range(sim->rand, 0, 16);
 
-	if (workload->settling)
+	if (workload->faultless)
 		return;
 	if (choice < 5)
 		inject_host_fault(sim, (unsigned)choice % 4, duration_ms);
@@ -581,9 +600,9 @@
 {
 	mt_workload_t *workload = ctx;
 	GRand *rand = workload->evacuation_rand;
-	unsigned zone = (unsigned)g_rand_int_range(rand, 0, ZONES + 1);
+	unsigned zone = (unsigned)g_rand_int_range(rand, 0, SIM_ZONES + 1);
 
-	if (workload->settling)
+	if (workload->faultless)
 		return;
 	set_evacuated(workload, zone, !workload->evacuated[zone]);
 	if (g_rand_double(rand) < 0.2)
@@ -598,7 +617,7 @@
 
 static void end_evacuations(mt_workload_t *workload)
 {
-	for (unsigned i = 0; i <= ZONES; i++) {
+	for (unsigned i = 0; i <= SIM_ZONES; i++) {
 		if (workload->evacuated[i])
 			set_evacuated(workload, i, false);
 	}
@@ -681,13 +700,37 @@
 	g_ptr_array_unref(views);
 }
 
-static void begin_settling(mt_workload_t *workload)
+static void end_faults(mt_workload_t *workload)
 {
-	workload->settling = true;
+	workload->faultless = true;
 	end_evacuations(workload);
 	mt_fake_fleet_repair(workload->sim->fleet);
 }
 
+/**
+ * Submits jobs without faults, so that the leader can learn the speeds. First
+ * restarts a server, whose speed changes thereby.
+ * @return number of servers whose speeds were checked
+ */
+static unsigned run_faultless(mt_workload_t *workload)
+{
+	mt_sim_t *sim = workload->sim;
+
+	mt_fake_fleet_crash(sim->fleet,
+			    (unsigned)g_rand_int_range(sim->server_rand, 0,
+						       (int)sim->n_servers),
+			    RESTART_MS);
+	mt_sim_run(sim, mt_sim_now(sim) + FAULTLESS_MS);
+	return mt_fake_fleet_check_speeds(sim->fleet);
+}
+
+static int job_interval_ms(const mt_sim_options_t *options)
+{
+	if (options->admission_mode == MT_ADMISSION_REFUSES)
+		return JOB_INTERVAL_OVERLOAD_MS;
+	return options->speeds ? JOB_INTERVAL_SPEEDS_MS : JOB_INTERVAL_MS;
+}
+
 /** @return true when no invariant was violated */
 static bool run_seed(guint32 seed, bool verbose,
 		     const mt_sim_options_t *options)
@@ -697,14 +740,13 @@
 	mt_workload_t workload = {.sim = sim,
 				  .jobs = g_ptr_array_new(),
 				  .evacuation_rand = g_rand_new_with_seed(seed),
-				  .job_interval_ms =
-					  overload ? JOB_INTERVAL_OVERLOAD_MS
-						   : JOB_INTERVAL_MS};
+				  .job_interval_ms = job_interval_ms(options)};
 	mt_ms_t started_at = mt_sim_now(sim);
 	mt_ms_t settle_ms = overload ? SETTLE_OVERLOAD_MS : SETTLE_MS;
 	unsigned accepted = 0;
+	unsigned n_speeds = 0;
 
-	mt_fake_store_put(sim->store, "keyed.op", "config", MT_STR("1"));
+	put_config(sim, 1);
 	mt_sim_run(sim, started_at + WARM_UP_MS);
 	submit_next_job(&workload);
 	inject_fault(&workload);
@@ -712,7 +754,12 @@
 		change_evacuations(&workload);
 	mt_timers_after(sim->timers, REVOCATION_AT_MS, revoke_key, &workload);
 	mt_sim_run(sim, started_at + WARM_UP_MS + TRAFFIC_MS);
-	begin_settling(&workload);
+	end_faults(&workload);
+	if (options->speeds)
+		n_speeds = run_faultless(&workload);
+	workload.settling = true;
+	/* FAULTLESS_MS are a part of the time to settle: later, hosts would
+	 * have deleted the first jobs. */
 	mt_sim_run(sim, started_at + WARM_UP_MS + TRAFFIC_MS + settle_ms);
 	for (guint i = 0; i < workload.jobs->len; i++) {
 		const mt_submitted_job_t *job = workload.jobs->pdata[i];
@@ -731,6 +778,8 @@
 	       accepted);
 	if (overload)
 		printf("%u refusals, ", workload.n_refused);
+	if (options->speeds)
+		printf("%u speeds, ", n_speeds);
 	printf("%u incomplete gangs\n",
 	       mt_fake_fleet_incomplete_gangs(sim->fleet));
 	return !sim->breaches;
@@ -745,9 +794,14 @@
 		NULL, "evacuations", "evacuate data centres now and then");
 	struct arg_lit *overload = arg_lit0(
 		NULL, "overload", "too many jobs, with admission control");
+	struct arg_lit *speeds =
+		arg_lit0(NULL, "speeds", "servers run at unequal speeds");
+	struct arg_lit *cold =
+		arg_lit0(NULL, "cold", "servers are cold after a restart");
 	struct arg_end *end = arg_end(5);
-	void *table[] = {seed, seeds, verbose, evacuations, overload, end};
-	mt_sim_options_t options = {false, MT_ADMISSION_OFF};
+	void *table[] = {seed,	   seeds,  verbose, evacuations,
+			 overload, speeds, cold,    end};
+	mt_sim_options_t options = {.admission_mode = MT_ADMISSION_OFF};
 	int first;
 	int count;
 	int failed = 0;
@@ -760,6 +814,8 @@
 	first = seed->count ? seed->ival[0] : 1;
 	count = seeds->count ? seeds->ival[0] : 1;
 	options.evacuations = evacuations->count > 0;
+	options.speeds = speeds->count > 0;
+	options.cold = cold->count > 0;
 	if (overload->count)
 		options.admission_mode = MT_ADMISSION_REFUSES;
 	for (int i = 0; i < count; i++)
--- a/tests/fleet/sim.c
+++ b/tests/fleet/sim.c
@@ -174,10 +174,12 @@
 	current_sim = sim;
 	sim->timers = mt_timers_new(START_MS);
 	sim->rand = g_rand_new_with_seed(seed);
+	sim->server_rand = g_rand_new_with_seed(seed);
 	sim->verbose = verbose;
 	sim->options = *options;
 	sim->store = mt_fake_store_new(sim);
-	sim->fleet = mt_fake_fleet_new(sim, SIM_SERVERS);
+	sim->n_servers = options->speeds ? SIM_SERVERS_UNEQUAL : SIM_SERVERS;
+	sim->fleet = mt_fake_fleet_new(sim, sim->n_servers);
 	for (unsigned i = 0; i < SIM_HOSTS; i++)
 		mt_sim_start_host(sim, i);
 	return sim;
@@ -194,7 +196,8 @@
 	sim->store_tcp_port = store_tcp_port;
 	sim->server_port = server_port;
 	sim->store = mt_fake_store_new(sim);
-	sim->fleet = mt_fake_fleet_new(sim, SIM_SERVERS);
+	sim->n_servers = SIM_SERVERS;
+	sim->fleet = mt_fake_fleet_new(sim, sim->n_servers);
 	return sim;
 }
 
--- a/tests/fleet/sim.h
+++ b/tests/fleet/sim.h
@@ -17,9 +17,23 @@
 #define SIM_HOSTS 6u
 #define SIM_SERVERS 12u
 
+/** Number of servers with mt_sim_options_t.speeds. With few servers, the leader
+ * does not use the speeds, and some are down at times. */
+#define SIM_SERVERS_UNEQUAL 18u
+
+/** Data centres with servers. */
+#define SIM_ZONES 3u
+
 /** Bound of an evacuation, see mt_evacuations_new(). */
 #define SIM_EVACUATION_MS 5000u
 
+/** Placements per second on a cold server, in the configuration. */
+#define SIM_COLD_PER_S 1
+
+/** Bounds of the platform, see docs/design/uneven-load.md, section 3. */
+#define SIM_COLD_OVERRUN 1.5
+#define SIM_COLD_SLACK 5
+
 typedef struct mt_sim_t mt_sim_t;
 
 /** One process of an entry host; a restart creates a new object. */
@@ -43,12 +57,17 @@
 /** What the hosts of a simulation can do, besides what all hosts can. */
 typedef struct mt_sim_options_t {
 	bool evacuations; /**< data centres can be evacuated */
+	bool speeds;	  /**< servers run at unequal speeds */
+	bool cold;	  /**< servers are cold after a restart */
 	mt_admission_mode_t admission_mode;
 } mt_sim_options_t;
 
 struct mt_sim_t {
 	mt_timers_t *timers; /**< events outside the hosts; virtual clock */
 	GRand *rand;
+	/** Of speeds and cold starts: without these, a seed has the same
+	 * faults. */
+	GRand *server_rand;
 	mt_sim_host_t *hosts[SIM_HOSTS]; /**< NULL: not running */
 	unsigned incarnations;		 /**< host processes started */
 	/** 0: the hosts run in this process. Otherwise they run outside it, and
@@ -59,6 +78,7 @@
 	uint16_t store_tcp_port;
 	uint16_t server_port; /**< first of the ports that servers report */
 	unsigned breaches;
+	unsigned n_servers;
 	unsigned lost_servers; /**< servers that will not come back */
 	bool verbose;
 	mt_sim_options_t options;
