tests/chaos: evacuations, and refused clients that return together

Evacuations and admission control were tested on real processes by single cases only, not beside other faults.

Faults include series of evacuations, which overlap with restarts, cuts and changes of the configuration; platformd checks that nothing starts on an evacuated server later than 5 s. On even seeds, all hosts have admission control and jobs come faster; refused clients return together after Retry-After, which the HTTP client now reads. platformd checks that a refused job has not run and does not run until it is submitted again. As there are more kinds of fault, a seed injects other faults than before.

--- a/lib/net/http_client.c
+++ b/lib/net/http_client.c
@@ -31,6 +31,7 @@
 	h2o_iovec_t request_vec;
 	GByteArray *body; /**< response body received so far */
 	int status;
+	unsigned retry_after_s; /**< see mt_http_response_t */
 	bool connected;
 	mt_http_result_t result;
 	mt_ms_t timeout_ms;
@@ -94,7 +95,10 @@
 /** Calls the callback and frees the exchange. */
 static void finish(mt_client_exchange_t *exchange)
 {
-	mt_http_response_t response = {exchange->result, exchange->status, {0}};
+	mt_http_response_t response = {exchange->result,
+				       exchange->status,
+				       {0},
+				       exchange->retry_after_s};
 
 	mt_timers_cancel(mt_loop_timers(exchange->client->loop),
 			 exchange->timer);
@@ -175,6 +179,22 @@
 	return 0;
 }
 
+static unsigned read_retry_after(const h2o_header_t *headers,
+				 size_t num_headers)
+{
+	uint64_t seconds;
+
+	for (size_t i = 0; i < num_headers; i++) {
+		mt_str_t value = {headers[i].value.base, headers[i].value.len};
+
+		if (h2o_lcstris(headers[i].name->base, headers[i].name->len,
+				H2O_STRLIT("retry-after")) &&
+		    mt_str_to_u64(value, &seconds))
+			return (unsigned)MIN(seconds, UINT_MAX);
+	}
+	return 0;
+}
+
 static h2o_http1client_body_cb on_head(h2o_http1client_t *http,
 				       const char *errstr, int minor_version,
 				       int status, h2o_iovec_t message,
@@ -188,6 +208,7 @@
 		return NULL;
 	}
 	exchange->status = status;
+	exchange->retry_after_s = read_retry_after(headers, num_headers);
 	/* Here, `errstr` can only mean that the response has no body. */
 	if (errstr) {
 		schedule_finish(exchange, MT_HTTP_RESPONSE);
--- a/lib/net/http_client.h
+++ b/lib/net/http_client.h
@@ -23,7 +23,8 @@
 typedef struct mt_http_response_t {
 	mt_http_result_t result;
 	int status;
-	mt_str_t body; /**< valid during the callback */
+	mt_str_t body;		/**< valid during the callback */
+	unsigned retry_after_s; /**< header Retry-After; 0: none, or a date */
 } mt_http_response_t;
 
 /** Called exactly once per request, after mt_http_send() has returned. */
--- a/tests/chaos/clients.c
+++ b/tests/chaos/clients.c
@@ -5,6 +5,8 @@
 #include <string.h>
 
 #define SUBMIT_INTERVAL_MS 120u
+/** With admission control, so that there are more jobs than can run. */
+#define SUBMIT_INTERVAL_OVERLOAD_MS 30u
 #define POLL_INTERVAL_MS 100u
 #define READINESS_INTERVAL_MS 100u
 #define JOBS_PER_POLL 6u
@@ -18,6 +20,12 @@
  */
 #define NEXT_CALL_DELAY_MS 500u
 
+/** Refused clients return at the next multiple of this time. */
+#define RETURN_INTERVAL_MS 3000u
+
+/** Share of the refused clients that return. */
+#define RETURN_SHARE 0.7
+
 /** Attempts to submit a job. */
 #define SUBMIT_ATTEMPTS_MAX 6u
 
@@ -75,6 +83,7 @@
 	GPtrArray *jobs; /**< mt_client_job_t */
 	bool ready[CHAOS_HOSTS];
 	bool submitting;
+	unsigned n_refusals;   /**< for lack of capacity */
 	guint next_poll_index; /**< into `jobs`, modulo its length */
 	uint64_t next_id;
 };
@@ -123,11 +132,14 @@
 
 static void submit_job(void *ctx);
 
-/** Tells platformd that no task of the job may start any more. */
-static void forbid_starts(const mt_client_job_t *job)
+/**
+ * Tells platformd that no task of the job may start any more.
+ * @param option further query parameter
+ */
+static void forbid_starts(const mt_client_job_t *job, const char *option)
 {
 	const char *id = strrchr(job->path, '/') + 1;
-	char *path = g_strdup_printf("/test/forbid?job=%s", id);
+	char *path = g_strdup_printf("/test/forbid?job=%s%s", id, option);
 
 	mt_cluster_call_platform(job->clients->cluster, path, (mt_str_t){0});
 	g_free(path);
@@ -139,7 +151,7 @@
 
 	if (response->result == MT_HTTP_RESPONSE &&
 	    (response->status == 200 || response->status == 410))
-		forbid_starts(call->job);
+		forbid_starts(call->job, "");
 	g_free(call);
 }
 
@@ -164,6 +176,34 @@
 				cancel, job);
 }
 
+static void return_after_refusal(void *ctx)
+{
+	forbid_starts(ctx, "&permit=1");
+	submit_job(ctx);
+}
+
+/**
+ * The job was refused for lack of capacity, which also says that no earlier
+ * attempt runs.
+ */
+static void on_load_shed(mt_client_job_t *job, unsigned retry_after_s)
+{
+	mt_cluster_t *cluster = job->clients->cluster;
+	mt_ms_t now = mt_cluster_now(cluster);
+	mt_ms_t at = now + (mt_ms_t)retry_after_s * 1000;
+
+	at += RETURN_INTERVAL_MS - at % RETURN_INTERVAL_MS;
+	job->clients->n_refusals++;
+	/* A host may have stored it before; it is then shown as cancelled. */
+	job->maybe_stored = true;
+	forbid_starts(job, "&refused=1");
+	if (g_rand_double(cluster->rand) >= RETURN_SHARE)
+		job->attempts = SUBMIT_ATTEMPTS_MAX;
+	if (job->attempts < SUBMIT_ATTEMPTS_MAX)
+		mt_timers_after(mt_cluster_timers(cluster), at - now,
+				return_after_refusal, job);
+}
+
 static void on_submitted(void *ctx, const mt_http_response_t *response)
 {
 	mt_client_call_t *call = ctx;
@@ -171,6 +211,13 @@
 	mt_cluster_t *cluster = call->host->cluster;
 	bool answered = response->result == MT_HTTP_RESPONSE;
 
+	/* Other refusals have a Retry-After of 1 s. */
+	if (answered && response->status == 503 &&
+	    response->retry_after_s > 1) {
+		on_load_shed(job, response->retry_after_s);
+		g_free(call);
+		return;
+	}
 	if (answered && response->status == 200)
 		on_accepted(job);
 	else if (answered && response->status != 503 && response->status != 504)
@@ -255,7 +302,10 @@
 		 ++clients->next_id);
 	g_ptr_array_add(clients->jobs, job);
 	submit_job(job);
-	mt_timers_after(mt_cluster_timers(clients->cluster), SUBMIT_INTERVAL_MS,
+	mt_timers_after(mt_cluster_timers(clients->cluster),
+			clients->cluster->refuses_jobs
+				? SUBMIT_INTERVAL_OVERLOAD_MS
+				: SUBMIT_INTERVAL_MS,
 			submit_next_job, clients);
 }
 
@@ -498,6 +548,11 @@
 	}
 }
 
+unsigned mt_clients_refusals(const mt_clients_t *clients)
+{
+	return clients->n_refusals;
+}
+
 unsigned mt_clients_count(const mt_clients_t *clients)
 {
 	return clients->jobs->len;
--- a/tests/chaos/clients.h
+++ b/tests/chaos/clients.h
@@ -1,7 +1,8 @@
 /**
  * @file clients.h
  * Simulated clients, which submit jobs over HTTP, cancel some of them, poll
- * their states at all hosts, and check the answers.
+ * their states at all hosts, and check the answers. Clients that are refused
+ * for lack of capacity return together.
  */
 #ifndef MT_CHAOS_CLIENTS_H
 #define MT_CHAOS_CLIENTS_H
@@ -29,4 +30,7 @@
 unsigned mt_clients_count(const mt_clients_t *clients);
 unsigned mt_clients_accepted(const mt_clients_t *clients);
 
+/** Number of refusals for lack of capacity. */
+unsigned mt_clients_refusals(const mt_clients_t *clients);
+
 #endif
--- a/tests/chaos/cluster.c
+++ b/tests/chaos/cluster.c
@@ -234,11 +234,12 @@
 		"\"peers\":\"127.0.0.1:%u\",\"store\":\"127.0.0.1:%u\","
 		"\"lease_max_ms\":10000,"
 		"\"stop_task_ms\":400,\"restore_ms\":100,\"keep_ended_s\":120,"
-		"\"stop_grace_s\":%d,\"revoke_key_ms\":5000}",
+		"\"stop_grace_s\":%d,\"revoke_key_ms\":5000,"
+		"\"evacuation_ms\":5000,\"admission_control\":\"%s\"}",
 		index, index % 2 ? "0.5" : "0.25", port + PORT_CALLERS + index,
 		port + PORT_READINESS + index, port + PORT_METRICS + index,
 		port + PORT_PEERS + index, port + PORT_STORE_PROXIES + index,
-		STOP_GRACE_S);
+		STOP_GRACE_S, cluster->refuses_jobs ? "on" : "off");
 
 	g_file_set_contents(path, text, -1, NULL);
 	g_free(path);
@@ -335,6 +336,7 @@
 	if (!cluster->log)
 		cluster->log = stderr;
 	cluster->store_port = port;
+	cluster->refuses_jobs = seed % 2 == 0;
 	cluster->started_at = mt_cluster_now(cluster);
 	if (start_all(cluster, port, seed))
 		return cluster;
--- a/tests/chaos/cluster.h
+++ b/tests/chaos/cluster.h
@@ -43,6 +43,7 @@
 	char *build;	     /**< build directory with the programs */
 	char *dir;	     /**< temporary directory for settings and logs */
 	uint16_t store_port; /**< TCP port of the store, without the proxy */
+	bool refuses_jobs;   /**< the hosts have admission control */
 	mt_cluster_host_t hosts[CHAOS_HOSTS];
 	mt_proxy_t *server_proxies[CHAOS_SERVERS];
 	uv_process_t platform;
@@ -57,7 +58,10 @@
 	FILE *log;
 };
 
-/** @return NULL when a program is missing or a port is in use */
+/**
+ * The hosts have admission control if the seed is even.
+ * @return NULL when a program is missing or a port is in use
+ */
 mt_cluster_t *mt_cluster_new(const char *build, uint16_t port, guint32 seed);
 
 /** Kills all processes. */
--- a/tests/chaos/faults.c
+++ b/tests/chaos/faults.c
@@ -12,6 +12,11 @@
 #define CONFIGS_MAX 8
 #define CONFIG_INTERVAL_MAX_MS 600
 
+/** Longest series of evacuations, their duration, and the time between two. */
+#define EVACUATIONS_MAX 3
+#define EVACUATION_MAX_MS 8000
+#define EVACUATION_INTERVAL_MAX_MS 500
+
 struct mt_faults_t {
 	mt_cluster_t *cluster;
 	bool active;
@@ -203,6 +208,43 @@
 	}
 }
 
+static void evacuate(void *ctx)
+{
+	mt_delayed_action_t *action = ctx;
+
+	if (action->faults->active) {
+		mt_cluster_log(action->faults->cluster, "evacuation");
+		mt_cluster_call_platform(action->faults->cluster,
+					 "/test/evacuate?on=1", (mt_str_t){0});
+	}
+	g_free(action);
+}
+
+static void return_to_service(void *ctx)
+{
+	mt_delayed_action_t *action = ctx;
+
+	mt_cluster_log(action->faults->cluster, "return to service");
+	mt_cluster_call_platform(action->faults->cluster, "/test/evacuate?on=0",
+				 (mt_str_t){0});
+	g_free(action);
+}
+
+/** Evacuates all servers, and ends this, several times. Other faults go on. */
+static void change_evacuations(mt_faults_t *faults)
+{
+	int n_evacuations = random_between(faults, 1, EVACUATIONS_MAX + 1);
+	int delay_ms = 0;
+
+	for (int i = 0; i < n_evacuations; i++) {
+		schedule(faults, NULL, NULL, delay_ms, evacuate);
+		delay_ms += random_between(faults, 1, EVACUATION_MAX_MS);
+		schedule(faults, NULL, NULL, delay_ms, return_to_service);
+		delay_ms +=
+			random_between(faults, 1, EVACUATION_INTERVAL_MAX_MS);
+	}
+}
+
 static void leave_odd_entry(const mt_faults_t *faults)
 {
 	static const char *const entries[] = {
@@ -249,7 +291,7 @@
 	if (!faults->active)
 		return;
 	faults->count++;
-	switch (random_between(faults, 0, 19)) {
+	switch (random_between(faults, 0, 21)) {
 	case 0:
 	case 1:
 	case 2:
@@ -288,6 +330,10 @@
 	case 16:
 		leave_odd_entry(faults);
 		break;
+	case 17:
+	case 18:
+		change_evacuations(faults);
+		break;
 	default:
 		inject_platform_fault(faults);
 		break;
@@ -325,10 +371,14 @@
 		mt_cluster_signal_host(&cluster->hosts[i], SIGCONT);
 		mt_cluster_start_host(&cluster->hosts[i]);
 	}
+	schedule(action->faults, NULL, NULL, 0, return_to_service);
 	clear_platform_faults(action);
 }
 
-/** Actions that are already scheduled still run, at their time. */
+/**
+ * Actions that are already scheduled still run, at their time, except for
+ * evacuations.
+ */
 void mt_faults_end(mt_faults_t *faults)
 {
 	faults->active = false;
--- a/tests/chaos/main.c
+++ b/tests/chaos/main.c
@@ -117,9 +117,12 @@
 	start_when_ready(&test);
 	mt_loop_run(test.cluster->loop);
 	passed = !test.cluster->breaches;
-	printf("seed %u: %s, %u jobs, %u accepted, %u faults%s%s\n", seed,
-	       passed ? "passed" : "FAILED", mt_clients_count(test.clients),
-	       mt_clients_accepted(test.clients), mt_faults_count(test.faults),
+	printf("seed %u: %s, %u jobs, %u accepted, %u refusals, "
+	       "%u faults%s%s\n",
+	       seed, passed ? "passed" : "FAILED",
+	       mt_clients_count(test.clients),
+	       mt_clients_accepted(test.clients),
+	       mt_clients_refusals(test.clients), mt_faults_count(test.faults),
 	       passed ? "" : ", logs kept in ",
 	       passed ? "" : test.cluster->dir);
 	fflush(stdout);
--- a/tests/check.sh
+++ b/tests/check.sh
@@ -67,6 +67,10 @@
 	build/tests/fleet --evacuations --seed 1 --seeds 50
 suite "simulated hosts with too many jobs" build/tests/fleet --seed 1 --seeds 40 \
 	--overload
+suite "simulated servers of unequal speed" build/tests/fleet --speeds --seed 1 --seeds 6
+suite "simulated servers that are cold" build/tests/fleet --cold --seed 1 --seeds 12
+suite "simulated hosts with all of these" build/tests/fleet --evacuations --overload \
+	--speeds --cold --seed 1 --seeds 4
 suite "fleet seeds that failed before" tests/scripts/fleet-seeds.sh build
 suite "simulated mimosaturnd hosts (soak)" build/tests/soak --seed 1 --seeds "$SOAK_SEEDS" \
 	--events "$SOAK_EVENTS"
--- a/tests/platformd/main.c
+++ b/tests/platformd/main.c
@@ -309,13 +309,25 @@
 	mt_http_respond(http->exchange, 200, "text/plain", (mt_str_t){0}, NULL);
 }
 
-/** Evacuates the data centre of all servers, or ends this. */
+/**
+ * Evacuates the data centre of all servers, or ends this. For the audit of
+ * starts, each rack is a data centre.
+ */
 static void on_evacuate_call(const mt_platformd_t *platform,
 			     const mt_http_incoming_request_t *http)
 {
-	mt_fake_store_put(platform->sim->store, "keyed.op", "evacuate/here",
-			  query_number(http, "on", 1) ? MT_STR("{}")
-						      : (mt_str_t){0});
+	mt_sim_t *sim = platform->sim;
+	bool on = query_number(http, "on", 1) != 0;
+
+	mt_fake_store_put(sim->store, "keyed.op", "evacuate/here",
+			  on ? MT_STR("{}") : (mt_str_t){0});
+	for (unsigned i = 0; i < SIM_ZONES; i++) {
+		char rack[16];
+
+		snprintf(rack, sizeof(rack), "r%u", i);
+		mt_fake_fleet_evacuate(sim->fleet, rack,
+				       on ? mt_timers_now(sim->timers) : 0);
+	}
 	mt_http_respond(http->exchange, 200, "text/plain", (mt_str_t){0}, NULL);
 }
 
@@ -329,18 +341,29 @@
 	mt_http_respond(http->exchange, 200, "text/plain", (mt_str_t){0}, NULL);
 }
 
-/** The tasks of a job must not start from now on: its client has cancelled it.
+/**
+ * The tasks of a job must not start from now on: its client has cancelled it,
+ * or was told that it is refused and has not run ("refused=1"). With
+ * "permit=1", they may start again, as the client submits the job again.
  */
 static void on_forbid_call(const mt_platformd_t *platform,
 			   const mt_http_incoming_request_t *http)
 {
+	mt_sim_t *sim = platform->sim;
 	char *text = query_text(http, "job");
 	uint64_t job;
 
-	if (mt_record_parse_job_id(mt_str_from(text), &job))
-		mt_fake_fleet_forbid_starts(
-			platform->sim->fleet, job,
-			mt_timers_now(platform->sim->timers));
+	if (mt_record_parse_job_id(mt_str_from(text), &job)) {
+		if (query_number(http, "refused", 0) &&
+		    mt_fake_fleet_has_started(sim->fleet, job))
+			mt_sim_breach(sim, "job %s was refused, but has run",
+				      text);
+		if (query_number(http, "permit", 0))
+			mt_fake_fleet_permit_starts(sim->fleet, job);
+		else
+			mt_fake_fleet_forbid_starts(sim->fleet, job,
+						    mt_timers_now(sim->timers));
+	}
 	g_free(text);
 	mt_http_respond(http->exchange, 200, "text/plain", (mt_str_t){0}, NULL);
 }
