--- a/tests/chaos/cluster.c
+++ b/tests/chaos/cluster.c
@@ -36,8 +36,7 @@
 	"\"max_attempts\":8,\"slack_factor\":1.5,\"target_latency_ms\":500},"
 	"{\"name\":\"batch\",\"host\":\"jobs.example\","
 	"\"path_prefix\":\"/batch/\",\"service\":\"service\",\"priority\":2,"
-	"\"max_attempts\":8,\"slack_factor\":3.0,"
-	"\"target_latency_ms\":3000}],"
+	"\"max_attempts\":8,\"slack_factor\":1.5,\"target_latency_ms\":500}],"
 	"\"tenants\":[{\"name\":\"shop\",\"api_keys\":[\"good\"],"
 	"\"guaranteed\":{\"gpu\":16}}]}";
 
