fuzz: fail if the inputs of earlier crashes cannot be read

A missing directory or an unreadable file was skipped without a word. Each input is now also fed several times, as it is sent in random parts. The exit codes have names.

--- a/tests/fuzz/main.c
+++ b/tests/fuzz/main.c
@@ -13,9 +13,18 @@
 
 #include "fuzz/fuzz.h"
 
+#define EXIT_BAD_ARGUMENTS 2
+#define EXIT_NO_SERVER 3
+
 /** An ordinary request is sent after this many rounds. */
 #define ROUNDS_PER_CHECK 50u
 
+/**
+ * How often the input of an earlier crash is fed: it is sent in random parts,
+ * and some faults occur only when it is received at once.
+ */
+#define REPEATS_PER_CASE 20u
+
 typedef struct mt_fuzz_t {
 	mt_fuzz_server_t *server;
 	const char *save_path; /**< NULL: inputs are not saved */
@@ -41,27 +50,45 @@
 	count(fuzz, mt_fuzz_send(fuzz->server, rand, bytes));
 }
 
+static void feed_case(mt_fuzz_t *fuzz, GRand *rand, const char *path)
+{
+	GError *error = NULL;
+	GByteArray *bytes;
+	char *text;
+	gsize len;
+
+	if (!g_file_get_contents(path, &text, &len, &error)) {
+		fprintf(stderr, "%s\n", error->message);
+		g_error_free(error);
+		count(fuzz, false);
+		return;
+	}
+	bytes = g_byte_array_new_take((guint8 *)text, len);
+	for (unsigned i = 0; i < REPEATS_PER_CASE; i++)
+		feed(fuzz, rand, bytes);
+	g_byte_array_unref(bytes);
+}
+
+/** A directory or file that cannot be read counts as a failure. */
 static void feed_cases(mt_fuzz_t *fuzz, GRand *rand, const char *directory)
 {
-	GDir *dir = g_dir_open(directory, 0, NULL);
+	GError *error = NULL;
+	GDir *dir = g_dir_open(directory, 0, &error);
 	const char *name;
 
-	while (dir && (name = g_dir_read_name(dir))) {
+	if (!dir) {
+		fprintf(stderr, "%s\n", error->message);
+		g_error_free(error);
+		count(fuzz, false);
+		return;
+	}
+	while ((name = g_dir_read_name(dir))) {
 		char *path = g_build_filename(directory, name, NULL);
-		char *text;
-		gsize len;
-
-		if (g_file_get_contents(path, &text, &len, NULL)) {
-			GByteArray *bytes =
-				g_byte_array_new_take((guint8 *)text, len);
 
-			feed(fuzz, rand, bytes);
-			g_byte_array_unref(bytes);
-		}
+		feed_case(fuzz, rand, path);
 		g_free(path);
 	}
-	if (dir)
-		g_dir_close(dir);
+	g_dir_close(dir);
 }
 
 static void run_round(mt_fuzz_t *fuzz, guint32 seed, unsigned round)
@@ -105,14 +132,14 @@
 	cases->sval[0] = "tests/fuzz/cases";
 	if (arg_parse(argc, argv, table)) {
 		arg_print_errors(stderr, end, argv[0]);
-		return 2;
+		return EXIT_BAD_ARGUMENTS;
 	}
 	signal(SIGPIPE, SIG_IGN);
 	fuzz.save_path = save->count ? save->sval[0] : NULL;
 	fuzz.server = mt_fuzz_server_new();
 	if (!fuzz.server) {
 		fprintf(stderr, "cannot listen\n");
-		return 3;
+		return EXIT_NO_SERVER;
 	}
 	rand = g_rand_new_with_seed((guint32)seed->ival[0]);
 	feed_cases(&fuzz, rand, cases->sval[0]);
