http_connection: no use after free after pipelined requests

If two pipelined requests ended in one turn of the event loop, and the second closed the connection, the connection was listed twice for on_before_poll() and removed once: a freed pointer stayed. The new case of the fuzzer fails without the change under AddressSanitizer.

--- a/lib/net/http_connection.c
+++ b/lib/net/http_connection.c
@@ -60,6 +60,7 @@
 	mt_connections_t *connections;
 	mt_guarded_t guarded;
 	bool is_guarded;
+	bool is_unwatched; /**< in mt_connections_t.unwatched */
 	h2o_socket_t *socket;
 	/* The callbacks with which h2o reads. */
 	uv_alloc_cb h2o_alloc;
@@ -358,6 +359,7 @@
 	for (guint i = 0; i < connections->unwatched->len; i++) {
 		mt_connection_t *connection = connections->unwatched->pdata[i];
 
+		connection->is_unwatched = false;
 		watch_reads(connection);
 		after_read(connection);
 	}
@@ -408,7 +410,9 @@
 
 	if (connection->is_guarded) {
 		g_hash_table_remove(connections->by_socket, connection->socket);
-		g_ptr_array_remove_fast(connections->unwatched, connection);
+		if (connection->is_unwatched)
+			g_ptr_array_remove_fast(connections->unwatched,
+						connection);
 		mt_http_guard_remove(connections->guard, &connection->guarded);
 	}
 	if (--connections->count == 0) {
@@ -550,6 +554,10 @@
 	set_phase(connection, MT_HTTP_PHASE_IDLE);
 	mt_http_guard_set_bytes(connections->guard, &connection->guarded, 0, 0,
 				0, now_ms(connections));
+	/* Several pipelined requests may end before the loop polls again. */
+	if (connection->is_unwatched)
+		return;
+	connection->is_unwatched = true;
 	g_ptr_array_add(connections->unwatched, connection);
 	uv_prepare_start(&connections->before_poll, on_before_poll);
 }
--- a/tests/fuzz/framing.c
+++ b/tests/fuzz/framing.c
@@ -40,6 +40,7 @@
 	"GET http://h/a HTTP/1.1\r\n",
 	"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
 	"GET /../../a HTTP/1.1\r\n",
+	"GET /now HTTP/1.1\r\n",
 };
 
 static const char *const lines[] = {
@@ -141,14 +142,18 @@
 		respond(exchange);
 }
 
-/** Answers each second request at once, and the others later. */
+/**
+ * Answers each second request and those for /now at once, and the others later.
+ * Two pipelined requests for /now end in the same turn of the loop.
+ */
 static void on_request(void *ctx, const mt_http_incoming_request_t *request)
 {
 	mt_fuzz_server_t *server = ctx;
 
 	if (request->body.len > BODY_MAX_BYTES)
 		server->body_too_large = true;
-	if (server->requests++ % 2 == 0) {
+	if (server->requests++ % 2 == 0 ||
+	    mt_str_equal(request->path, MT_STR("/now"))) {
 		respond(request->exchange);
 		return;
 	}
