http_connection: do not check headers with an absolute target

The check saw the raw target, and the handler the path and the authority that h2o had taken from it, so the two could decide differently. The new case of the fuzzer fails without the change.

--- a/lib/net/http_connection.c
+++ b/lib/net/http_connection.c
@@ -217,7 +217,11 @@
 	return (mt_str_t){0};
 }
 
-/** Has the complete header of an incomplete request checked. */
+/**
+ * Has the complete header of an incomplete request checked. A target that is
+ * no path ("http://host/path", "*") is not checked, since h2o derives path and
+ * authority from it by rules of its own; the handler decides on the request.
+ */
 static void check_header(mt_connection_t *connection, mt_http_header_t *header)
 {
 	mt_connections_t *connections = connection->connections;
@@ -226,7 +230,8 @@
 	int status;
 
 	set_phase(connection, MT_HTTP_PHASE_BODY);
-	if (!connections->header_check)
+	if (!connections->header_check || !header->path.len ||
+	    header->path.data[0] != '/')
 		return;
 	if (query)
 		header->path.len = (size_t)(query - header->path.data);
--- a/lib/net/http_server.h
+++ b/lib/net/http_server.h
@@ -41,7 +41,8 @@
 } mt_http_header_t;
 
 /**
- * Checks the header of a request whose body is still being received.
+ * Checks the header of a request whose body is still being received. Not called
+ * for a request target that does not begin with '/'.
  * @param account receives the client account whose budget the request counts
  *                against; may stay empty
  * @return 0 to receive the body, or the status of a refusal
--- a/tests/fuzz/framing.c
+++ b/tests/fuzz/framing.c
@@ -25,6 +25,7 @@
 	mt_http_exchange_t *pending; /**< answered after the handler */
 	unsigned requests;
 	bool body_too_large;
+	bool bad_path; /**< the header check got a path without a leading '/' */
 };
 
 /* Requests. */
@@ -40,6 +41,7 @@
 	"GET http://h/a HTTP/1.1\r\n",
 	"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
 	"GET /../../a HTTP/1.1\r\n",
+	"PUT http://h/a HTTP/1.1\r\n",
 	"GET /now HTTP/1.1\r\n",
 };
 
@@ -165,6 +167,10 @@
 static int check_header(void *ctx, const mt_http_header_t *header,
 			mt_name_t *account)
 {
+	mt_fuzz_server_t *server = ctx;
+
+	if (!header->path.len || header->path.data[0] != '/')
+		server->bad_path = true;
 	*account = mt_name_from(header->authorization);
 	return mt_str_equal(header->method, MT_STR("PUT")) ? 401 : 0;
 }
@@ -291,7 +297,9 @@
 	}
 	if (server->body_too_large)
 		printf("a body over the limit reached the handler\n");
-	return !server->body_too_large;
+	if (server->bad_path)
+		printf("the header check got a path that is no path\n");
+	return !server->body_too_large && !server->bad_path;
 }
 
 bool mt_fuzz_server_answers(mt_fuzz_server_t *server)
