--- a/lib/net/http_guard.c
+++ b/lib/net/http_guard.c
@@ -237,9 +237,13 @@
 void mt_http_guard_set_account(mt_http_guard_t *guard, mt_guarded_t *connection,
 			       const mt_name_t *name)
 {
-	mt_guarded_account_t *account =
-		g_hash_table_lookup(guard->accounts, name);
+	mt_guarded_account_t *account;
 
+	if (!name->len) {
+		clear_account(guard, connection);
+		return;
+	}
+	account = g_hash_table_lookup(guard->accounts, name);
 	if (!account) {
 		account = g_new0(mt_guarded_account_t, 1);
 		account->name = *name;
--- a/lib/net/http_guard.h
+++ b/lib/net/http_guard.h
@@ -120,7 +120,11 @@
 			     size_t input_bytes, size_t output_bytes,
 			     size_t transferred, mt_ms_t now);
 
-/** Sets the client account of the present request, until its phase is idle. */
+/**
+ * Sets the client account of the present request, until its phase is idle.
+ * @param account if empty, the request counts against the budget of the server
+ *                only: requests to public queues would share one account
+ */
 void mt_http_guard_set_account(mt_http_guard_t *guard, mt_guarded_t *connection,
 			       const mt_name_t *account);
 
--- a/tests/unit/test_http_guard.c
+++ b/tests/unit/test_http_guard.c
@@ -122,6 +122,31 @@
 	mt_http_guard_free(guard);
 }
 
+/**
+ * Guards against one budget that all requests without an account share: those
+ * to public queues count against the budget of the server only.
+ */
+static void requests_without_account_have_no_account_budget(void)
+{
+	mt_http_limits_t limits = make_limits();
+	mt_http_guard_t *guard = mt_http_guard_new(&limits);
+	mt_guarded_t connections[CONNECTIONS];
+	mt_http_reason_t reason = MT_HTTP_REASON_NONE;
+	mt_name_t none = mt_name("");
+
+	add_bodies(guard, connections, 4, MB);
+	for (unsigned i = 0; i < 4; i++)
+		mt_http_guard_set_account(guard, &connections[i], &none);
+	CU_ASSERT_PTR_NULL(
+		mt_http_guard_over_budget(guard, &connections[3], &reason));
+	mt_http_guard_set_bytes(guard, &connections[3], MB + 1, 0, MB + 1, 10);
+	CU_ASSERT_PTR_EQUAL(
+		mt_http_guard_over_budget(guard, &connections[3], &reason),
+		&connections[0]);
+	CU_ASSERT_EQUAL(reason, MT_HTTP_REASON_BUFFERED);
+	mt_http_guard_free(guard);
+}
+
 /** The largest request is served on each host when nothing else happens. */
 static void budgets_hold_the_largest_request(void)
 {
@@ -265,6 +290,8 @@
 	 requests_of_the_handler_are_not_closed},
 	{"an account closes its own connections",
 	 an_account_closes_its_own_connections},
+	{"requests without account have no account budget",
+	 requests_without_account_have_no_account_budget},
 	{"budgets hold the largest request", budgets_hold_the_largest_request},
 	{"idle connections make room", idle_connections_make_room},
 	{"slow connections are overdue", slow_connections_are_overdue},
