--- a/tests/hostile/main.c
+++ b/tests/hostile/main.c
@@ -17,6 +17,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#define EXIT_NO_CONNECTION 1
 #define EXIT_BAD_ARGUMENTS 2
 
 #define US_PER_MS 1000
@@ -44,7 +45,8 @@
 /** A client and its connection. */
 typedef struct mt_hostile_client_t {
 	unsigned index;
-	int fd;		/**< -1: not connected */
+	int fd;		/**< -1: none */
+	bool connected; /**< the connection attempt has succeeded */
 	gint64 next_at; /**< earliest time of the next connection or piece */
 	GString *head;
 	size_t sent; /**< bytes sent on this connection */
@@ -71,6 +73,7 @@
 	GString *body; /**< a valid job, padded with spaces */
 	mt_hostile_client_t *clients;
 	unsigned n_clients;
+	unsigned attempts;    /**< to connect */
 	unsigned connections; /**< that were opened in total */
 	unsigned closed;      /**< that were closed by the server */
 };
@@ -118,7 +121,7 @@
 static void head_with_unknown_key(const mt_hostile_t *hostile,
 				  mt_hostile_client_t *client)
 {
-	char *key = g_strdup_printf("unknown-%u", hostile->connections);
+	char *key = g_strdup_printf("unknown-%u", hostile->attempts);
 
 	append_request(client->head, key, hostile->body->len);
 	g_free(key);
@@ -166,7 +169,7 @@
 	};
 
 	g_string_append(client->head,
-			heads[(client->index + hostile->connections) %
+			heads[(client->index + hostile->attempts) %
 			      G_N_ELEMENTS(heads)]);
 }
 
@@ -217,9 +220,10 @@
 	}
 	g_string_truncate(client->head, 0);
 	hostile->kind->head(hostile, client);
+	client->connected = false;
 	client->sent = 0;
 	client->next_at = 0;
-	hostile->connections++;
+	hostile->attempts++;
 }
 
 /** Number of bytes of the body that this client sends. */
@@ -301,12 +305,17 @@
 {
 	bool open = !(events & (POLLERR | POLLNVAL));
 
+	if (open && !client->connected) {
+		client->connected = true;
+		hostile->connections++;
+	}
 	if (open && (events & (POLLIN | POLLHUP)))
 		open = read_some(client);
 	if (open && (events & POLLOUT))
 		open = send_some(hostile, client);
 	if (!open) {
-		hostile->closed++;
+		if (client->connected)
+			hostile->closed++;
 		close_client(client);
 	}
 }
@@ -323,7 +332,8 @@
 				connect_client(hostile, client);
 			fds[i].fd = client->fd;
 			fds[i].events = hostile->kind->reads ? POLLIN : 0;
-			if (client->fd >= 0 && wants_to_send(hostile, client))
+			if (!client->connected ||
+			    wants_to_send(hostile, client))
 				fds[i].events |= POLLOUT;
 			fds[i].revents = 0;
 		}
@@ -427,5 +437,9 @@
 	g_free(hostile.clients);
 	g_string_free(hostile.body, TRUE);
 	arg_freetable(table, G_N_ELEMENTS(table));
+	if (!hostile.connections) {
+		fprintf(stderr, "no connection was opened\n");
+		return EXIT_NO_CONNECTION;
+	}
 	return 0;
 }
--- a/tests/scripts/hostile-clients.sh
+++ b/tests/scripts/hostile-clients.sh
@@ -134,6 +134,18 @@
 	done
 }
 
+# Waits until host 0 or 1 is the leader, and prints its index.  The target, which
+# the previous case killed, may have been the leader until then.
+wait_leader() {
+	local leader until=$((SECONDS + WAIT_S))
+	while [ $SECONDS -lt $until ]; do
+		leader=$(find_leader)
+		[ -n "$leader" ] && break
+		sleep 0.1
+	done
+	echo "$leader"
+}
+
 # Writes the largest number of descriptors of a process to $WORK/fds until the
 # process ends.
 # watch_descriptors PID
@@ -262,8 +274,9 @@
 		PORT=$((FIRST_PORT + 70 + TARGET)) run_case "$kind" \
 			"chunked piecewise headers silent" $((CLIENTS / 4))
 	elif [ "$kind" = leader ]; then
-		run_case "$kind" "$CLIENT_KINDS" $((CLIENTS / 10)) \
-			"$(find_leader)"
+		leader=$(wait_leader)
+		check "$kind: number of leaders" 1 "$(wc -w <<<"$leader")"
+		run_case "$kind" "$CLIENT_KINDS" $((CLIENTS / 10)) "$leader"
 	else
 		run_case "$kind" "$kind" "$CLIENTS"
 	fi
