--- a/lib/net/http_connection.c
+++ b/lib/net/http_connection.c
@@ -16,6 +16,9 @@
 /** Size of the buffer for input that is discarded. */
 #define DISCARD_BYTES 65536u
 
+/** Size of the buffer for the answer of a refusal. */
+#define REFUSAL_MAX_BYTES 160u
+
 /** Maximum number of header lines, as in h2o. */
 #define HEADER_LINES_MAX H2O_MAX_HEADERS
 
@@ -146,10 +149,13 @@
 						     : MT_HTTP_PHASE_ABORTED);
 }
 
-/** @return false if the socket does not take the whole response at once */
+/**
+ * Sends an answer without a reason phrase, which may be empty (RFC 9112).
+ * @return false if the socket does not take the whole answer at once
+ */
 static bool write_refusal(mt_connection_t *connection, int status)
 {
-	char text[160];
+	char text[REFUSAL_MAX_BYTES];
 	int len = g_snprintf(text, sizeof(text),
 			     "HTTP/1.1 %d \r\n%s"
 			     "Content-Type: application/json\r\n"
@@ -159,6 +165,8 @@
 							  : "");
 	uv_buf_t buf = uv_buf_init(text, (unsigned)len);
 
+	if (len < 0 || (size_t)len >= sizeof(text))
+		return false;
 	return uv_try_write(stream_of(connection), &buf, 1) == len;
 }
 
@@ -467,8 +475,11 @@
 {
 	mt_connection_t *connection = new_connection(connections);
 
-	if (uv_accept(listener, stream_of(connection)) ||
-	    !make_room(connections)) {
+	bool accepted = !uv_accept(listener, stream_of(connection));
+
+	if (!accepted)
+		mt_http_guard_count(connections->guard, MT_HTTP_REASON_ACCEPT);
+	if (!accepted || !make_room(connections)) {
 		uv_close((uv_handle_t *)&connection->tcp, on_closed);
 		return;
 	}
--- a/lib/net/http_guard.c
+++ b/lib/net/http_guard.c
@@ -49,6 +49,7 @@
 
 static const char *const reason_names[] = {
 	[MT_HTTP_REASON_NONE] = "none",
+	[MT_HTTP_REASON_ACCEPT] = "accept_failed",
 	[MT_HTTP_REASON_CONNECTIONS] = "connections",
 	[MT_HTTP_REASON_BUFFERED] = "buffered_bytes",
 	[MT_HTTP_REASON_ACCOUNT] = "account_bytes",
--- a/lib/net/http_guard.h
+++ b/lib/net/http_guard.h
@@ -45,6 +45,7 @@
 /** Why a connection is closed or a request refused. */
 typedef enum mt_http_reason_t {
 	MT_HTTP_REASON_NONE,
+	MT_HTTP_REASON_ACCEPT,	      /**< the system could not accept it */
 	MT_HTTP_REASON_CONNECTIONS,   /**< too many connections */
 	MT_HTTP_REASON_BUFFERED,      /**< over buffered_max_bytes */
 	MT_HTTP_REASON_ACCOUNT,	      /**< over account_max_bytes */
--- a/lib/net/http_server.c
+++ b/lib/net/http_server.c
@@ -100,6 +100,9 @@
 	if (status == 0)
 		mt_connections_accept(server->connections, listener,
 				      &server->accept);
+	else
+		mt_http_guard_count(mt_connections_guard(server->connections),
+				    MT_HTTP_REASON_ACCEPT);
 }
 
 static bool listen_on(mt_http_server_t *server, const mt_name_t *address,
