--- a/lib/net/http_client.c
+++ b/lib/net/http_client.c
@@ -21,7 +21,7 @@
 	h2o_timeout_t io_timeout;
 	GHashTable *pools; /**< "address port" to h2o_socketpool_t */
 	uint64_t bytes;	   /**< see mt_http_client_bytes() */
-	size_t response_max_bytes;
+	size_t responses_max_bytes;
 	size_t receiving_bytes; /**< of the bodies of all responses */
 	uint64_t too_large;	/**< see mt_http_client_too_large() */
 };
@@ -51,7 +51,7 @@
 	client->ctx.loop = mt_loop_uv(loop);
 	client->ctx.io_timeout = &client->io_timeout;
 	h2o_timeout_init(mt_loop_uv(loop), &client->io_timeout, IO_TIMEOUT_MS);
-	client->response_max_bytes = MT_HTTP_RESPONSE_MAX_BYTES;
+	client->responses_max_bytes = MT_HTTP_RESPONSES_MAX_BYTES;
 	client->pools = g_hash_table_new(g_str_hash, g_str_equal);
 	return client;
 }
@@ -61,9 +61,9 @@
 	return client->bytes;
 }
 
-void mt_http_client_set_response_max(mt_http_client_t *client, size_t bytes)
+void mt_http_client_set_responses_max(mt_http_client_t *client, size_t bytes)
 {
-	client->response_max_bytes = bytes;
+	client->responses_max_bytes = bytes;
 }
 
 uint64_t mt_http_client_too_large(const mt_http_client_t *client)
@@ -184,7 +184,7 @@
 {
 	const mt_http_client_t *client = exchange->client;
 
-	return client->receiving_bytes > client->response_max_bytes ||
+	return client->receiving_bytes > client->responses_max_bytes ||
 	       (exchange->response_max_bytes &&
 		exchange->body->len > exchange->response_max_bytes);
 }
--- a/lib/net/http_client.h
+++ b/lib/net/http_client.h
@@ -13,7 +13,7 @@
  * Default of the largest size of the bodies of all responses that are being
  * received. A response that exceeds it counts as no response.
  */
-#define MT_HTTP_RESPONSE_MAX_BYTES (64u * 1024u * 1024u)
+#define MT_HTTP_RESPONSES_MAX_BYTES (64u * 1024u * 1024u)
 
 typedef enum mt_http_result_t {
 	MT_HTTP_RESPONSE,    /**< complete response received; see its status */
@@ -51,8 +51,8 @@
 
 mt_http_client_t *mt_http_client_new(mt_loop_t *loop);
 
-/** Replaces MT_HTTP_RESPONSE_MAX_BYTES. */
-void mt_http_client_set_response_max(mt_http_client_t *client, size_t bytes);
+/** Replaces MT_HTTP_RESPONSES_MAX_BYTES. */
+void mt_http_client_set_responses_max(mt_http_client_t *client, size_t bytes);
 
 /** Number of responses that exceeded a limit. */
 uint64_t mt_http_client_too_large(const mt_http_client_t *client);
--- a/lib/net/http_connection.c
+++ b/lib/net/http_connection.c
@@ -51,9 +51,10 @@
 	void *header_check_ctx;
 	unsigned count;	       /**< open connections, with refused ones */
 	GHashTable *by_socket; /**< h2o_socket_t to mt_connection_t */
-	/** Connections whose request has ended, see watch_reads(). */
-	GPtrArray *unwatched;
-	uv_prepare_t before_poll; /**< active while there are unwatched ones */
+	/** Connections whose request has ended, see install_read_callbacks().
+	 */
+	GPtrArray *to_resume;
+	uv_prepare_t before_poll; /**< active while `to_resume` is not empty */
 	uint64_t check_timer;	  /**< active while there are connections */
 	char discarded[DISCARD_BYTES];
 };
@@ -63,7 +64,7 @@
 	mt_connections_t *connections;
 	mt_guarded_t guarded;
 	bool is_guarded;
-	bool is_unwatched; /**< in mt_connections_t.unwatched */
+	bool resumes; /**< in mt_connections_t.to_resume */
 	h2o_socket_t *socket;
 	/* The callbacks with which h2o reads. */
 	uv_alloc_cb h2o_alloc;
@@ -246,7 +247,7 @@
 	status = connections->header_check(connections->header_check_ctx,
 					   header, &account);
 	if (status)
-		refuse(connection, status, MT_HTTP_REASON_HEADER_CHECK);
+		refuse(connection, status, MT_HTTP_REASON_HEADER_REFUSED);
 	else
 		mt_http_guard_set_account(connections->guard,
 					  &connection->guarded, &account);
@@ -350,8 +351,11 @@
 	after_read(connection);
 }
 
-/** Replaces the callbacks of h2o, if it reads with its own. */
-static void watch_reads(mt_connection_t *connection)
+/**
+ * Replaces the callbacks of h2o, if it reads with its own: from the start of a
+ * connection, and again after each request, during which it does not read.
+ */
+static void install_read_callbacks(mt_connection_t *connection)
 {
 	uv_stream_t *stream = stream_of(connection);
 
@@ -369,14 +373,14 @@
 {
 	mt_connections_t *connections = handle->data;
 
-	for (guint i = 0; i < connections->unwatched->len; i++) {
-		mt_connection_t *connection = connections->unwatched->pdata[i];
+	for (guint i = 0; i < connections->to_resume->len; i++) {
+		mt_connection_t *connection = connections->to_resume->pdata[i];
 
-		connection->is_unwatched = false;
-		watch_reads(connection);
+		connection->resumes = false;
+		install_read_callbacks(connection);
 		after_read(connection);
 	}
-	g_ptr_array_set_size(connections->unwatched, 0);
+	g_ptr_array_set_size(connections->to_resume, 0);
 	uv_prepare_stop(handle);
 }
 
@@ -423,8 +427,8 @@
 
 	if (connection->is_guarded) {
 		g_hash_table_remove(connections->by_socket, connection->socket);
-		if (connection->is_unwatched)
-			g_ptr_array_remove_fast(connections->unwatched,
+		if (connection->resumes)
+			g_ptr_array_remove_fast(connections->to_resume,
 						connection);
 		mt_http_guard_remove(connections->guard, &connection->guarded);
 	}
@@ -452,17 +456,17 @@
 /** @return false when the new connection must be closed */
 static bool make_room(mt_connections_t *connections)
 {
-	mt_guarded_t *victim;
-	bool admitted = mt_http_guard_may_add(connections->guard, &victim);
+	mt_guarded_t *to_close;
+	bool admitted = mt_http_guard_may_add(connections->guard, &to_close);
 
-	if (victim) {
+	if (to_close) {
 		mt_http_guard_count(connections->guard,
 				    MT_HTTP_REASON_CONNECTIONS);
-		if (victim->phase == MT_HTTP_PHASE_HEADER ||
-		    victim->phase == MT_HTTP_PHASE_BODY)
-			write_refusal(connection_of(victim),
+		if (to_close->phase == MT_HTTP_PHASE_HEADER ||
+		    to_close->phase == MT_HTTP_PHASE_BODY)
+			write_refusal(connection_of(to_close),
 				      STATUS_UNAVAILABLE);
-		abort_connection(connection_of(victim));
+		abort_connection(connection_of(to_close));
 	}
 	if (!admitted)
 		mt_http_guard_count(connections->guard,
@@ -491,7 +495,7 @@
 	g_hash_table_insert(connections->by_socket, connection->socket,
 			    connection);
 	h2o_accept(accept, connection->socket);
-	watch_reads(connection);
+	install_read_callbacks(connection);
 }
 
 mt_connections_t *mt_connections_new(mt_loop_t *loop,
@@ -502,7 +506,7 @@
 	connections->loop = loop;
 	connections->guard = mt_http_guard_new(limits);
 	connections->by_socket = g_hash_table_new(NULL, NULL);
-	connections->unwatched = g_ptr_array_new();
+	connections->to_resume = g_ptr_array_new();
 	uv_prepare_init(mt_loop_uv(loop), &connections->before_poll);
 	connections->before_poll.data = connections;
 	return connections;
@@ -517,7 +521,7 @@
 {
 	mt_http_guard_free(connections->guard);
 	g_hash_table_unref(connections->by_socket);
-	g_ptr_array_unref(connections->unwatched);
+	g_ptr_array_unref(connections->to_resume);
 	uv_close((uv_handle_t *)&connections->before_poll, on_prepare_closed);
 }
 
@@ -571,9 +575,9 @@
 	mt_http_guard_set_bytes(connections->guard, &connection->guarded, 0, 0,
 				0, now_ms(connections));
 	/* Several pipelined requests may end before the loop polls again. */
-	if (connection->is_unwatched)
+	if (connection->resumes)
 		return;
-	connection->is_unwatched = true;
-	g_ptr_array_add(connections->unwatched, connection);
+	connection->resumes = true;
+	g_ptr_array_add(connections->to_resume, connection);
 	uv_prepare_start(&connections->before_poll, on_before_poll);
 }
--- a/lib/net/http_guard.c
+++ b/lib/net/http_guard.c
@@ -55,7 +55,7 @@
 	[MT_HTTP_REASON_ACCOUNT] = "account_bytes",
 	[MT_HTTP_REASON_REJECTED] = "rejected",
 	[MT_HTTP_REASON_HEADER_SIZE] = "header_size",
-	[MT_HTTP_REASON_HEADER_CHECK] = "header_refused",
+	[MT_HTTP_REASON_HEADER_REFUSED] = "header_refused",
 	[MT_HTTP_REASON_IDLE] = "idle",
 	[MT_HTTP_REASON_HEADER_TIME] = "header_time",
 	[MT_HTTP_REASON_BODY_TIME] = "body_time",
@@ -300,12 +300,12 @@
 	return NULL;
 }
 
-bool mt_http_guard_may_add(mt_http_guard_t *guard, mt_guarded_t **victim)
+bool mt_http_guard_may_add(mt_http_guard_t *guard, mt_guarded_t **to_close)
 {
 	unsigned max = guard->limits.connections_max;
 	unsigned extra = max / EXTRA_CONNECTIONS_DIVISOR;
 
-	*victim = NULL;
+	*to_close = NULL;
 	if (guard->stats.connections < max)
 		return true;
 	for (GList *link = guard->connections.head; link; link = link->next) {
@@ -313,7 +313,7 @@
 
 		if (can_close(connection) ||
 		    connection->phase == MT_HTTP_PHASE_LINGER) {
-			*victim = connection;
+			*to_close = connection;
 			return guard->stats.connections < max + extra;
 		}
 	}
--- a/lib/net/http_guard.h
+++ b/lib/net/http_guard.h
@@ -45,18 +45,18 @@
 /** Why a connection is closed or a request refused. */
 typedef enum mt_http_reason_t {
 	MT_HTTP_REASON_NONE,
-	MT_HTTP_REASON_ACCEPT,	      /**< the system could not accept it */
-	MT_HTTP_REASON_CONNECTIONS,   /**< too many connections */
-	MT_HTTP_REASON_BUFFERED,      /**< over buffered_max_bytes */
-	MT_HTTP_REASON_ACCOUNT,	      /**< over account_max_bytes */
-	MT_HTTP_REASON_REJECTED,      /**< malformed, or over body_max_bytes */
-	MT_HTTP_REASON_HEADER_SIZE,   /**< over header_max_bytes */
-	MT_HTTP_REASON_HEADER_CHECK,  /**< see mt_http_header_cb */
-	MT_HTTP_REASON_IDLE,	      /**< over idle_ms */
-	MT_HTTP_REASON_HEADER_TIME,   /**< over header_ms */
-	MT_HTTP_REASON_BODY_TIME,     /**< body too slow */
-	MT_HTTP_REASON_RESPONSE_TIME, /**< response read too slowly */
-	MT_HTTP_REASON_LINGERED,      /**< the time after a refusal is over */
+	MT_HTTP_REASON_ACCEPT,	       /**< the system could not accept it */
+	MT_HTTP_REASON_CONNECTIONS,    /**< too many connections */
+	MT_HTTP_REASON_BUFFERED,       /**< over buffered_max_bytes */
+	MT_HTTP_REASON_ACCOUNT,	       /**< over account_max_bytes */
+	MT_HTTP_REASON_REJECTED,       /**< malformed, or over body_max_bytes */
+	MT_HTTP_REASON_HEADER_SIZE,    /**< over header_max_bytes */
+	MT_HTTP_REASON_HEADER_REFUSED, /**< see mt_http_header_cb */
+	MT_HTTP_REASON_IDLE,	       /**< over idle_ms */
+	MT_HTTP_REASON_HEADER_TIME,    /**< over header_ms */
+	MT_HTTP_REASON_BODY_TIME,      /**< body too slow */
+	MT_HTTP_REASON_RESPONSE_TIME,  /**< response read too slowly */
+	MT_HTTP_REASON_LINGERED,       /**< the time after a refusal is over */
 	MT_HTTP_REASON_COUNT,
 } mt_http_reason_t;
 
@@ -142,10 +142,10 @@
 
 /**
  * Decides on a new connection before it is added.
- * @param victim receives the connection to close first, or NULL
+ * @param to_close receives the connection to close first, or NULL
  * @return false when the new connection is to be closed at once
  */
-bool mt_http_guard_may_add(mt_http_guard_t *guard, mt_guarded_t **victim);
+bool mt_http_guard_may_add(mt_http_guard_t *guard, mt_guarded_t **to_close);
 
 /** Why the connection is overdue, or MT_HTTP_REASON_NONE. */
 mt_http_reason_t mt_http_guard_overdue(const mt_http_guard_t *guard,
--- a/programs/entryd/limits.c
+++ b/programs/entryd/limits.c
@@ -38,8 +38,8 @@
 	mt_http_server_set_limits(servers->readiness, &readiness);
 	mt_http_server_set_limits(servers->metrics, &metrics);
 	if (resources->memory_mb)
-		mt_http_client_set_response_max(limits->client,
-						mt_response_limit(resources));
+		mt_http_client_set_responses_max(
+			limits->client, mt_responses_max_bytes(resources));
 }
 
 /** True for reasons that are not part of ordinary use. */
--- a/tests/unit/test_http_guard.c
+++ b/tests/unit/test_http_guard.c
@@ -171,16 +171,16 @@
 	mt_http_limits_t limits = make_limits();
 	mt_http_guard_t *guard = mt_http_guard_new(&limits);
 	mt_guarded_t connections[CONNECTIONS];
-	mt_guarded_t *victim;
+	mt_guarded_t *to_close;
 
 	add_bodies(guard, connections, 4, 1);
 	mt_http_guard_set_phase(guard, &connections[0], MT_HTTP_PHASE_WAITING,
 				10);
-	CU_ASSERT_FALSE(mt_http_guard_may_add(guard, &victim));
-	CU_ASSERT_PTR_EQUAL_FATAL(victim, &connections[1]);
-	mt_http_guard_set_phase(guard, victim, MT_HTTP_PHASE_CLOSED, 10);
-	CU_ASSERT_TRUE(mt_http_guard_may_add(guard, &victim));
-	CU_ASSERT_PTR_NULL(victim);
+	CU_ASSERT_FALSE(mt_http_guard_may_add(guard, &to_close));
+	CU_ASSERT_PTR_EQUAL_FATAL(to_close, &connections[1]);
+	mt_http_guard_set_phase(guard, to_close, MT_HTTP_PHASE_CLOSED, 10);
+	CU_ASSERT_TRUE(mt_http_guard_may_add(guard, &to_close));
+	CU_ASSERT_PTR_NULL(to_close);
 	mt_http_guard_remove(guard, &connections[1]);
 	CU_ASSERT_EQUAL(mt_http_guard_stats(guard)->connections, 3);
 	for (unsigned i = 2; i < 4; i++)
@@ -189,8 +189,8 @@
 	mt_http_guard_add(guard, &connections[4], 10);
 	mt_http_guard_set_phase(guard, &connections[4], MT_HTTP_PHASE_WAITING,
 				10);
-	CU_ASSERT_FALSE(mt_http_guard_may_add(guard, &victim));
-	CU_ASSERT_PTR_NULL(victim);
+	CU_ASSERT_FALSE(mt_http_guard_may_add(guard, &to_close));
+	CU_ASSERT_PTR_NULL(to_close);
 	mt_http_guard_free(guard);
 }
 
@@ -263,7 +263,7 @@
 	CU_ASSERT_TRUE(probes.body_max_bytes < probes.buffered_max_bytes / 8);
 	CU_ASSERT_TRUE(clients.buffered_max_bytes + peers.buffered_max_bytes +
 			       2 * probes.buffered_max_bytes +
-			       mt_response_limit(&smallest) <
+			       mt_responses_max_bytes(&smallest) <
 		       120u * MB / 2);
 	CU_ASSERT_TRUE(2 * clients.connections_max + peers.connections_max +
 			       2 * probes.connections_max <
