limits: event client_limits, one search for the connection to close

The event states the limits in force of each server at the start: they follow from settings, defaults and the process's own limit of descriptors, and are raised for the largest request.

--- a/lib/net/http_guard.c
+++ b/lib/net/http_guard.c
@@ -265,21 +265,34 @@
 	       connection->phase == MT_HTTP_PHASE_RESPONSE;
 }
 
+/** Whether closing the connection frees bytes of the account; NULL: of any. */
+static bool frees_bytes(const mt_guarded_t *connection,
+			const mt_guarded_account_t *account)
+{
+	return can_close(connection) && bytes_of(connection) &&
+	       (!account || connection->account == account);
+}
+
+/** Whether closing the connection frees a descriptor of the server. */
+static bool frees_descriptor(const mt_guarded_t *connection,
+			     const mt_guarded_account_t *account)
+{
+	return can_close(connection) ||
+	       connection->phase == MT_HTTP_PHASE_LINGER;
+}
+
 /**
- * The connection with buffered bytes that has been without progress for the
- * longest time.
- * @param account only its connections; NULL: all
+ * The matching connection that has been without progress for the longest time.
  */
-static mt_guarded_t *find_slowest(const mt_http_guard_t *guard,
-				  const mt_guarded_account_t *account)
+static mt_guarded_t *
+find_slowest(const mt_http_guard_t *guard,
+	     bool (*matches)(const mt_guarded_t *connection,
+			     const mt_guarded_account_t *account),
+	     const mt_guarded_account_t *account)
 {
-	for (GList *link = guard->connections.head; link; link = link->next) {
-		mt_guarded_t *connection = link->data;
-
-		if (can_close(connection) && bytes_of(connection) &&
-		    (!account || connection->account == account))
-			return connection;
-	}
+	for (GList *link = guard->connections.head; link; link = link->next)
+		if (matches(link->data, account))
+			return link->data;
 	return NULL;
 }
 
@@ -291,11 +304,11 @@
 
 	if (account && account->bytes > guard->limits.account_max_bytes) {
 		*reason = MT_HTTP_REASON_ACCOUNT;
-		return find_slowest(guard, account);
+		return find_slowest(guard, frees_bytes, account);
 	}
 	if (guard->stats.buffered_bytes > guard->limits.buffered_max_bytes) {
 		*reason = MT_HTTP_REASON_BUFFERED;
-		return find_slowest(guard, NULL);
+		return find_slowest(guard, frees_bytes, NULL);
 	}
 	return NULL;
 }
@@ -308,27 +321,19 @@
 	*to_close = NULL;
 	if (guard->stats.connections < max)
 		return true;
-	for (GList *link = guard->connections.head; link; link = link->next) {
-		mt_guarded_t *connection = link->data;
-
-		if (can_close(connection) ||
-		    connection->phase == MT_HTTP_PHASE_LINGER) {
-			*to_close = connection;
-			return guard->stats.connections < max + extra;
-		}
-	}
-	return false;
+	*to_close = find_slowest(guard, frees_descriptor, NULL);
+	return *to_close && guard->stats.connections < max + extra;
 }
 
 /* Deadlines. */
 
 /** True when a body or response is too slow or stands still. */
 static bool is_transfer_overdue(const mt_http_limits_t *limits,
-				const mt_guarded_t *connection, size_t bytes,
-				mt_ms_t now)
+				const mt_guarded_t *connection, mt_ms_t now)
 {
-	mt_ms_t allowed = limits->transfer_ms +
-			  bytes * MS_PER_S / limits->rate_min_bytes_per_s;
+	mt_ms_t allowed =
+		limits->transfer_ms + connection->transferred * MS_PER_S /
+					      limits->rate_min_bytes_per_s;
 
 	return now - connection->progress_at > limits->transfer_ms ||
 	       now - connection->phase_since > allowed;
@@ -349,13 +354,11 @@
 		return age > limits->header_ms ? MT_HTTP_REASON_HEADER_TIME
 					       : MT_HTTP_REASON_NONE;
 	case MT_HTTP_PHASE_BODY:
-		return is_transfer_overdue(limits, connection,
-					   connection->transferred, now)
+		return is_transfer_overdue(limits, connection, now)
 			       ? MT_HTTP_REASON_BODY_TIME
 			       : MT_HTTP_REASON_NONE;
 	case MT_HTTP_PHASE_RESPONSE:
-		return is_transfer_overdue(limits, connection,
-					   connection->transferred, now)
+		return is_transfer_overdue(limits, connection, now)
 			       ? MT_HTTP_REASON_RESPONSE_TIME
 			       : MT_HTTP_REASON_NONE;
 	case MT_HTTP_PHASE_LINGER:
--- a/programs/entryd/limits.c
+++ b/programs/entryd/limits.c
@@ -11,10 +11,13 @@
 	uint64_t reported[MT_HTTP_REASON_COUNT];
 } mt_limited_server_t;
 
+/** Number of fields of mt_entry_servers_t. */
+#define SERVERS_COUNT 4u
+
 struct mt_entry_limits_t {
 	mt_kernel_t *kernel;
 	mt_http_client_t *client;
-	mt_limited_server_t servers[4];
+	mt_limited_server_t servers[SERVERS_COUNT];
 };
 
 static void set_limits(mt_entry_limits_t *limits,
@@ -73,28 +76,44 @@
 {
 	mt_entry_limits_t *limits = ctx;
 
-	for (size_t i = 0; i < G_N_ELEMENTS(limits->servers); i++)
+	for (size_t i = 0; i < SERVERS_COUNT; i++)
 		report_server(limits->kernel, &limits->servers[i]);
 }
 
+/** Logs the limits in force, which are raised for the largest request. */
+static void report_limits(mt_kernel_t *kernel,
+			  const mt_limited_server_t *limited)
+{
+	const mt_http_limits_t *limits = mt_http_server_limits(limited->server);
+
+	mt_kernel_event(kernel, "client_limits",
+			"\"server\":\"%s\",\"connections_max\":%u,"
+			"\"buffered_max_bytes\":%zu,"
+			"\"account_max_bytes\":%zu,"
+			"\"header_max_bytes\":%zu,\"body_max_bytes\":%zu",
+			limited->name, limits->connections_max,
+			limits->buffered_max_bytes, limits->account_max_bytes,
+			limits->header_max_bytes, limits->body_max_bytes);
+}
+
 mt_entry_limits_t *mt_entry_limits_new(mt_kernel_t *kernel,
 				       const mt_entry_settings_t *settings,
 				       const mt_entry_servers_t *servers,
 				       mt_http_client_t *client)
 {
-	mt_entry_limits_t *limits = g_new0(mt_entry_limits_t, 1);
-
-	limits->kernel = kernel;
-	limits->client = client;
-	limits->servers[0] =
-		(mt_limited_server_t){"callers", servers->callers, {0}};
-	limits->servers[1] =
-		(mt_limited_server_t){"peers", servers->peers, {0}};
-	limits->servers[2] =
-		(mt_limited_server_t){"readiness", servers->readiness, {0}};
-	limits->servers[3] =
-		(mt_limited_server_t){"metrics", servers->metrics, {0}};
+	mt_entry_limits_t *limits = g_new(mt_entry_limits_t, 1);
+
+	*limits = (mt_entry_limits_t){
+		.kernel = kernel,
+		.client = client,
+		.servers = {{"callers", servers->callers, {0}},
+			    {"peers", servers->peers, {0}},
+			    {"readiness", servers->readiness, {0}},
+			    {"metrics", servers->metrics, {0}}},
+	};
 	set_limits(limits, settings, servers);
+	for (size_t i = 0; i < SERVERS_COUNT; i++)
+		report_limits(kernel, &limits->servers[i]);
 	mt_timers_every(mt_kernel_timers(kernel), REPORT_INTERVAL_MS, report,
 			limits);
 	return limits;
@@ -142,6 +161,6 @@
 {
 	*mt_kernel_counter(limits->kernel, "http_responses_too_large_total") =
 		mt_http_client_too_large(limits->client);
-	for (size_t i = 0; i < G_N_ELEMENTS(limits->servers); i++)
+	for (size_t i = 0; i < SERVERS_COUNT; i++)
 		update_server(limits->kernel, &limits->servers[i]);
 }
--- a/programs/entryd/limits.h
+++ b/programs/entryd/limits.h
@@ -1,8 +1,9 @@
 /**
  * @file limits.h
  * Sets the limits of the HTTP servers and the HTTP client of a host from its
- * settings (platform/host_limits.h), and reports what they refuse: in metrics,
- * and in the event `client_limits_reached`.
+ * settings (platform/host_limits.h). Logs them at the start (`client_limits`),
+ * and reports what they refuse: in metrics, and in the event
+ * `client_limits_reached`.
  */
 #ifndef MT_ENTRYD_LIMITS_H
 #define MT_ENTRYD_LIMITS_H
--- a/tests/scripts/hostile-clients.sh
+++ b/tests/scripts/hostile-clients.sh
@@ -110,8 +110,8 @@
 	return 1
 }
 
-# submit ID: submits a job to the target; prints the answer to the first request
-# that was not told to be repeated, or the last answer after WAIT_S
+# submit ID: submits a job to the target until it is accepted; prints the answer,
+# or the last one after WAIT_S
 submit() {
 	local answer until=$((SECONDS + WAIT_S))
 	while [ $SECONDS -lt $until ]; do
@@ -233,6 +233,9 @@
 	local good="Authorization: Token good\\r\\n"
 	start_entry "$TARGET"
 	wait_ready "$TARGET"
+	check "servers whose limits are logged" 4 "$(grep \
+		'"event":"client_limits",' "$WORK/host-$TARGET.log" |
+		grep -o '"server":"[a-z]*"' | sort -u | wc -l)"
 	check "unknown key" "HTTP/1.1 401 " "$(first_line \
 		"Authorization: Token bad\\r\\nContent-Length: 1000\\r\\n")"
 	check "no key" "HTTP/1.1 401 " \
