--- a/lib/net/http_client.h
+++ b/lib/net/http_client.h
@@ -11,7 +11,8 @@
 
 /**
  * Default of the largest size of the bodies of all responses that are being
- * received. A response that exceeds it counts as no response.
+ * received, for hosts whose memory is not known. A response that receives bytes
+ * while the sum is above it counts as no response, however small it is itself.
  */
 #define MT_HTTP_RESPONSES_MAX_BYTES (64u * 1024u * 1024u)
 
--- a/lib/net/http_guard.c
+++ b/lib/net/http_guard.c
@@ -21,12 +21,21 @@
 /** How long input is thrown away after a refusal. */
 #define LINGER_MS 1000u
 
-/* Defaults. */
+/*
+ * Defaults. Clients inside the limits of the platform reach none of them: their
+ * headers have at most 16 KiB and are sent within 3 s, and they are idle for at
+ * most 15 s.
+ */
+
+/** For hosts whose memory is not known: 30 requests with bodies of 1 MiB. */
 #define DEFAULT_BUFFERED_BYTES (64u * 1024u * 1024u)
 #define DEFAULT_HEADER_BYTES (64u * 1024u)
 #define DEFAULT_IDLE_MS 20000u
 #define DEFAULT_HEADER_MS 10000u
+/** Longer than several retransmissions of a lost packet take. */
 #define DEFAULT_TRANSFER_MS 10000u
+/** A body of 1 MiB may take 128 s; slower clients would hold their buffer for
+ * minutes. */
 #define DEFAULT_RATE_BYTES_PER_S 8192u
 
 /** Used if the process's own limit of descriptors cannot be read. */
--- a/lib/net/http_guard.h
+++ b/lib/net/http_guard.h
@@ -2,8 +2,9 @@
  * @file http_guard.h
  * Limits of the connections of an HTTP server: budgets of buffered bytes, the
  * number of connections, and deadlines. Decides which connections are to be
- * closed; has no I/O and no clock. http_server.c reports to it what connections
- * do, and closes them.
+ * closed; has no I/O and no clock, except that mt_http_limits_default() reads
+ * the process's limit of descriptors. http_connection.c reports to it what
+ * connections do, and closes them.
  */
 #ifndef MT_NET_HTTP_GUARD_H
 #define MT_NET_HTTP_GUARD_H
@@ -88,13 +89,20 @@
 
 typedef struct mt_http_guard_t mt_http_guard_t;
 
-/** Limits that no client reaches in ordinary use. */
+/**
+ * Limits that no client reaches in ordinary use. The connections are at most
+ * half of the descriptors that the process may open, as read with getrlimit().
+ */
 mt_http_limits_t mt_http_limits_default(size_t body_max_bytes);
 
 mt_http_guard_t *mt_http_guard_new(const mt_http_limits_t *limits);
 void mt_http_guard_free(mt_http_guard_t *guard);
 
-/** Raises budgets that are too small for four requests. */
+/**
+ * Sets the limits. Budgets that are too small for four requests of the maximum
+ * size are raised, and `connections_max` to at least 1; see
+ * mt_http_guard_limits() for the result.
+ */
 void mt_http_guard_set_limits(mt_http_guard_t *guard,
 			      const mt_http_limits_t *limits);
 const mt_http_limits_t *mt_http_guard_limits(const mt_http_guard_t *guard);
--- a/lib/net/http_server.h
+++ b/lib/net/http_server.h
@@ -60,7 +60,11 @@
 
 const mt_http_limits_t *mt_http_server_limits(const mt_http_server_t *server);
 
-/** Replaces the limits of the server. */
+/**
+ * Replaces the limits of the server, for open connections too. Some are raised,
+ * see mt_http_guard_set_limits(); mt_http_server_limits() has the limits in
+ * force.
+ */
 void mt_http_server_set_limits(mt_http_server_t *server,
 			       const mt_http_limits_t *limits);
 
--- a/lib/peer/peer_http.c
+++ b/lib/peer/peer_http.c
@@ -8,8 +8,8 @@
 /** Maximum size of a request body; calls are small. */
 #define BODY_MAX_BYTES 4096u
 
-/** Maximum size of a response; one that contains the configuration is the
- * largest. */
+/** Maximum size of a response. The configuration is the largest one; it is
+ * sent whole, so that its size must stay below this. */
 #define RESPONSE_MAX_BYTES (4u * 1024u * 1024u)
 
 #define STATUS_OK 200
