--- a/tests/fuzz/main.c
+++ b/tests/fuzz/main.c
@@ -1,8 +1,10 @@
 /**
  * @file main.c
  * Fuzzer: feeds random input to an HTTP server and to the decoders of JSON and
- * protobuf. Meant for the build with sanitizers, which detect the faults. First
- * it feeds the inputs of earlier crashes, the files in tests/fuzz/cases.
+ * protobuf. Guards against input that crashes a host, or whose connection or
+ * bytes it never frees. Meant for the build with sanitizers, which detect the
+ * faults. First it feeds the inputs of earlier faults, the files in
+ * tests/fuzz/cases.
  *
  * --save keeps the input of a crash, which is then added to these files. It is
  * slow, so use it with the rounds near the crash (--first).
--- a/tests/unit/script_adapter.c
+++ b/tests/unit/script_adapter.c
@@ -215,6 +215,22 @@
 	json_decref(input);
 }
 
+/** Prints the settings of the limits for clients that are not 0. */
+static void show_limits(const mt_entry_settings_t *settings, GString *out)
+{
+	const mt_host_resources_t *resources = &settings->resources;
+
+	if (resources->memory_mb)
+		g_string_append_printf(out, ", memory %u MB",
+				       resources->memory_mb);
+	if (resources->max_fds)
+		g_string_append_printf(out, ", %u descriptors",
+				       resources->max_fds);
+	if (settings->max_body_bytes)
+		g_string_append_printf(out, ", bodies of %u bytes",
+				       settings->max_body_bytes);
+}
+
 /** Prints what was read from a settings file of mimosaturn-entry, or why not.
  */
 static void show_settings(const char *text, GString *out)
@@ -227,12 +243,15 @@
 	g_assert(fd >= 0);
 	close(fd);
 	g_file_set_contents(path, text, -1, NULL);
-	if (mt_entry_settings_read(path, &settings, &error))
-		g_string_append_printf(out, "%s in %s, evacuation %u ms\n",
+	if (mt_entry_settings_read(path, &settings, &error)) {
+		g_string_append_printf(out, "%s in %s, evacuation %u ms",
 				       settings.host.text, settings.dc.text,
 				       (unsigned)settings.evacuation_ms);
-	else
+		show_limits(&settings, out);
+		g_string_append(out, "\n");
+	} else {
 		g_string_append_printf(out, "%s\n", error->message);
+	}
 	g_clear_error(&error);
 	unlink(path);
 	g_free(path);
--- a/tests/unit/test_http_guard.c
+++ b/tests/unit/test_http_guard.c
@@ -43,8 +43,8 @@
 }
 
 /**
- * Pattern: many bodies stop just before their end. The one that has stood still
- * for the longest time is closed, and not one that makes progress.
+ * Guards against many bodies that stop just before their end. The one that has
+ * stood still for the longest time is closed, and not one that makes progress.
  */
 static void stalled_bodies_are_closed_first(void)
 {
@@ -69,7 +69,10 @@
 	mt_http_guard_free(guard);
 }
 
-/** A request that the handler has may be stored: its answer must be sent. */
+/**
+ * Guards against a stored job whose client gets no answer: a request that the
+ * handler has may be stored.
+ */
 static void requests_of_the_handler_are_not_closed(void)
 {
 	mt_http_limits_t limits = make_limits();
@@ -95,7 +98,7 @@
 	mt_http_guard_free(guard);
 }
 
-/** An account that uses up its budget costs other accounts nothing. */
+/** Guards against an account that uses up the budgets of other accounts. */
 static void an_account_closes_its_own_connections(void)
 {
 	mt_http_limits_t limits = make_limits();
@@ -147,25 +150,35 @@
 	mt_http_guard_free(guard);
 }
 
-/** The largest request is served on each host when nothing else happens. */
+/**
+ * Guards against a small host that refuses the largest request: its budgets
+ * hold four of them, each in a buffer of twice its size.
+ */
 static void budgets_hold_the_largest_request(void)
 {
 	mt_http_limits_t limits = make_limits();
 	const mt_http_limits_t *raised;
 	mt_http_guard_t *guard;
+	mt_guarded_t connections[CONNECTIONS];
+	mt_http_reason_t reason;
+	mt_name_t account = mt_name("large");
+	size_t buffer_bytes = 2 * (BODY_BYTES + limits.header_max_bytes);
 
 	limits.buffered_max_bytes = 1;
 	limits.account_max_bytes = 1;
 	guard = mt_http_guard_new(&limits);
 	raised = mt_http_guard_limits(guard);
-	CU_ASSERT_TRUE(raised->buffered_max_bytes >=
-		       2 * (BODY_BYTES + limits.header_max_bytes));
-	CU_ASSERT_TRUE(raised->account_max_bytes >=
-		       2 * (BODY_BYTES + limits.header_max_bytes));
+	CU_ASSERT_TRUE(raised->buffered_max_bytes >= 4 * buffer_bytes);
+	CU_ASSERT_TRUE(raised->account_max_bytes >= 4 * buffer_bytes);
+	add_bodies(guard, connections, 4, buffer_bytes);
+	for (unsigned i = 0; i < 4; i++)
+		mt_http_guard_set_account(guard, &connections[i], &account);
+	CU_ASSERT_PTR_NULL(
+		mt_http_guard_over_budget(guard, &connections[3], &reason));
 	mt_http_guard_free(guard);
 }
 
-/** Pattern: connections that send nothing use up the descriptors. */
+/** Guards against connections that send nothing and use up the descriptors. */
 static void idle_connections_make_room(void)
 {
 	mt_http_limits_t limits = make_limits();
@@ -212,6 +225,7 @@
 	return reason;
 }
 
+/** Guards against clients that hold a connection by sending slowly or never. */
 static void slow_connections_are_overdue(void)
 {
 	CU_ASSERT_EQUAL(overdue_in(MT_HTTP_PHASE_IDLE, 0, 0, 30000),
@@ -230,6 +244,7 @@
 			MT_HTTP_REASON_LINGERED);
 }
 
+/** Guards against deadlines that clients inside the platform's limits reach. */
 static void ordinary_connections_are_not_overdue(void)
 {
 	CU_ASSERT_EQUAL(overdue_in(MT_HTTP_PHASE_IDLE, 0, 0, ORDINARY_IDLE_MS),
@@ -244,7 +259,9 @@
 		       ORDINARY_HEADER_BYTES);
 }
 
-/** The parts of the smallest host of the platform add up to less than it has.
+/**
+ * Guards against parts that together exceed the memory or the descriptors of
+ * the smallest host of the platform.
  */
 static void the_smallest_host_is_not_exceeded(void)
 {
@@ -272,7 +289,10 @@
 		       clients.connections_max);
 }
 
-/** Without the settings, the budgets are far above what clients use. */
+/**
+ * Guards against smaller limits in deployments whose settings do not mention
+ * the memory and the descriptors.
+ */
 static void unknown_resources_leave_the_defaults(void)
 {
 	mt_host_resources_t unknown = {0, 0};
--- a/tests/unit/test_odd_entries.c
+++ b/tests/unit/test_odd_entries.c
@@ -358,8 +358,8 @@
 }
 
 /**
- * Pattern: a body of 1 MiB that consists of empty objects takes 80 MB when it
- * is decoded.
+ * Guards against jobs that use up the memory: a body of 1 MiB that consists of
+ * empty objects takes 80 MB when it is decoded.
  */
 static void jobs_that_take_much_memory_are_refused(void)
 {
@@ -371,7 +371,33 @@
 	CU_ASSERT_TRUE(takes_job_with("\"[,[,[,\"", 60000));
 }
 
+/**
+ * Guards against text in strings that is counted, and against values that are
+ * refused at the limit. Each text has three containers and four commas.
+ */
+static void json_is_within_its_limits(void)
+{
+	static const char *const texts[] = {
+		"{\"a\":[1,2,{\"b\":3,\"c\":4}],\"d\":5}",
+		"{\"a\":[1,2,{\"b\":\"[,{\",\"c\":4}],\"d\":5}",
+		"{\"a\":[1,2,{\"b\":\"\\\"[,{\",\"c\":4}],\"d\":5}",
+		"{\"a\":[1,2,{\"b\":\"\\\\\",\"c\":4}],\"d\":5}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		mt_str_t text = mt_str_from(texts[i]);
+
+		CU_ASSERT_TRUE(mt_json_is_within(text, 3, 4));
+		CU_ASSERT_FALSE(mt_json_is_within(text, 2, 4));
+		CU_ASSERT_FALSE(mt_json_is_within(text, 3, 3));
+	}
+	CU_ASSERT_TRUE(mt_json_is_within(MT_STR(""), 0, 0));
+	/* A backslash at the end, in a string that does not end. */
+	CU_ASSERT_TRUE(mt_json_is_within(MT_STR("\"[,\\"), 0, 0));
+}
+
 const mt_test_t mt_odd_entries_tests[] = {
+	{"JSON is within its limits", json_is_within_its_limits},
 	{"jobs that take much memory are refused",
 	 jobs_that_take_much_memory_are_refused},
 	{"an odd server costs only itself", an_odd_server_costs_only_itself},
