--- a/lib/net/http_connection.c
+++ b/lib/net/http_connection.c
@@ -16,6 +16,9 @@
 /** Size of the buffer for input that is discarded. */
 #define DISCARD_BYTES 65536u
 
+/** Size of the buffer for the answer of a refusal. */
+#define REFUSAL_MAX_BYTES 160u
+
 /** Maximum number of header lines, as in h2o. */
 #define HEADER_LINES_MAX H2O_MAX_HEADERS
 
@@ -48,9 +51,10 @@
 	void *header_check_ctx;
 	unsigned count;	       /**< open connections, with refused ones */
 	GHashTable *by_socket; /**< h2o_socket_t to mt_connection_t */
-	/** Connections whose request has ended, see watch_reads(). */
-	GPtrArray *unwatched;
-	uv_prepare_t before_poll; /**< active while there are unwatched ones */
+	/** Connections whose request has ended, see install_read_callbacks().
+	 */
+	GPtrArray *to_resume;
+	uv_prepare_t before_poll; /**< active while `to_resume` is not empty */
 	uint64_t check_timer;	  /**< active while there are connections */
 	char discarded[DISCARD_BYTES];
 };
@@ -60,6 +64,7 @@
 	mt_connections_t *connections;
 	mt_guarded_t guarded;
 	bool is_guarded;
+	bool resumes; /**< in mt_connections_t.to_resume */
 	h2o_socket_t *socket;
 	/* The callbacks with which h2o reads. */
 	uv_alloc_cb h2o_alloc;
@@ -145,10 +150,13 @@
 						     : MT_HTTP_PHASE_ABORTED);
 }
 
-/** @return false if the socket does not take the whole response at once */
+/**
+ * Sends an answer without a reason phrase, which may be empty (RFC 9112).
+ * @return false if the socket does not take the whole answer at once
+ */
 static bool write_refusal(mt_connection_t *connection, int status)
 {
-	char text[160];
+	char text[REFUSAL_MAX_BYTES];
 	int len = g_snprintf(text, sizeof(text),
 			     "HTTP/1.1 %d \r\n%s"
 			     "Content-Type: application/json\r\n"
@@ -158,6 +166,8 @@
 							  : "");
 	uv_buf_t buf = uv_buf_init(text, (unsigned)len);
 
+	if (len < 0 || (size_t)len >= sizeof(text))
+		return false;
 	return uv_try_write(stream_of(connection), &buf, 1) == len;
 }
 
@@ -216,7 +226,11 @@
 	return (mt_str_t){0};
 }
 
-/** Has the complete header of an incomplete request checked. */
+/**
+ * Has the complete header of an incomplete request checked. A target that is
+ * no path ("http://host/path", "*") is not checked, since h2o derives path and
+ * authority from it by rules of its own; the handler decides on the request.
+ */
 static void check_header(mt_connection_t *connection, mt_http_header_t *header)
 {
 	mt_connections_t *connections = connection->connections;
@@ -225,14 +239,15 @@
 	int status;
 
 	set_phase(connection, MT_HTTP_PHASE_BODY);
-	if (!connections->header_check)
+	if (!connections->header_check || !header->path.len ||
+	    header->path.data[0] != '/')
 		return;
 	if (query)
 		header->path.len = (size_t)(query - header->path.data);
 	status = connections->header_check(connections->header_check_ctx,
 					   header, &account);
 	if (status)
-		refuse(connection, status, MT_HTTP_REASON_HEADER_CHECK);
+		refuse(connection, status, MT_HTTP_REASON_HEADER_REFUSED);
 	else
 		mt_http_guard_set_account(connections->guard,
 					  &connection->guarded, &account);
@@ -336,8 +351,11 @@
 	after_read(connection);
 }
 
-/** Replaces the callbacks of h2o, if it reads with its own. */
-static void watch_reads(mt_connection_t *connection)
+/**
+ * Replaces the callbacks of h2o, if it reads with its own: from the start of a
+ * connection, and again after each request, during which it does not read.
+ */
+static void install_read_callbacks(mt_connection_t *connection)
 {
 	uv_stream_t *stream = stream_of(connection);
 
@@ -355,13 +373,14 @@
 {
 	mt_connections_t *connections = handle->data;
 
-	for (guint i = 0; i < connections->unwatched->len; i++) {
-		mt_connection_t *connection = connections->unwatched->pdata[i];
+	for (guint i = 0; i < connections->to_resume->len; i++) {
+		mt_connection_t *connection = connections->to_resume->pdata[i];
 
-		watch_reads(connection);
+		connection->resumes = false;
+		install_read_callbacks(connection);
 		after_read(connection);
 	}
-	g_ptr_array_set_size(connections->unwatched, 0);
+	g_ptr_array_set_size(connections->to_resume, 0);
 	uv_prepare_stop(handle);
 }
 
@@ -408,7 +427,9 @@
 
 	if (connection->is_guarded) {
 		g_hash_table_remove(connections->by_socket, connection->socket);
-		g_ptr_array_remove_fast(connections->unwatched, connection);
+		if (connection->resumes)
+			g_ptr_array_remove_fast(connections->to_resume,
+						connection);
 		mt_http_guard_remove(connections->guard, &connection->guarded);
 	}
 	if (--connections->count == 0) {
@@ -435,17 +456,17 @@
 /** @return false when the new connection must be closed */
 static bool make_room(mt_connections_t *connections)
 {
-	mt_guarded_t *victim;
-	bool admitted = mt_http_guard_may_add(connections->guard, &victim);
+	mt_guarded_t *to_close;
+	bool admitted = mt_http_guard_may_add(connections->guard, &to_close);
 
-	if (victim) {
+	if (to_close) {
 		mt_http_guard_count(connections->guard,
 				    MT_HTTP_REASON_CONNECTIONS);
-		if (victim->phase == MT_HTTP_PHASE_HEADER ||
-		    victim->phase == MT_HTTP_PHASE_BODY)
-			write_refusal(connection_of(victim),
+		if (to_close->phase == MT_HTTP_PHASE_HEADER ||
+		    to_close->phase == MT_HTTP_PHASE_BODY)
+			write_refusal(connection_of(to_close),
 				      STATUS_UNAVAILABLE);
-		abort_connection(connection_of(victim));
+		abort_connection(connection_of(to_close));
 	}
 	if (!admitted)
 		mt_http_guard_count(connections->guard,
@@ -458,8 +479,11 @@
 {
 	mt_connection_t *connection = new_connection(connections);
 
-	if (uv_accept(listener, stream_of(connection)) ||
-	    !make_room(connections)) {
+	bool accepted = !uv_accept(listener, stream_of(connection));
+
+	if (!accepted)
+		mt_http_guard_count(connections->guard, MT_HTTP_REASON_ACCEPT);
+	if (!accepted || !make_room(connections)) {
 		uv_close((uv_handle_t *)&connection->tcp, on_closed);
 		return;
 	}
@@ -471,7 +495,7 @@
 	g_hash_table_insert(connections->by_socket, connection->socket,
 			    connection);
 	h2o_accept(accept, connection->socket);
-	watch_reads(connection);
+	install_read_callbacks(connection);
 }
 
 mt_connections_t *mt_connections_new(mt_loop_t *loop,
@@ -482,7 +506,7 @@
 	connections->loop = loop;
 	connections->guard = mt_http_guard_new(limits);
 	connections->by_socket = g_hash_table_new(NULL, NULL);
-	connections->unwatched = g_ptr_array_new();
+	connections->to_resume = g_ptr_array_new();
 	uv_prepare_init(mt_loop_uv(loop), &connections->before_poll);
 	connections->before_poll.data = connections;
 	return connections;
@@ -497,7 +521,7 @@
 {
 	mt_http_guard_free(connections->guard);
 	g_hash_table_unref(connections->by_socket);
-	g_ptr_array_unref(connections->unwatched);
+	g_ptr_array_unref(connections->to_resume);
 	uv_close((uv_handle_t *)&connections->before_poll, on_prepare_closed);
 }
 
@@ -550,6 +574,10 @@
 	set_phase(connection, MT_HTTP_PHASE_IDLE);
 	mt_http_guard_set_bytes(connections->guard, &connection->guarded, 0, 0,
 				0, now_ms(connections));
-	g_ptr_array_add(connections->unwatched, connection);
+	/* Several pipelined requests may end before the loop polls again. */
+	if (connection->resumes)
+		return;
+	connection->resumes = true;
+	g_ptr_array_add(connections->to_resume, connection);
 	uv_prepare_start(&connections->before_poll, on_before_poll);
 }
--- a/lib/net/http_guard.c
+++ b/lib/net/http_guard.c
@@ -21,12 +21,21 @@
 /** How long input is thrown away after a refusal. */
 #define LINGER_MS 1000u
 
-/* Defaults. */
+/*
+ * Defaults. Clients inside the limits of the platform reach none of them: their
+ * headers have at most 16 KiB and are sent within 3 s, and they are idle for at
+ * most 15 s.
+ */
+
+/** For hosts whose memory is not known: 30 requests with bodies of 1 MiB. */
 #define DEFAULT_BUFFERED_BYTES (64u * 1024u * 1024u)
 #define DEFAULT_HEADER_BYTES (64u * 1024u)
 #define DEFAULT_IDLE_MS 20000u
 #define DEFAULT_HEADER_MS 10000u
+/** Longer than several retransmissions of a lost packet take. */
 #define DEFAULT_TRANSFER_MS 10000u
+/** A body of 1 MiB may take 128 s; slower clients would hold their buffer for
+ * minutes. */
 #define DEFAULT_RATE_BYTES_PER_S 8192u
 
 /** Used if the process's own limit of descriptors cannot be read. */
@@ -49,12 +58,13 @@
 
 static const char *const reason_names[] = {
 	[MT_HTTP_REASON_NONE] = "none",
+	[MT_HTTP_REASON_ACCEPT] = "accept_failed",
 	[MT_HTTP_REASON_CONNECTIONS] = "connections",
 	[MT_HTTP_REASON_BUFFERED] = "buffered_bytes",
 	[MT_HTTP_REASON_ACCOUNT] = "account_bytes",
 	[MT_HTTP_REASON_REJECTED] = "rejected",
 	[MT_HTTP_REASON_HEADER_SIZE] = "header_size",
-	[MT_HTTP_REASON_HEADER_CHECK] = "header_refused",
+	[MT_HTTP_REASON_HEADER_REFUSED] = "header_refused",
 	[MT_HTTP_REASON_IDLE] = "idle",
 	[MT_HTTP_REASON_HEADER_TIME] = "header_time",
 	[MT_HTTP_REASON_BODY_TIME] = "body_time",
@@ -237,9 +247,13 @@
 void mt_http_guard_set_account(mt_http_guard_t *guard, mt_guarded_t *connection,
 			       const mt_name_t *name)
 {
-	mt_guarded_account_t *account =
-		g_hash_table_lookup(guard->accounts, name);
+	mt_guarded_account_t *account;
 
+	if (!name->len) {
+		clear_account(guard, connection);
+		return;
+	}
+	account = g_hash_table_lookup(guard->accounts, name);
 	if (!account) {
 		account = g_new0(mt_guarded_account_t, 1);
 		account->name = *name;
@@ -260,21 +274,34 @@
 	       connection->phase == MT_HTTP_PHASE_RESPONSE;
 }
 
+/** Whether closing the connection frees bytes of the account; NULL: of any. */
+static bool frees_bytes(const mt_guarded_t *connection,
+			const mt_guarded_account_t *account)
+{
+	return can_close(connection) && bytes_of(connection) &&
+	       (!account || connection->account == account);
+}
+
+/** Whether closing the connection frees a descriptor of the server. */
+static bool frees_descriptor(const mt_guarded_t *connection,
+			     const mt_guarded_account_t *account)
+{
+	return can_close(connection) ||
+	       connection->phase == MT_HTTP_PHASE_LINGER;
+}
+
 /**
- * The connection with buffered bytes that has been without progress for the
- * longest time.
- * @param account only its connections; NULL: all
+ * The matching connection that has been without progress for the longest time.
  */
-static mt_guarded_t *find_slowest(const mt_http_guard_t *guard,
-				  const mt_guarded_account_t *account)
+static mt_guarded_t *
+find_slowest(const mt_http_guard_t *guard,
+	     bool (*matches)(const mt_guarded_t *connection,
+			     const mt_guarded_account_t *account),
+	     const mt_guarded_account_t *account)
 {
-	for (GList *link = guard->connections.head; link; link = link->next) {
-		mt_guarded_t *connection = link->data;
-
-		if (can_close(connection) && bytes_of(connection) &&
-		    (!account || connection->account == account))
-			return connection;
-	}
+	for (GList *link = guard->connections.head; link; link = link->next)
+		if (matches(link->data, account))
+			return link->data;
 	return NULL;
 }
 
@@ -286,44 +313,36 @@
 
 	if (account && account->bytes > guard->limits.account_max_bytes) {
 		*reason = MT_HTTP_REASON_ACCOUNT;
-		return find_slowest(guard, account);
+		return find_slowest(guard, frees_bytes, account);
 	}
 	if (guard->stats.buffered_bytes > guard->limits.buffered_max_bytes) {
 		*reason = MT_HTTP_REASON_BUFFERED;
-		return find_slowest(guard, NULL);
+		return find_slowest(guard, frees_bytes, NULL);
 	}
 	return NULL;
 }
 
-bool mt_http_guard_may_add(mt_http_guard_t *guard, mt_guarded_t **victim)
+bool mt_http_guard_may_add(mt_http_guard_t *guard, mt_guarded_t **to_close)
 {
 	unsigned max = guard->limits.connections_max;
 	unsigned extra = max / EXTRA_CONNECTIONS_DIVISOR;
 
-	*victim = NULL;
+	*to_close = NULL;
 	if (guard->stats.connections < max)
 		return true;
-	for (GList *link = guard->connections.head; link; link = link->next) {
-		mt_guarded_t *connection = link->data;
-
-		if (can_close(connection) ||
-		    connection->phase == MT_HTTP_PHASE_LINGER) {
-			*victim = connection;
-			return guard->stats.connections < max + extra;
-		}
-	}
-	return false;
+	*to_close = find_slowest(guard, frees_descriptor, NULL);
+	return *to_close && guard->stats.connections < max + extra;
 }
 
 /* Deadlines. */
 
 /** True when a body or response is too slow or stands still. */
 static bool is_transfer_overdue(const mt_http_limits_t *limits,
-				const mt_guarded_t *connection, size_t bytes,
-				mt_ms_t now)
+				const mt_guarded_t *connection, mt_ms_t now)
 {
-	mt_ms_t allowed = limits->transfer_ms +
-			  bytes * MS_PER_S / limits->rate_min_bytes_per_s;
+	mt_ms_t allowed =
+		limits->transfer_ms + connection->transferred * MS_PER_S /
+					      limits->rate_min_bytes_per_s;
 
 	return now - connection->progress_at > limits->transfer_ms ||
 	       now - connection->phase_since > allowed;
@@ -344,13 +363,11 @@
 		return age > limits->header_ms ? MT_HTTP_REASON_HEADER_TIME
 					       : MT_HTTP_REASON_NONE;
 	case MT_HTTP_PHASE_BODY:
-		return is_transfer_overdue(limits, connection,
-					   connection->transferred, now)
+		return is_transfer_overdue(limits, connection, now)
 			       ? MT_HTTP_REASON_BODY_TIME
 			       : MT_HTTP_REASON_NONE;
 	case MT_HTTP_PHASE_RESPONSE:
-		return is_transfer_overdue(limits, connection,
-					   connection->transferred, now)
+		return is_transfer_overdue(limits, connection, now)
 			       ? MT_HTTP_REASON_RESPONSE_TIME
 			       : MT_HTTP_REASON_NONE;
 	case MT_HTTP_PHASE_LINGER:
--- a/lib/net/http_guard.h
+++ b/lib/net/http_guard.h
@@ -2,8 +2,9 @@
  * @file http_guard.h
  * Limits of the connections of an HTTP server: budgets of buffered bytes, the
  * number of connections, and deadlines. Decides which connections are to be
- * closed; has no I/O and no clock. http_server.c reports to it what connections
- * do, and closes them.
+ * closed; has no I/O and no clock, except that mt_http_limits_default() reads
+ * the process's limit of descriptors. http_connection.c reports to it what
+ * connections do, and closes them.
  */
 #ifndef MT_NET_HTTP_GUARD_H
 #define MT_NET_HTTP_GUARD_H
@@ -45,17 +46,18 @@
 /** Why a connection is closed or a request refused. */
 typedef enum mt_http_reason_t {
 	MT_HTTP_REASON_NONE,
-	MT_HTTP_REASON_CONNECTIONS,   /**< too many connections */
-	MT_HTTP_REASON_BUFFERED,      /**< over buffered_max_bytes */
-	MT_HTTP_REASON_ACCOUNT,	      /**< over account_max_bytes */
-	MT_HTTP_REASON_REJECTED,      /**< malformed, or over body_max_bytes */
-	MT_HTTP_REASON_HEADER_SIZE,   /**< over header_max_bytes */
-	MT_HTTP_REASON_HEADER_CHECK,  /**< see mt_http_header_cb */
-	MT_HTTP_REASON_IDLE,	      /**< over idle_ms */
-	MT_HTTP_REASON_HEADER_TIME,   /**< over header_ms */
-	MT_HTTP_REASON_BODY_TIME,     /**< body too slow */
-	MT_HTTP_REASON_RESPONSE_TIME, /**< response read too slowly */
-	MT_HTTP_REASON_LINGERED,      /**< the time after a refusal is over */
+	MT_HTTP_REASON_ACCEPT,	       /**< the system could not accept it */
+	MT_HTTP_REASON_CONNECTIONS,    /**< too many connections */
+	MT_HTTP_REASON_BUFFERED,       /**< over buffered_max_bytes */
+	MT_HTTP_REASON_ACCOUNT,	       /**< over account_max_bytes */
+	MT_HTTP_REASON_REJECTED,       /**< malformed, or over body_max_bytes */
+	MT_HTTP_REASON_HEADER_SIZE,    /**< over header_max_bytes */
+	MT_HTTP_REASON_HEADER_REFUSED, /**< see mt_http_header_cb */
+	MT_HTTP_REASON_IDLE,	       /**< over idle_ms */
+	MT_HTTP_REASON_HEADER_TIME,    /**< over header_ms */
+	MT_HTTP_REASON_BODY_TIME,      /**< body too slow */
+	MT_HTTP_REASON_RESPONSE_TIME,  /**< response read too slowly */
+	MT_HTTP_REASON_LINGERED,       /**< the time after a refusal is over */
 	MT_HTTP_REASON_COUNT,
 } mt_http_reason_t;
 
@@ -87,13 +89,20 @@
 
 typedef struct mt_http_guard_t mt_http_guard_t;
 
-/** Limits that no client reaches in ordinary use. */
+/**
+ * Limits that no client reaches in ordinary use. The connections are at most
+ * half of the descriptors that the process may open, as read with getrlimit().
+ */
 mt_http_limits_t mt_http_limits_default(size_t body_max_bytes);
 
 mt_http_guard_t *mt_http_guard_new(const mt_http_limits_t *limits);
 void mt_http_guard_free(mt_http_guard_t *guard);
 
-/** Raises budgets that are too small for four requests. */
+/**
+ * Sets the limits. Budgets that are too small for four requests of the maximum
+ * size are raised, and `connections_max` to at least 1; see
+ * mt_http_guard_limits() for the result.
+ */
 void mt_http_guard_set_limits(mt_http_guard_t *guard,
 			      const mt_http_limits_t *limits);
 const mt_http_limits_t *mt_http_guard_limits(const mt_http_guard_t *guard);
@@ -120,7 +129,11 @@
 			     size_t input_bytes, size_t output_bytes,
 			     size_t transferred, mt_ms_t now);
 
-/** Sets the client account of the present request, until its phase is idle. */
+/**
+ * Sets the client account of the present request, until its phase is idle.
+ * @param account if empty, the request counts against the budget of the server
+ *                only: requests to public queues would share one account
+ */
 void mt_http_guard_set_account(mt_http_guard_t *guard, mt_guarded_t *connection,
 			       const mt_name_t *account);
 
@@ -137,10 +150,10 @@
 
 /**
  * Decides on a new connection before it is added.
- * @param victim receives the connection to close first, or NULL
+ * @param to_close receives the connection to close first, or NULL
  * @return false when the new connection is to be closed at once
  */
-bool mt_http_guard_may_add(mt_http_guard_t *guard, mt_guarded_t **victim);
+bool mt_http_guard_may_add(mt_http_guard_t *guard, mt_guarded_t **to_close);
 
 /** Why the connection is overdue, or MT_HTTP_REASON_NONE. */
 mt_http_reason_t mt_http_guard_overdue(const mt_http_guard_t *guard,
--- a/lib/net/http_server.h
+++ b/lib/net/http_server.h
@@ -41,7 +41,8 @@
 } mt_http_header_t;
 
 /**
- * Checks the header of a request whose body is still being received.
+ * Checks the header of a request whose body is still being received. Not called
+ * for a request target that does not begin with '/'.
  * @param account receives the client account whose budget the request counts
  *                against; may stay empty
  * @return 0 to receive the body, or the status of a refusal
@@ -59,7 +60,11 @@
 
 const mt_http_limits_t *mt_http_server_limits(const mt_http_server_t *server);
 
-/** Replaces the limits of the server. */
+/**
+ * Replaces the limits of the server, for open connections too. Some are raised,
+ * see mt_http_guard_set_limits(); mt_http_server_limits() has the limits in
+ * force.
+ */
 void mt_http_server_set_limits(mt_http_server_t *server,
 			       const mt_http_limits_t *limits);
 
--- a/tests/scripts/hostile-clients.sh
+++ b/tests/scripts/hostile-clients.sh
@@ -110,8 +110,8 @@
 	return 1
 }
 
-# submit ID: submits a job to the target; prints the answer to the first request
-# that was not told to be repeated, or the last answer after WAIT_S
+# submit ID: submits a job to the target until it is accepted; prints the answer,
+# or the last one after WAIT_S
 submit() {
 	local answer until=$((SECONDS + WAIT_S))
 	while [ $SECONDS -lt $until ]; do
@@ -134,6 +134,18 @@
 	done
 }
 
+# Waits until host 0 or 1 is the leader, and prints its index.  The target, which
+# the previous case killed, may have been the leader until then.
+wait_leader() {
+	local leader until=$((SECONDS + WAIT_S))
+	while [ $SECONDS -lt $until ]; do
+		leader=$(find_leader)
+		[ -n "$leader" ] && break
+		sleep 0.1
+	done
+	echo "$leader"
+}
+
 # Writes the largest number of descriptors of a process to $WORK/fds until the
 # process ends.
 # watch_descriptors PID
@@ -221,6 +233,9 @@
 	local good="Authorization: Token good\\r\\n"
 	start_entry "$TARGET"
 	wait_ready "$TARGET"
+	check "servers whose limits are logged" 4 "$(grep \
+		'"event":"client_limits",' "$WORK/host-$TARGET.log" |
+		grep -o '"server":"[a-z]*"' | sort -u | wc -l)"
 	check "unknown key" "HTTP/1.1 401 " "$(first_line \
 		"Authorization: Token bad\\r\\nContent-Length: 1000\\r\\n")"
 	check "no key" "HTTP/1.1 401 " \
@@ -262,8 +277,9 @@
 		PORT=$((FIRST_PORT + 70 + TARGET)) run_case "$kind" \
 			"chunked piecewise headers silent" $((CLIENTS / 4))
 	elif [ "$kind" = leader ]; then
-		run_case "$kind" "$CLIENT_KINDS" $((CLIENTS / 10)) \
-			"$(find_leader)"
+		leader=$(wait_leader)
+		check "$kind: number of leaders" 1 "$(wc -w <<<"$leader")"
+		run_case "$kind" "$CLIENT_KINDS" $((CLIENTS / 10)) "$leader"
 	else
 		run_case "$kind" "$kind" "$CLIENTS"
 	fi
