--- a/lib/dag/admission.c
+++ b/lib/dag/admission.c
@@ -7,7 +7,7 @@
 
 /**
  * A job is refused if it is expected to start later than this multiple of its
- * objective.
+ * objective: its result is then of no use to the client.
  */
 #define USEFUL_OBJECTIVES 3u
 
--- a/lib/dag/candidates.c
+++ b/lib/dag/candidates.c
@@ -196,8 +196,8 @@
 }
 
 /**
- * True if the job would miss its objective even if it started now, by
- * DEFER_MAX_MS at most.
+ * True if the job would miss its objective even if it started now, but by no
+ * more than DEFER_MAX_MS: later jobs come in the usual order again.
  */
 static bool is_late(const mt_planner_t *planner, const mt_dag_job_t *job)
 {
--- a/lib/dag/commands.c
+++ b/lib/dag/commands.c
@@ -270,7 +270,7 @@
 }
 
 /** True if this host's copies are recent enough for a start to be sent. */
-static bool may_start_by_age(const mt_engine_t *engine)
+static bool copies_are_recent(const mt_engine_t *engine)
 {
 	return records_age(engine) <= START_STALENESS_MAX_MS &&
 	       (!engine->deps.evacuations ||
@@ -305,7 +305,7 @@
 		mt_commands_hold(engine, backend);
 		return;
 	}
-	if (!may_start_by_age(engine))
+	if (!copies_are_recent(engine))
 		return;
 	if (task->step->job->queue.advised && !command.ticket) {
 		handle_start_without_effect(engine, task, 0);
--- a/lib/dag/plan_speed.c
+++ b/lib/dag/plan_speed.c
@@ -17,7 +17,7 @@
  */
 #define RUN_TIME_MARGIN 1.25
 
-/** Time that preempted runs need to end, for a unit that has waited in vain. */
+/** Time from a preemption until the resources of the stopped runs are free. */
 #define STOP_TIME_MS 500
 
 /*
--- a/lib/dag/planner_internal.h
+++ b/lib/dag/planner_internal.h
@@ -18,9 +18,9 @@
 	/** Local time; see latest_start() in candidates.c. */
 	int64_t latest_start_ms;
 	mt_ms_t waited_ms; /**< time since step->waiting_since */
-	/* Only set if load is to be shed and the service is contended, and not
-	 * for guaranteed jobs or for longer than DEFER_MAX_MS (candidates.c).
-	 */
+	/* The next two are only set if load is to be shed and the service is
+	 * contended, and never for guaranteed jobs. The step then comes after
+	 * others, for DEFER_MAX_MS (candidates.c) at most. */
 	bool late; /**< the job can no longer meet its objective */
 	/** The job's account uses more than an even share of what is left of
 	 * the service beyond the guarantees. */
--- a/lib/dag/relocation.c
+++ b/lib/dag/relocation.c
@@ -23,7 +23,7 @@
  * A run that writes checkpoints is moved away from a draining server this long
  * before the server's deadline, if it would not end before the deadline.
  */
-#define EVACUATE_BEFORE_DEADLINE_MS 1500u
+#define MOVE_BEFORE_DEADLINE_MS 1500u
 
 #define PERCENT_MAX 100u
 
@@ -374,10 +374,10 @@
 /**
  * True if the run must be moved now because its server drains and would stop
  * before the run ends. A run that writes checkpoints is moved only
- * EVACUATE_BEFORE_DEADLINE_MS before the server's deadline, other runs at once.
+ * MOVE_BEFORE_DEADLINE_MS before the server's deadline, other runs at once.
  */
-static bool should_evacuate(const mt_engine_t *engine,
-			    const mt_dag_task_t *task, mt_ms_t now)
+static bool should_move_before_stop(const mt_engine_t *engine,
+				    const mt_dag_task_t *task, mt_ms_t now)
 {
 	mt_ms_t drain_deadline = task->server->drain_deadline;
 	mt_ms_t left = drain_deadline > now ? drain_deadline - now : 0;
@@ -386,7 +386,7 @@
 	    time_left(engine, task) <= left)
 		return false;
 	return !task->step->spec->checkpointing ||
-	       left <= EVACUATE_BEFORE_DEADLINE_MS;
+	       left <= MOVE_BEFORE_DEADLINE_MS;
 }
 
 /** Stops a run, or its whole gang, so that it is placed again. */
@@ -426,7 +426,7 @@
 		} else if (crawls(engine, task, now)) {
 			note_moved_from_slow(task);
 			relocate(engine, task, "its server is slow");
-		} else if (should_evacuate(engine, task, now)) {
+		} else if (should_move_before_stop(engine, task, now)) {
 			relocate(engine, task, "its server leaves");
 		}
 	}
