--- a/tests/scripts/entry-hosts.sh
+++ b/tests/scripts/entry-hosts.sh
@@ -129,10 +129,11 @@
 	curl -s -m 4 "http://127.0.0.1:$FIRST_PORT/test/evacuate?on=$1"
 }
 
-# Prints the index of the running host that is the leader according to its log.
-# A host logs office_won when it becomes the leader, and office_left when it stops
-# being the leader. A host that was killed and started again does not lead.
-find_leader() {
+# Prints the index of the running host that is the leader according to its log, if
+# there is one.  A host logs office_won when it becomes the leader, and office_left
+# when it stops being the leader. A host that was killed and started again does not
+# lead.
+logged_leader() {
 	local i last
 	for i in $(seq 0 $((HOST_COUNT - 1))); do
 		last=$(grep -h -E '"event":"(office_won|office_left|starting)"' \
@@ -145,6 +146,20 @@
 	done | head -1
 }
 
+# Prints the index of the leader; waits for one while the leadership changes.
+find_leader() {
+	local found until=$((SECONDS + WAIT_S))
+	while [ $SECONDS -lt $until ]; do
+		found=$(logged_leader)
+		if [ -n "$found" ]; then
+			echo "$found"
+			return
+		fi
+		sleep 0.05
+	done
+	echo "no host leads after $WAIT_S s" >&2
+}
+
 # job TASKS ESTIMATE_MS [MORE_FIELDS]: prints a job of one step
 job() {
 	printf '{"spec":"scan","steps":[{"count":%d,"cpu":4000,"mem_mb":1000,"gpu":1,"estimate_ms":%d%s}]}' \
