--- a/lib/net/http_guard.h
+++ b/lib/net/http_guard.h
@@ -46,7 +46,8 @@
 /** Why a connection is closed or a request refused. */
 typedef enum mt_http_reason_t {
 	MT_HTTP_REASON_NONE,
-	MT_HTTP_REASON_ACCEPT,	       /**< the system could not accept it */
+	MT_HTTP_REASON_ACCEPT,	       /**< accept() failed, but not for EMFILE,
+					 which libuv handles itself */
 	MT_HTTP_REASON_CONNECTIONS,    /**< too many connections */
 	MT_HTTP_REASON_BUFFERED,       /**< over buffered_max_bytes */
 	MT_HTTP_REASON_ACCOUNT,	       /**< over account_max_bytes */
