--- a/lib/dag/account_use.c
+++ b/lib/dag/account_use.c
@@ -22,17 +22,6 @@
 	return gpu > 0 ? cores / gpu : 0;
 }
 
-/** Cores that the placed tasks of the job use. */
-static double cores_used(const mt_dag_job_t *job)
-{
-	double cores = 0;
-
-	for (uint32_t i = 0; i < job->n_steps_total; i++)
-		cores += job->steps[i].n_placed *
-			 mt_dag_step_cores(&job->steps[i]);
-	return cores;
-}
-
 static double *find_or_add(GHashTable *use, char *account)
 {
 	double *cores = g_hash_table_lookup(use, account);
@@ -82,7 +71,7 @@
 		if (!mt_state_is_final(job->state) &&
 		    mt_name_equal(&job->queue.service, service))
 			*find_or_add(use, job->spec->account) +=
-				cores_used(job);
+				mt_dag_resources_cores(&job->used);
 	}
 	deduct_guarantees(engine, service, use);
 	return use;
--- a/lib/dag/advice_requests.c
+++ b/lib/dag/advice_requests.c
@@ -24,21 +24,20 @@
 typedef struct mt_pending_request_t {
 	mt_engine_t *engine;
 	unsigned generation;
-	/** Key of the first task of the step that the request is about. */
-	mt_task_key_t step;
+	mt_task_key_t step; /**< its step; the index of the task is 0 */
 	mt_name_t servers[REQUEST_SERVERS_MAX];
 	/** Start times of the server processes when the request was sent. */
 	int64_t born_ms[REQUEST_SERVERS_MAX];
 	size_t n_servers;
 } mt_pending_request_t;
 
-/** The step of the task with this key, or NULL if its job was removed. */
+/** The step with this key, or NULL if it is done or its job was removed. */
 static mt_dag_step_t *find_step(mt_engine_t *engine, const mt_task_key_t *key)
 {
 	mt_dag_job_t *job = mt_engine_job(engine, key->job);
-	mt_dag_task_t *task = job ? mt_dag_job_find_task(job, key) : NULL;
 
-	return task ? task->step : NULL;
+	return job ? mt_dag_job_find_step(job, key->occurrence, key->step)
+		   : NULL;
 }
 
 /**
@@ -153,7 +152,8 @@
 
 	pending->engine = engine;
 	pending->generation = engine->generation;
-	pending->step = mt_dag_task_key(&step->tasks[0]);
+	pending->step = (mt_task_key_t){step->job->id, step->occurrence->number,
+					step->index, 0};
 	add_servers(pending, step, backends, MT_ADVICE_EXPIRED);
 	add_servers(pending, step, backends, MT_ADVICE_UNASKED);
 	if (pending->n_servers)
--- a/lib/dag/candidates.c
+++ b/lib/dag/candidates.c
@@ -45,6 +45,9 @@
  */
 #define FAST_SHARE_WAIT_MAX_MS 1000u
 
+/** Of the candidates of a limited pass, one in this many takes turns. */
+#define TURNS_DIVISOR 4u
+
 bool mt_planner_may_use(const mt_planner_t *planner,
 			const mt_backend_t *backend)
 {
@@ -123,13 +126,9 @@
  */
 static uint32_t count_waiting(const mt_dag_step_t *step)
 {
-	uint32_t n_waiting = 0;
-
-	for (uint32_t i = 0; i < step->spec->count; i++)
-		n_waiting += step->tasks[i].phase == MT_TASK_PHASE_WAITING;
-	if (step->spec->gang && n_waiting < step->spec->count)
+	if (step->spec->gang && step->n_waiting < step->spec->count)
 		return 0;
-	return n_waiting;
+	return step->n_waiting;
 }
 
 /**
@@ -149,7 +148,7 @@
  * critical path of all steps, which L equals while no step is done. As steps
  * get done, L shrinks, and the result is earlier than the objective requires.
  */
-static int64_t latest_start(const mt_dag_job_t *job)
+static int64_t latest_start(mt_dag_job_t *job)
 {
 	uint32_t path_left_ms = mt_dag_job_critical_path_left_ms(job);
 
@@ -191,7 +190,7 @@
 	}
 	if (!step->held_back_since)
 		step->held_back_since = planner->now;
-	return !planner->underused || mt_dag_job_n_placed(step->job) ||
+	return !planner->underused || step->job->n_placed ||
 	       planner->now - step->held_back_since <= OVERDUE_MS;
 }
 
@@ -199,7 +198,7 @@
  * True if the job would miss its objective even if it started now, but by no
  * more than DEFER_MAX_MS: later jobs come in the usual order again.
  */
-static bool is_late(const mt_planner_t *planner, const mt_dag_job_t *job)
+static bool is_late(const mt_planner_t *planner, mt_dag_job_t *job)
 {
 	mt_ms_t deadline = job->known_since + mt_dag_job_objective_ms(job);
 	mt_ms_t end = planner->now + mt_dag_job_critical_path_left_ms(job);
@@ -219,7 +218,7 @@
 static void defer_if_contended(const mt_planner_t *planner,
 			       mt_candidate_step_t *candidate)
 {
-	const mt_dag_job_t *job = candidate->step->job;
+	mt_dag_job_t *job = candidate->step->job;
 
 	if (!planner->account_use || candidate->guaranteed)
 		return;
@@ -228,37 +227,93 @@
 				is_over_share(planner, job);
 }
 
-/** Adds the steps of the job that have waiting tasks which may start now. */
-static void add_steps(mt_planner_t *planner, mt_dag_job_t *job)
+/**
+ * The waiting steps of a job, counted by their index: the steps with the same
+ * index in different occurrences have the same needs.
+ */
+typedef struct mt_step_counts_t {
+	mt_dag_job_t *job;
+	uint32_t *n_waiting; /**< by index of the step */
+} mt_step_counts_t;
+
+/** Adds a step that has waiting tasks which may start now. */
+static void add_candidate(mt_planner_t *planner, mt_dag_step_t *step,
+			  uint32_t count)
 {
-	for (uint32_t i = 0; i < job->n_steps_total; i++) {
-		mt_dag_step_t *step = &job->steps[i];
-		mt_candidate_step_t candidate = {.step = step};
+	mt_candidate_step_t candidate = {.step = step, .count = count};
+	mt_dag_job_t *job = step->job;
 
-		if (step->n_done == step->spec->count ||
-		    !is_due(planner, step) || !mt_dag_step_is_ready(step))
-			continue;
-		candidate.count = count_waiting(step);
-		if (!candidate.count)
-			continue;
-		if (is_held_back(planner, step)) {
-			planner->n_held_back++;
+	if (is_held_back(planner, step)) {
+		planner->n_held_back++;
+		return;
+	}
+	candidate.guaranteed = g_hash_table_contains(planner->guaranteed, job);
+	candidate.latest_start_ms = latest_start(job);
+	if (!step->waiting_since)
+		step->waiting_since = planner->now;
+	candidate.waited_ms = planner->now - step->waiting_since;
+	candidate.overdue = planner->underused &&
+			    candidate.waited_ms > OVERDUE_MS && !job->n_placed;
+	defer_if_contended(planner, &candidate);
+	g_array_append_val(planner->candidates, candidate);
+}
+
+/**
+ * Adds the ready steps from index `first` of job->ready_steps on, up to
+ * MT_CANDIDATES_OF_STEP_MAX of each step of the job.
+ */
+static void add_ready_steps(mt_planner_t *planner, mt_step_counts_t *counts,
+			    guint first)
+{
+	mt_dag_job_t *job = counts->job;
+
+	for (guint i = first; i < job->ready_steps->len; i++) {
+		mt_dag_step_t *step = job->ready_steps->pdata[i];
+		uint32_t count = count_waiting(step);
+
+		planner->n_steps_visited++;
+		if (!count || !is_due(planner, step))
 			continue;
-		}
-		candidate.guaranteed =
-			g_hash_table_contains(planner->guaranteed, job);
-		candidate.latest_start_ms = latest_start(job);
-		if (!step->waiting_since)
-			step->waiting_since = planner->now;
-		candidate.waited_ms = planner->now - step->waiting_since;
-		candidate.overdue = planner->underused &&
-				    candidate.waited_ms > OVERDUE_MS &&
-				    !mt_dag_job_n_placed(job);
-		defer_if_contended(planner, &candidate);
-		g_array_append_val(planner->candidates, candidate);
+		if (counts->n_waiting[step->index]++ <
+		    MT_CANDIDATES_OF_STEP_MAX)
+			add_candidate(planner, step, count);
 	}
 }
 
+/** True if the next occurrence may add a candidate. */
+static bool needs_occurrence(const mt_step_counts_t *counts)
+{
+	for (size_t i = 0; i < counts->job->spec->n_steps; i++) {
+		if (!counts->job->spec->steps[i]->n_after &&
+		    counts->n_waiting[i] < MT_CANDIDATES_OF_STEP_MAX)
+			return true;
+	}
+	return false;
+}
+
+/**
+ * Adds the steps of the job that have waiting tasks which may start now. Opens
+ * only as many occurrences as may add some.
+ */
+static void add_steps(mt_planner_t *planner, mt_dag_job_t *job)
+{
+	uint32_t n_due =
+		mt_dag_job_n_due_unopened(job, planner->start_time_max_ms);
+	mt_step_counts_t counts;
+
+	if (!job->ready_steps->len && !n_due)
+		return;
+	counts = (mt_step_counts_t){job, g_new0(uint32_t, job->spec->n_steps)};
+	add_ready_steps(planner, &counts, 0);
+	while (n_due-- && needs_occurrence(&counts)) {
+		guint first = job->ready_steps->len;
+
+		mt_dag_job_open_next(job);
+		add_ready_steps(planner, &counts, first);
+	}
+	g_free(counts.n_waiting);
+}
+
 /**
  * Sorts guaranteed jobs first, then by priority, then by `late` and
  * `over_share`, then by `fast_level`, then by latest start.
@@ -284,7 +339,8 @@
 		return x->latest_start_ms < y->latest_start_ms ? -1 : 1;
 	if (x->step->job->id != y->step->job->id)
 		return x->step->job->id < y->step->job->id ? -1 : 1;
-	return x->step < y->step ? -1 : x->step > y->step;
+	return mt_dag_step_number(x->step) < mt_dag_step_number(y->step) ? -1
+									 : 1;
 }
 
 /**
@@ -381,6 +437,35 @@
 	mt_fast_share_free(share);
 }
 
+/**
+ * Leaves out candidates beyond the limit of a pass. Most of those that are kept
+ * are the first ones; the others take turns, so that none is left out for ever.
+ */
+static void limit_candidates(mt_planner_t *planner)
+{
+	mt_engine_t *engine = planner->engine;
+	GArray *all = planner->candidates;
+	guint max = engine->pass_pace.candidates_max;
+	guint n_turns = max / TURNS_DIVISOR;
+	guint n_first = max - n_turns;
+	GArray *kept;
+
+	if (all->len <= max)
+		return;
+	kept = g_array_sized_new(FALSE, FALSE, sizeof(mt_candidate_step_t),
+				 max);
+	g_array_append_vals(kept, all->data, n_first);
+	for (guint i = 0; i < n_turns; i++) {
+		guint turn = engine->candidates_turn++ % (all->len - n_first);
+
+		g_array_append_val(kept, g_array_index(all, mt_candidate_step_t,
+						       n_first + turn));
+	}
+	mt_kernel_count(engine->deps.kernel, "passes_limited_total");
+	g_array_unref(all);
+	planner->candidates = kept;
+}
+
 void mt_candidates_collect(mt_planner_t *planner)
 {
 	GHashTableIter iter;
@@ -399,4 +484,5 @@
 	}
 	share_fast_servers(planner);
 	g_array_sort(planner->candidates, compare_candidates);
+	limit_candidates(planner);
 }
--- a/lib/dag/commands.c
+++ b/lib/dag/commands.c
@@ -377,9 +377,11 @@
 
 void mt_commands_stop_gang(mt_engine_t *engine, mt_dag_step_t *step)
 {
-	for (uint32_t i = 0; i < step->spec->count; i++) {
-		if (step->tasks[i].phase != MT_TASK_PHASE_DONE)
-			mt_commands_stop(engine, &step->tasks[i]);
+	for (guint i = 0; step->tasks && i < step->tasks->len; i++) {
+		mt_dag_task_t *task = step->tasks->pdata[i];
+
+		if (task->phase != MT_TASK_PHASE_DONE)
+			mt_commands_stop(engine, task);
 	}
 }
 
--- a/lib/dag/dag.pb-c.c
+++ b/lib/dag/dag.pb-c.c
@@ -1379,7 +1379,7 @@
   (ProtobufCMessageInit) mt_dag__placement__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mt_dag__progress__field_descriptors[5] =
+static const ProtobufCFieldDescriptor mt_dag__progress__field_descriptors[13] =
 {
   {
     "id",
@@ -1441,18 +1441,122 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "steps_begun",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__Progress, steps_begun),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step_gap",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(MtDag__Progress, n_step_gap),
+    offsetof(MtDag__Progress, step_gap),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step_begun",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(MtDag__Progress, n_step_begun),
+    offsetof(MtDag__Progress, step_begun),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step_listed",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(MtDag__Progress, n_step_listed),
+    offsetof(MtDag__Progress, step_listed),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task_gap",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(MtDag__Progress, n_task_gap),
+    offsetof(MtDag__Progress, task_gap),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task_run",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(MtDag__Progress, n_task_run),
+    offsetof(MtDag__Progress, task_run),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task_server",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(MtDag__Progress, n_task_server),
+    offsetof(MtDag__Progress, task_server),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task_fails",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(MtDag__Progress, n_task_fails),
+    offsetof(MtDag__Progress, task_fails),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mt_dag__progress__field_indices_by_name[] = {
   4,   /* field[4] = begun */
   0,   /* field[0] = id */
   2,   /* field[2] = servers */
   1,   /* field[1] = state */
+  7,   /* field[7] = step_begun */
+  6,   /* field[6] = step_gap */
+  8,   /* field[8] = step_listed */
   3,   /* field[3] = steps */
+  5,   /* field[5] = steps_begun */
+  12,   /* field[12] = task_fails */
+  9,   /* field[9] = task_gap */
+  10,   /* field[10] = task_run */
+  11,   /* field[11] = task_server */
 };
 static const ProtobufCIntRange mt_dag__progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor mt_dag__progress__descriptor =
 {
@@ -1462,7 +1566,7 @@
   "MtDag__Progress",
   "mt_dag",
   sizeof(MtDag__Progress),
-  5,
+  13,
   mt_dag__progress__field_descriptors,
   mt_dag__progress__field_indices_by_name,
   1,  mt_dag__progress__number_ranges,
--- a/lib/dag/dag.pb-c.h
+++ b/lib/dag/dag.pb-c.h
@@ -176,8 +176,8 @@
 
 
 /*
- * Progress of one step of one occurrence. Each repeated field has one value per
- * task.
+ * Progress of one step of one occurrence, as earlier versions stored it. Each
+ * repeated field has one value per task.
  */
 struct  MtDag__StepProgress
 {
@@ -212,7 +212,7 @@
 
 /*
  * Element of Progress.servers: a server process on which tasks of the job are
- * placed. StepProgress.server refers to it by its index. C variables of this
+ * placed. Progress.task_server refers to it by its index. C variables of this
  * type are called "server_entry", as "placement" has another meaning in the C
  * code: the assignment of one task to a server.
  */
@@ -231,7 +231,17 @@
 
 
 /*
- * State from which a new leader resumes a job.
+ * State from which a new leader resumes a job. The steps of all occurrences are
+ * numbered: occurrence * number of steps + index of the step. Steps and tasks
+ * begin in this order, so that a few are listed, and the others need no entry:
+ * - Steps from number `steps_begun` on have not begun.
+ * - Listed steps are those below it that are not done, and that depend on no
+ *   unfinished step.
+ * - Of the others below it, those that depend on an unfinished step have not
+ *   begun, and the rest is done.
+ * - Listed tasks are those of listed steps that have begun and are not done.
+ * The columns step_* have one value for each listed step, the columns task_*
+ * one for each listed task, in the order of the numbers and indices.
  */
 struct  MtDag__Progress
 {
@@ -240,16 +250,57 @@
   MtDag__State state;
   size_t n_servers;
   MtDag__Placement **servers;
+  /*
+   * only in records of earlier versions
+   */
   size_t n_steps;
   MtDag__StepProgress **steps;
   /*
    * a task of the job has started
    */
   protobuf_c_boolean begun;
+  uint32_t steps_begun;
+  /*
+   * Number of steps that are left out between the listed step before, or the
+   * first step, and this one.
+   */
+  size_t n_step_gap;
+  uint32_t *step_gap;
+  /*
+   * number of its tasks that have begun
+   */
+  size_t n_step_begun;
+  uint32_t *step_begun;
+  /*
+   * number of its listed tasks
+   */
+  size_t n_step_listed;
+  uint32_t *step_listed;
+  /*
+   * Number of tasks that are left out between the listed task of the step
+   * before, or the first task, and this one.
+   */
+  size_t n_task_gap;
+  uint32_t *task_gap;
+  /*
+   * number of the last run; 0: never placed
+   */
+  size_t n_task_run;
+  uint32_t *task_run;
+  /*
+   * 1 + index into `servers`; 0: it waits
+   */
+  size_t n_task_server;
+  uint32_t *task_server;
+  /*
+   * Failed runs that count towards attempts_max; no values: all 0.
+   */
+  size_t n_task_fails;
+  uint32_t *task_fails;
 };
 #define MT_DAG__PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mt_dag__progress__descriptor) \
-    , 0, MT_DAG__STATE__QUEUED, 0,NULL, 0,NULL, 0 }
+    , 0, MT_DAG__STATE__QUEUED, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -30,6 +30,14 @@
 	return mt_kernel_now(engine->deps.kernel);
 }
 
+void mt_engine_insert_job(mt_engine_t *engine, mt_dag_job_t *job)
+{
+	g_hash_table_insert(engine->jobs, &job->id, job);
+	job->dirty_jobs = engine->dirty_jobs;
+	if (job->dirty)
+		g_ptr_array_add(engine->dirty_jobs, job);
+}
+
 mt_dag_job_t *mt_engine_job(const mt_engine_t *engine, uint64_t id)
 {
 	return g_hash_table_lookup(engine->jobs, &id);
@@ -87,6 +95,7 @@
 	engine->deps = *deps;
 	engine->jobs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					     free_job);
+	engine->dirty_jobs = g_ptr_array_new();
 	engine->backends = g_hash_table_new_full(
 		mt_name_hash, mt_name_key_equal, NULL, free_backend);
 	engine->flushes = g_ptr_array_new_with_free_func(mt_flush_free);
@@ -95,6 +104,7 @@
 	engine->speeds = mt_speed_model_new();
 	engine->speeds_stored = mt_speed_records_new();
 	engine->run_times = mt_run_times_new();
+	mt_pass_pace_init(&engine->pass_pace);
 	return engine;
 }
 
@@ -224,14 +234,8 @@
 
 void mt_engine_stop_tasks(mt_engine_t *engine, mt_dag_job_t *job)
 {
-	for (uint32_t i = 0; i < job->n_steps_total; i++) {
-		mt_dag_step_t *step = &job->steps[i];
-
-		for (uint32_t k = 0; k < step->spec->count; k++) {
-			if (step->tasks[k].phase != MT_TASK_PHASE_DONE)
-				mt_commands_stop(engine, &step->tasks[k]);
-		}
-	}
+	for (guint i = 0; i < job->ready_steps->len; i++)
+		mt_commands_stop_gang(engine, job->ready_steps->pdata[i]);
 	mt_engine_request_pass(engine);
 }
 
@@ -276,7 +280,6 @@
 	if (!spec)
 		return;
 	job = mt_dag_job_new(spec, mt_engine_now(engine));
-	g_hash_table_insert(engine->jobs, &job->id, job);
 	refresh_queue(engine, job);
 	if (entry->packed_progress &&
 	    !mt_dag_job_unpack_progress(
@@ -286,6 +289,7 @@
 		       "progress record of job %016" G_GINT64_MODIFIER
 		       "x is malformed or does not match the job's steps",
 		       job->id);
+	mt_engine_insert_job(engine, job);
 	if (entry->cancelled)
 		cancel_job(engine, job);
 	mt_engine_request_pass(engine);
@@ -302,6 +306,12 @@
 
 /* Scheduling passes and ticks. */
 
+/** Time of a clock that also runs while a callback does. */
+static uint64_t steady_us(void)
+{
+	return (uint64_t)g_get_monotonic_time();
+}
+
 static void run_pass(void *ctx)
 {
 	mt_engine_t *engine = ctx;
@@ -310,9 +320,11 @@
 	if (!engine->leading)
 		return;
 	engine->pass_started_at = mt_engine_now(engine);
+	mt_pass_pace_begin(&engine->pass_pace, steady_us());
 	mt_server_speeds_update(engine);
 	mt_planner_run(engine);
 	mt_flush_changes(engine);
+	mt_pass_pace_end(&engine->pass_pace, engine->deps.kernel, steady_us());
 }
 
 /**
@@ -439,6 +451,7 @@
 	mt_load_summary_reset_gauges(engine->load_summary, engine);
 	g_clear_pointer(&engine->load_summary, mt_load_summary_free);
 	g_ptr_array_set_size(engine->flushes, 0);
+	g_ptr_array_set_size(engine->dirty_jobs, 0);
 	g_hash_table_remove_all(engine->jobs);
 	g_hash_table_remove_all(engine->backends);
 	mt_server_speeds_clear(engine);
--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -21,6 +21,7 @@
 #include "dag/engine.h"
 #include "dag/follower.h"
 #include "dag/load_summary.h"
+#include "dag/pass_pace.h"
 #include "dag/survival.h"
 #include "dag/job_model.h"
 #include "dag/run_times.h"
@@ -38,6 +39,7 @@
 	unsigned generation;
 	mt_writer_t *writer;
 	GHashTable *jobs;		/**< id to mt_dag_job_t */
+	GPtrArray *dirty_jobs;		/**< mt_dag_job_t, those of `jobs` */
 	GHashTable *backends;		/**< id to mt_backend_t */
 	GPtrArray *flushes;		/**< mt_flush_t in progress */
 	bool advice_request_pending;	/**< an advice request is in progress */
@@ -48,7 +50,11 @@
 	mt_survival_t survival;
 	mt_work_lost_t work_lost;
 	mt_ms_t pass_started_at; /**< start of the last scheduling pass */
-	mt_ms_t last_sweep_at;	 /**< time of the last sweep, see sweep.c */
+	mt_pass_pace_t pass_pace;
+	/** Turn of the candidates that a limited pass leaves out, see
+	 * limit_candidates() in candidates.c. */
+	guint candidates_turn;
+	mt_ms_t last_sweep_at; /**< time of the last sweep, see sweep.c */
 	/** Time of the last search for slow servers, see relocation.c. */
 	mt_ms_t slow_search_at;
 	/** Data centres that are logged as evacuated, mt_name_t. */
@@ -79,6 +85,9 @@
  */
 void mt_engine_request_pass(mt_engine_t *engine);
 
+/** Adds a job to `jobs`; takes ownership of it. */
+void mt_engine_insert_job(mt_engine_t *engine, mt_dag_job_t *job);
+
 /** The job with this id, or NULL if it is not in memory. */
 mt_dag_job_t *mt_engine_job(const mt_engine_t *engine, uint64_t id);
 mt_ms_t mt_engine_now(const mt_engine_t *engine);
--- a/lib/dag/flush.c
+++ b/lib/dag/flush.c
@@ -111,12 +111,11 @@
 /** Adds to the flush the placements of the job that are not stored yet. */
 static void collect_placements(mt_flush_t *flush, const mt_dag_job_t *job)
 {
-	for (uint32_t i = 0; i < job->n_steps_total; i++) {
-		const mt_dag_step_t *step = &job->steps[i];
+	for (guint i = 0; i < job->ready_steps->len; i++) {
+		const mt_dag_step_t *step = job->ready_steps->pdata[i];
 
-		for (uint32_t k = 0; step->n_placed && k < step->spec->count;
-		     k++) {
-			const mt_dag_task_t *task = &step->tasks[k];
+		for (guint k = 0; step->n_placed && k < step->tasks->len; k++) {
+			const mt_dag_task_t *task = step->tasks->pdata[k];
 			mt_flushed_placement_t placement = {
 				mt_dag_task_key(task), task->run};
 
@@ -150,6 +149,7 @@
 {
 	add_record(engine, MT_RECORD_PROGRESS, job->id,
 		   mt_dag_job_pack_progress(job));
+	mt_dag_job_release_done(job);
 	job->dirty = false;
 	if (!mt_state_is_final(job->state) || job->job_record_shortened)
 		return;
@@ -196,49 +196,58 @@
 /** True if the job has ended and has no tasks on servers. */
 static bool is_removable(const mt_dag_job_t *job)
 {
-	return mt_state_is_final(job->state) && !mt_dag_job_n_placed(job);
+	return mt_state_is_final(job->state) && !job->n_placed;
+}
+
+/**
+ * Writes the progress of the job. Each job is a group of its own, so that the
+ * writer can put them into several appends.
+ * @param flush receives the flush, which is made for the first job
+ */
+static void write_job(mt_engine_t *engine, mt_dag_job_t *job,
+		      mt_flush_t **flush)
+{
+	if (*flush)
+		mt_writer_commit(engine->writer, MT_WRITER_ALWAYS_RETRIES, NULL,
+				 NULL);
+	else
+		*flush = new_flush(engine);
+	collect_placements(*flush, job);
+	add_progress(engine, job);
+	if (!is_removable(job))
+		return;
+	log_job_ended(engine, job);
+	g_hash_table_remove(engine->jobs, &job->id);
+}
+
+/**
+ * Permits the deletion of ended runs when no job has changed. If no write is in
+ * progress either, the effects of all handled ended runs are stored. Otherwise
+ * a later pass permits it, as the write in progress may contain such effects.
+ */
+static void permit_deletions(mt_engine_t *engine)
+{
+	mt_flush_t *flush;
+
+	if (engine->flushes->len)
+		return;
+	flush = new_flush(engine);
+	collect_ends(engine, flush);
+	on_flushed(flush, MT_STORE_DONE);
 }
 
 void mt_flush_changes(mt_engine_t *engine)
 {
 	mt_flush_t *flush = NULL;
-	GHashTableIter iter;
-	gpointer value;
 
 	if (engine->flushes->len >= FLUSHES_MAX)
 		return;
 	mt_speed_records_write(engine);
-	g_hash_table_iter_init(&iter, engine->jobs);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		mt_dag_job_t *job = value;
-
-		if (job->dirty) {
-			/* Each job is a group of its own, so that the writer
-			 * can put them into several appends. */
-			if (flush)
-				mt_writer_commit(engine->writer,
-						 MT_WRITER_ALWAYS_RETRIES, NULL,
-						 NULL);
-			else
-				flush = new_flush(engine);
-			collect_placements(flush, job);
-			add_progress(engine, job);
-		}
-		if (is_removable(job)) {
-			log_job_ended(engine, job);
-			g_hash_table_iter_remove(&iter);
-		}
-	}
+	for (guint i = 0; i < engine->dirty_jobs->len; i++)
+		write_job(engine, engine->dirty_jobs->pdata[i], &flush);
+	g_ptr_array_set_size(engine->dirty_jobs, 0);
 	if (!flush) {
-		/* No job has changed. If no write is in progress either, the
-		 * effects of all handled ended runs are stored, and their
-		 * deletion is permitted now. Otherwise a later pass permits
-		 * it, as the write in progress may contain such effects. */
-		if (!engine->flushes->len) {
-			flush = new_flush(engine);
-			collect_ends(engine, flush);
-			on_flushed(flush, MT_STORE_DONE);
-		}
+		permit_deletions(engine);
 		return;
 	}
 	collect_ends(engine, flush);
--- a/lib/dag/job_model.c
+++ b/lib/dag/job_model.c
@@ -1,24 +1,9 @@
 /** @file job_model.c The scheduler's model of a job. */
-#include "dag/job_model.h"
+#include "dag/job_model_internal.h"
 
-static void init_step(mt_dag_job_t *job, mt_dag_step_t *step,
-		      uint32_t occurrence, uint32_t index)
-{
-	const MtDag__Step *spec = job->spec->steps[index];
+#include <string.h>
 
-	step->job = job;
-	step->occurrence = occurrence;
-	step->index = index;
-	step->spec = spec;
-	step->tasks = g_new0(mt_dag_task_t, spec->count);
-	step->label = *spec->label ? g_quark_from_string(spec->label) : 0;
-	step->data_rack =
-		*spec->data_rack ? g_quark_from_string(spec->data_rack) : 0;
-	for (uint32_t i = 0; i < spec->count; i++) {
-		step->tasks[i].step = step;
-		step->tasks[i].index = i;
-	}
-}
+/* Construction. */
 
 static void init_queue(mt_queue_t *queue, const MtDag__Job *spec)
 {
@@ -54,100 +39,310 @@
 mt_dag_job_t *mt_dag_job_new(MtDag__Job *spec, mt_ms_t now)
 {
 	mt_dag_job_t *job = g_new0(mt_dag_job_t, 1);
-	uint32_t occurrences = MAX(1, spec->repeat);
 
 	job->id = spec->id;
 	job->spec = spec;
 	job->known_since = now;
-	job->n_steps_total = occurrences * (uint32_t)spec->n_steps;
-	job->steps = g_new0(mt_dag_step_t, job->n_steps_total);
+	job->n_occurrences = MAX(1, spec->repeat);
+	job->occurrences = g_ptr_array_new();
+	job->ready_steps = g_ptr_array_new();
+	job->steps_with_done_tasks = g_ptr_array_new();
 	init_queue(&job->queue, spec);
-	for (uint32_t i = 0; i < job->n_steps_total; i++)
-		init_step(job, &job->steps[i], i / (uint32_t)spec->n_steps,
-			  i % (uint32_t)spec->n_steps);
+	mt_dag_job_init_layout(job);
 	job->critical_path_ms = mt_dag_job_critical_path_left_ms(job);
 	return job;
 }
 
-void mt_dag_job_free(mt_dag_job_t *job)
+static void free_task(gpointer data)
 {
-	for (uint32_t i = 0; i < job->n_steps_total; i++) {
-		mt_dag_step_t *step = &job->steps[i];
+	mt_dag_task_t *task = data;
 
-		for (uint32_t k = 0; k < step->spec->count; k++)
-			g_free(step->tasks[k].checkpoint);
-		g_free(step->tasks);
+	g_free(task->checkpoint);
+	g_free(task);
+}
+
+static void free_occurrence(mt_dag_occurrence_t *occurrence)
+{
+	for (size_t i = 0; i < occurrence->job->spec->n_steps; i++) {
+		mt_dag_step_t *step = &occurrence->steps[i];
+
+		g_clear_pointer(&step->tasks, g_ptr_array_unref);
 		mt_advice_free(step->advice);
 	}
-	g_free(job->steps);
+	g_free(occurrence);
+}
+
+void mt_dag_job_free(mt_dag_job_t *job)
+{
+	for (guint i = 0; i < job->occurrences->len; i++)
+		free_occurrence(job->occurrences->pdata[i]);
+	g_ptr_array_unref(job->occurrences);
+	g_ptr_array_unref(job->ready_steps);
+	g_ptr_array_unref(job->steps_with_done_tasks);
+	mt_dag_job_clear_layout(job);
 	mt_dag__job__free_unpacked(job->spec, NULL);
 	g_free(job);
 }
 
-mt_dag_task_t *mt_dag_job_find_task(mt_dag_job_t *job, const mt_task_key_t *key)
+void mt_dag_job_mark_dirty(mt_dag_job_t *job)
 {
-	uint32_t step_index;
+	if (!job->dirty && job->dirty_jobs)
+		g_ptr_array_add(job->dirty_jobs, job);
+	job->dirty = true;
+}
+
+/* Occurrences and steps. */
 
-	if (key->step >= job->spec->n_steps ||
-	    key->occurrence >= MAX(1, job->spec->repeat))
+uint32_t mt_dag_step_number(const mt_dag_step_t *step)
+{
+	return step->occurrence->number * (uint32_t)step->job->spec->n_steps +
+	       step->index;
+}
+
+bool mt_dag_step_is_done(const mt_dag_step_t *step)
+{
+	return step->n_done == step->spec->count;
+}
+
+bool mt_dag_step_is_ready(const mt_dag_step_t *step)
+{
+	return !step->n_blockers;
+}
+
+/** Index of the first ready step with this number or a higher one. */
+static guint find_ready(const mt_dag_job_t *job, uint32_t number)
+{
+	guint first = 0;
+	guint end = job->ready_steps->len;
+
+	while (first < end) {
+		guint middle = first + (end - first) / 2;
+
+		if (mt_dag_step_number(job->ready_steps->pdata[middle]) <
+		    number)
+			first = middle + 1;
+		else
+			end = middle;
+	}
+	return first;
+}
+
+static void add_ready(mt_dag_step_t *step)
+{
+	mt_dag_job_t *job = step->job;
+
+	job->path_left_known = false;
+	g_ptr_array_insert(job->ready_steps,
+			   (gint)find_ready(job, mt_dag_step_number(step)),
+			   step);
+}
+
+static void remove_ready(mt_dag_step_t *step)
+{
+	mt_dag_job_t *job = step->job;
+
+	job->path_left_known = false;
+	g_ptr_array_remove_index(job->ready_steps,
+				 find_ready(job, mt_dag_step_number(step)));
+}
+
+/** Changes the number of waiting tasks of the step. */
+static void add_waiting(mt_dag_step_t *step, int32_t change)
+{
+	mt_dag_job_t *job = step->job;
+
+	step->n_waiting += (uint32_t)change;
+	if (step->spec->lasting)
+		return;
+	job->n_waiting += (uint64_t)(int64_t)change;
+	job->waiting_core_ms += change * job->layout[step->index].work_core_ms;
+	/* Without waiting tasks, what is left are errors of rounding. */
+	if (!job->n_waiting)
+		job->waiting_core_ms = 0;
+}
+
+static void init_step(mt_dag_occurrence_t *occurrence, uint32_t index)
+{
+	mt_dag_job_t *job = occurrence->job;
+	const MtDag__Step *spec = job->spec->steps[index];
+	mt_dag_step_t *step = &occurrence->steps[index];
+
+	step->job = job;
+	step->occurrence = occurrence;
+	step->index = index;
+	step->spec = spec;
+	step->label = *spec->label ? g_quark_from_string(spec->label) : 0;
+	step->data_rack =
+		*spec->data_rack ? g_quark_from_string(spec->data_rack) : 0;
+	step->n_blockers = (uint32_t)spec->n_after;
+	add_waiting(step, (int32_t)spec->count);
+	if (!step->n_blockers)
+		add_ready(step);
+}
+
+mt_dag_occurrence_t *mt_dag_job_open_next(mt_dag_job_t *job)
+{
+	size_t n_steps = job->spec->n_steps;
+	mt_dag_occurrence_t *occurrence;
+
+	if (job->n_opened >= job->n_occurrences)
 		return NULL;
-	step_index = key->occurrence * (uint32_t)job->spec->n_steps + key->step;
-	if (key->index >= job->steps[step_index].spec->count)
+	occurrence = g_malloc0(sizeof(*occurrence) +
+			       n_steps * sizeof(mt_dag_step_t));
+	occurrence->job = job;
+	occurrence->number = job->n_opened++;
+	g_ptr_array_add(job->occurrences, occurrence);
+	for (uint32_t i = 0; i < n_steps; i++)
+		init_step(occurrence, i);
+	return occurrence;
+}
+
+mt_dag_step_t *mt_dag_job_find_step(const mt_dag_job_t *job,
+				    uint32_t occurrence, uint32_t step)
+{
+	guint first = 0;
+	guint end = job->occurrences->len;
+
+	if (step >= job->spec->n_steps)
 		return NULL;
-	return &job->steps[step_index].tasks[key->index];
+	while (first < end) {
+		guint middle = first + (end - first) / 2;
+		mt_dag_occurrence_t *at = job->occurrences->pdata[middle];
+
+		if (at->number == occurrence)
+			return &at->steps[step];
+		if (at->number < occurrence)
+			first = middle + 1;
+		else
+			end = middle;
+	}
+	return NULL;
 }
 
-mt_task_key_t mt_dag_task_key(const mt_dag_task_t *task)
+/** Called when all tasks of the step are done. */
+static void finish_step(mt_dag_step_t *step)
 {
-	return (mt_task_key_t){task->step->job->id, task->step->occurrence,
-			       task->step->index, task->index};
+	mt_dag_job_t *job = step->job;
+	mt_dag_occurrence_t *occurrence = step->occurrence;
+	const GArray *successors = job->layout[step->index].successors;
+
+	remove_ready(step);
+	for (guint i = 0; i < successors->len; i++) {
+		mt_dag_step_t *next = &occurrence->steps[g_array_index(
+			successors, uint32_t, i)];
+
+		if (!--next->n_blockers)
+			add_ready(next);
+	}
+	if (++occurrence->n_steps_done == job->spec->n_steps)
+		job->n_occurrences_done++;
 }
 
-/**
- * Returns the step with index `index` in the occurrence of `step`. The steps of
- * an occurrence are adjacent in job->steps, in the order of their indices.
- */
-static const mt_dag_step_t *step_of_same_occurrence(const mt_dag_step_t *step,
-						    uint32_t index)
+/** Notes that the state of a task of the step may be released soon. */
+static void note_done_task(mt_dag_step_t *step)
 {
-	return step + index - step->index;
+	if (!step->has_done_tasks)
+		g_ptr_array_add(step->job->steps_with_done_tasks, step);
+	step->has_done_tasks = true;
 }
 
-static bool is_done(const mt_dag_step_t *step)
+void mt_dag_step_restore_done(mt_dag_step_t *step)
 {
-	return step->n_done == step->spec->count;
+	add_waiting(step, -(int32_t)step->n_waiting);
+	step->n_begun = step->spec->count;
+	step->n_done = step->spec->count;
+	note_done_task(step);
+	finish_step(step);
 }
 
-bool mt_dag_step_is_ready(const mt_dag_step_t *step)
+void mt_dag_step_restore_tasks_done(mt_dag_step_t *step, uint32_t count)
 {
-	for (size_t i = 0; i < step->spec->n_after; i++) {
-		if (!is_done(step_of_same_occurrence(step,
-						     step->spec->after[i])))
-			return false;
+	add_waiting(step, -(int32_t)count);
+	step->n_begun += count;
+	step->n_done += count;
+}
+
+/* Tasks. */
+
+mt_dag_task_t *mt_dag_step_find_task(const mt_dag_step_t *step, uint32_t index)
+{
+	guint first = 0;
+	guint end = step->tasks ? step->tasks->len : 0;
+
+	while (first < end) {
+		guint middle = first + (end - first) / 2;
+		mt_dag_task_t *task = step->tasks->pdata[middle];
+
+		if (task->index == index)
+			return task;
+		if (task->index < index)
+			first = middle + 1;
+		else
+			end = middle;
 	}
-	return true;
+	return NULL;
 }
 
-int64_t mt_dag_step_earliest_start(const mt_dag_step_t *step)
+mt_dag_task_t *mt_dag_step_begin_task(mt_dag_step_t *step)
 {
-	const MtDag__Job *spec = step->job->spec;
+	mt_dag_task_t *task;
 
-	return spec->start_at_ms +
-	       (int64_t)step->occurrence * spec->interval_ms;
+	if (step->n_begun >= step->spec->count)
+		return NULL;
+	if (!step->tasks)
+		step->tasks = g_ptr_array_new_with_free_func(free_task);
+	task = g_new0(mt_dag_task_t, 1);
+	task->step = step;
+	task->index = step->n_begun++;
+	g_ptr_array_add(step->tasks, task);
+	step->job->steps_begun =
+		MAX(step->job->steps_begun, mt_dag_step_number(step) + 1);
+	return task;
 }
 
-mt_dag_resources_t mt_dag_step_need(const mt_dag_step_t *step)
+mt_dag_task_t *mt_dag_job_find_task(const mt_dag_job_t *job,
+				    const mt_task_key_t *key)
+{
+	const mt_dag_step_t *step =
+		mt_dag_job_find_step(job, key->occurrence, key->step);
+
+	return step ? mt_dag_step_find_task(step, key->index) : NULL;
+}
+
+mt_task_key_t mt_dag_task_key(const mt_dag_task_t *task)
+{
+	return (mt_task_key_t){task->step->job->id,
+			       task->step->occurrence->number,
+			       task->step->index, task->index};
+}
+
+int64_t mt_dag_job_earliest_start(const mt_dag_job_t *job, uint32_t occurrence)
 {
-	mt_dag_resources_t need = {step->spec->cpu_milli, step->spec->mem_mb,
-				   step->spec->gpu};
+	return job->spec->start_at_ms +
+	       (int64_t)occurrence * job->spec->interval_ms;
+}
+
+int64_t mt_dag_step_earliest_start(const mt_dag_step_t *step)
+{
+	return mt_dag_job_earliest_start(step->job, step->occurrence->number);
+}
+
+mt_dag_resources_t mt_dag_spec_need(const MtDag__Step *spec)
+{
+	mt_dag_resources_t need = {spec->cpu_milli, spec->mem_mb, spec->gpu};
 
 	/* Fillers use only cores that other tasks leave idle, and so reserve
 	 * none. */
-	if (step->spec->fills)
+	if (spec->fills)
 		need.cpu_milli = 0;
 	return need;
 }
 
+mt_dag_resources_t mt_dag_step_need(const mt_dag_step_t *step)
+{
+	return mt_dag_spec_need(step->spec);
+}
+
 double mt_dag_step_cores(const mt_dag_step_t *step)
 {
 	mt_dag_resources_t need = mt_dag_step_need(step);
@@ -155,6 +350,22 @@
 	return mt_dag_resources_cores(&need);
 }
 
+/** Counts a task of the step that was placed (1) or removed (-1). */
+static void count_placed(mt_dag_step_t *step, int32_t change)
+{
+	mt_dag_resources_t need = mt_dag_step_need(step);
+	mt_dag_job_t *job = step->job;
+
+	step->n_placed += (uint32_t)change;
+	step->occurrence->n_placed += (uint32_t)change;
+	job->n_placed += (uint32_t)change;
+	if (change > 0)
+		mt_dag_resources_add(&job->used, &need);
+	else
+		mt_dag_resources_subtract(&job->used, &need);
+	mt_dag_job_mark_dirty(job);
+}
+
 void mt_dag_task_place(mt_dag_task_t *task, mt_backend_t *server, uint32_t run,
 		       mt_ms_t now)
 {
@@ -187,8 +398,8 @@
 		task->step->run = run;
 		task->step->run_first_sent_at = 0;
 	}
-	task->step->n_placed++;
-	task->step->job->dirty = true;
+	count_placed(task->step, 1);
+	add_waiting(task->step, -1);
 	g_ptr_array_add(server->tasks, task);
 	mt_dag_resources_add(&server->used, &need);
 }
@@ -202,25 +413,35 @@
 	g_ptr_array_remove_fast(task->server->tasks, task);
 	mt_dag_resources_subtract(&task->server->used, &need);
 	task->server = NULL;
-	task->step->n_placed--;
-	task->step->job->dirty = true;
+	count_placed(task->step, -1);
 }
 
 void mt_dag_task_unplace(mt_dag_task_t *task)
 {
 	remove_from_server(task);
-	if (task->phase != MT_TASK_PHASE_DONE)
-		task->phase = MT_TASK_PHASE_WAITING;
+	if (task->phase == MT_TASK_PHASE_DONE) {
+		note_done_task(task->step);
+		return;
+	}
+	if (task->phase != MT_TASK_PHASE_WAITING)
+		add_waiting(task->step, 1);
+	task->phase = MT_TASK_PHASE_WAITING;
 }
 
 static void set_done(mt_dag_task_t *task)
 {
+	mt_dag_step_t *step = task->step;
+
 	if (task->phase == MT_TASK_PHASE_DONE)
 		return;
+	if (task->phase == MT_TASK_PHASE_WAITING)
+		add_waiting(step, -1);
 	task->phase = MT_TASK_PHASE_DONE;
-	task->step->n_done++;
-	task->step->job->dirty = true;
 	g_clear_pointer(&task->checkpoint, g_free);
+	note_done_task(step);
+	mt_dag_job_mark_dirty(step->job);
+	if (++step->n_done == step->spec->count)
+		finish_step(step);
 }
 
 void mt_dag_task_finish(mt_dag_task_t *task)
@@ -232,8 +453,10 @@
 	}
 	/* The other tasks of the gang are done, but stay placed until their
 	 * servers report the ends of their runs. */
-	for (uint32_t i = 0; i < task->step->spec->count; i++)
-		set_done(&task->step->tasks[i]);
+	while (mt_dag_step_begin_task(task->step))
+		;
+	for (guint i = 0; i < task->step->tasks->len; i++)
+		set_done(task->step->tasks->pdata[i]);
 }
 
 /**
@@ -242,7 +465,7 @@
  */
 static mt_dag_task_t *fail_counter_of(mt_dag_task_t *task)
 {
-	return task->step->spec->gang ? &task->step->tasks[0] : task;
+	return task->step->spec->gang ? task->step->tasks->pdata[0] : task;
 }
 
 bool mt_dag_task_fail(mt_dag_task_t *task)
@@ -257,7 +480,7 @@
 	if (already_counted || step->spec->lasting)
 		return true;
 	counter_task->fails++;
-	step->job->dirty = true;
+	mt_dag_job_mark_dirty(step->job);
 	return counter_task->fails < MAX(1, step->job->queue.attempts_max);
 }
 
@@ -281,8 +504,8 @@
 		save_checkpoint(task, checkpoint, now);
 		return;
 	}
-	for (uint32_t i = 0; i < task->step->spec->count; i++)
-		save_checkpoint(&task->step->tasks[i], checkpoint, now);
+	for (guint i = 0; i < task->step->tasks->len; i++)
+		save_checkpoint(task->step->tasks->pdata[i], checkpoint, now);
 }
 
 mt_ms_t mt_dag_task_unsaved_ms(const mt_dag_task_t *task, mt_ms_t now)
@@ -299,24 +522,6 @@
 	return task->step->spec->gang && task->percent >= MT_DAG_PERCENT_MAX;
 }
 
-uint32_t mt_dag_job_n_placed(const mt_dag_job_t *job)
-{
-	uint32_t placed = 0;
-
-	for (uint32_t i = 0; i < job->n_steps_total; i++)
-		placed += job->steps[i].n_placed;
-	return placed;
-}
-
-static bool all_done(const mt_dag_job_t *job)
-{
-	for (uint32_t i = 0; i < job->n_steps_total; i++) {
-		if (!is_done(&job->steps[i]))
-			return false;
-	}
-	return true;
-}
-
 void mt_dag_job_update_state(mt_dag_job_t *job)
 {
 	MtDag__State before = job->state;
@@ -325,259 +530,87 @@
 	    before == MT_DAG__STATE__FAILED ||
 	    before == MT_DAG__STATE__CANCELLED)
 		return;
-	if (all_done(job))
+	if (job->n_occurrences_done == job->n_occurrences)
 		job->state = MT_DAG__STATE__COMPLETED;
 	else if (job->cancelled)
 		job->state = MT_DAG__STATE__CANCELLED;
 	else if (job->begun)
 		job->state = MT_DAG__STATE__ACTIVE;
-	job->dirty = job->dirty || job->state != before;
-}
-
-uint32_t mt_dag_job_gpu_wanted(const mt_dag_job_t *job)
-{
-	uint64_t most = 0;
-
-	for (uint32_t i = 0; i < job->n_steps_total; i++) {
-		const mt_dag_step_t *step = &job->steps[i];
-		uint64_t unfinished = step->spec->count - step->n_done;
-
-		most = MAX(most, unfinished * step->spec->gpu);
-	}
-	return (uint32_t)MIN(most, UINT32_MAX);
+	if (job->state != before)
+		mt_dag_job_mark_dirty(job);
 }
 
-/**
- * Returns the critical path up to and including this step, in ms. Steps that
- * are done count as 0. UINT32_MAX if it is longer.
- * @param path_ms results for the steps of lower index in the occurrence, by the
- * index of the step
- */
-static uint32_t path_through(const mt_dag_step_t *step, uint32_t *path_ms)
-{
-	uint64_t path = 0;
-
-	for (size_t i = 0; i < step->spec->n_after; i++)
-		path = MAX(path, path_ms[step->spec->after[i]]);
-	if (!is_done(step))
-		path += step->spec->estimate_ms;
-	return (uint32_t)MIN(path, UINT32_MAX);
-}
-
-uint32_t mt_dag_job_critical_path_left_ms(const mt_dag_job_t *job)
-{
-	uint32_t steps_per_occurrence = (uint32_t)job->spec->n_steps;
-	uint32_t *path_ms = g_new0(uint32_t, steps_per_occurrence);
-	uint32_t longest = 0;
-
-	for (uint32_t i = 0; i < job->n_steps_total; i++) {
-		path_ms[i % steps_per_occurrence] =
-			path_through(&job->steps[i], path_ms);
-		longest = MAX(longest, path_ms[i % steps_per_occurrence]);
-	}
-	g_free(path_ms);
-	return longest;
-}
+/* Release of states. */
 
-uint32_t mt_dag_job_objective_ms(const mt_dag_job_t *job)
+static bool may_release(const mt_dag_task_t *task)
 {
-	double objective = job->critical_path_ms * job->queue.slack_factor +
-			   job->queue.objective_extra_ms;
-
-	return (uint32_t)MIN(objective, UINT32_MAX);
+	return task->phase == MT_TASK_PHASE_DONE && !task->server;
 }
 
-/* Progress records. */
-
-/** Parts of a progress record that is being built (packed). */
-typedef struct mt_packing_t {
-	/** MtDag__Placement of each server, for MtDag__Progress.servers. */
-	GPtrArray *server_entries;
-	GPtrArray *servers; /**< mt_backend_t, in the same order */
-	GPtrArray *steps;   /**< MtDag__StepProgress */
-} mt_packing_t;
-
-/**
- * Returns 1 + index of a server in MtDag__Progress.servers, and adds the server
- * if needed.
- */
-static uint32_t server_number(mt_packing_t *packing, mt_backend_t *server)
+/** Frees the states of the step's tasks that are done and on no server. */
+static void release_tasks(mt_dag_step_t *step)
 {
-	MtDag__Placement *server_entry;
+	guint kept = 0;
 
-	for (guint i = 0; i < packing->servers->len; i++) {
-		if (packing->servers->pdata[i] == server)
-			return i + 1;
-	}
-	server_entry = g_new(MtDag__Placement, 1);
-	mt_dag__placement__init(server_entry);
-	server_entry->server = server->info.target.id.text;
-	server_entry->born_ms = server->born_ms;
-	g_ptr_array_add(packing->servers, server);
-	g_ptr_array_add(packing->server_entries, server_entry);
-	return packing->servers->len;
-}
+	step->has_done_tasks = false;
+	if (!step->tasks)
+		return;
+	for (guint i = 0; i < step->tasks->len; i++) {
+		mt_dag_task_t *task = step->tasks->pdata[i];
 
-/** True when no task of the step has ever been placed. */
-static bool was_never_placed(const mt_dag_step_t *step)
-{
-	for (uint32_t i = 0; i < step->spec->count; i++) {
-		if (step->tasks[i].run || step->tasks[i].phase)
-			return false;
+		if (may_release(task))
+			free_task(task);
+		else
+			step->tasks->pdata[kept++] = task;
 	}
-	return true;
+	/* The elements beyond `kept` are freed or have moved. */
+	memset(step->tasks->pdata + kept, 0,
+	       (step->tasks->len - kept) * sizeof(gpointer));
+	g_ptr_array_set_free_func(step->tasks, NULL);
+	g_ptr_array_set_size(step->tasks, (gint)kept);
+	g_ptr_array_set_free_func(step->tasks, free_task);
+	if (!kept)
+		g_clear_pointer(&step->tasks, g_ptr_array_unref);
 }
 
-static void pack_task(mt_packing_t *packing, MtDag__StepProgress *out,
-		      const mt_dag_task_t *task)
+static bool is_over(const mt_dag_occurrence_t *occurrence)
 {
-	uint32_t phase = task->phase;
-
-	/* The record does not tell whether the start was confirmed: a new
-	 * leader learns this from the server. */
-	out->phase[task->index] =
-		phase == MT_TASK_PHASE_RUNNING ? MT_TASK_PHASE_STARTING : phase;
-	out->run[task->index] = task->run;
-	out->fails[task->index] = task->fails;
-	if (task->server && phase != MT_TASK_PHASE_DONE)
-		out->server[task->index] = server_number(packing, task->server);
-}
-
-static uint32_t *new_values(uint32_t count)
-{
-	return g_new0(uint32_t, count);
-}
-
-static void pack_step(mt_packing_t *packing, const mt_dag_step_t *step)
-{
-	MtDag__StepProgress *out = g_new(MtDag__StepProgress, 1);
-	uint32_t n = step->spec->count;
-
-	mt_dag__step_progress__init(out);
-	out->occurrence = step->occurrence;
-	out->step = step->index;
-	out->n_phase = out->n_run = out->n_server = out->n_fails = n;
-	out->phase = new_values(n);
-	out->run = new_values(n);
-	out->server = new_values(n);
-	out->fails = new_values(n);
-	for (uint32_t i = 0; i < n; i++)
-		pack_task(packing, out, &step->tasks[i]);
-	g_ptr_array_add(packing->steps, out);
-}
-
-static void free_step_progress(gpointer data)
-{
-	MtDag__StepProgress *step = data;
-
-	g_free(step->phase);
-	g_free(step->run);
-	g_free(step->server);
-	g_free(step->fails);
-	g_free(step);
+	return occurrence->n_steps_done == occurrence->job->spec->n_steps &&
+	       !occurrence->n_placed;
 }
 
-GBytes *mt_dag_job_pack_progress(const mt_dag_job_t *job)
+/** Frees the occurrence if all its steps are done and no task is placed. */
+static void release_if_over(mt_dag_job_t *job, mt_dag_occurrence_t *occurrence)
 {
-	MtDag__Progress progress = MT_DAG__PROGRESS__INIT;
-	mt_packing_t packing = {
-		g_ptr_array_new_with_free_func(g_free), g_ptr_array_new(),
-		g_ptr_array_new_with_free_func(free_step_progress)};
-	bool omit_steps = job->state >= MT_DAG__STATE__COMPLETED &&
-			  !mt_dag_job_n_placed(job);
-	GBytes *bytes;
-
-	for (uint32_t i = 0; i < job->n_steps_total && !omit_steps; i++) {
-		if (!was_never_placed(&job->steps[i]))
-			pack_step(&packing, &job->steps[i]);
-	}
-	progress.id = job->id;
-	progress.state = job->state;
-	progress.begun = job->begun;
-	progress.servers = (MtDag__Placement **)packing.server_entries->pdata;
-	progress.n_servers = packing.server_entries->len;
-	progress.steps = (MtDag__StepProgress **)packing.steps->pdata;
-	progress.n_steps = packing.steps->len;
-	bytes = mt_dag_pack(&progress.base);
-	g_ptr_array_unref(packing.server_entries);
-	g_ptr_array_unref(packing.servers);
-	g_ptr_array_unref(packing.steps);
-	return bytes;
+	if (!is_over(occurrence))
+		return;
+	g_ptr_array_remove(job->occurrences, occurrence);
+	free_occurrence(occurrence);
 }
 
-GBytes *mt_dag_job_pack_ended(const mt_dag_job_t *job)
+static gint compare_steps(gconstpointer a, gconstpointer b)
 {
-	MtDag__Job ended = *job->spec;
+	uint32_t x = mt_dag_step_number(*(mt_dag_step_t *const *)a);
+	uint32_t y = mt_dag_step_number(*(mt_dag_step_t *const *)b);
 
-	ended.payload = (char *)protobuf_c_empty_string;
-	ended.n_steps = 0;
-	ended.steps = NULL;
-	return mt_dag_pack(&ended.base);
+	return x < y ? -1 : x > y;
 }
 
-/**
- * True when the job has the step that `in` is about, with as many tasks as
- * `in`.
- * @param step_index receives the index into job->steps
- */
-static bool step_matches(const mt_dag_job_t *job, const MtDag__StepProgress *in,
-			 uint32_t *step_index)
+void mt_dag_job_release_done(mt_dag_job_t *job)
 {
-	if (in->step >= job->spec->n_steps ||
-	    in->occurrence >= MAX(1, job->spec->repeat))
-		return false;
-	*step_index = in->occurrence * (uint32_t)job->spec->n_steps + in->step;
-	return in->n_phase == job->steps[*step_index].spec->count &&
-	       in->n_run == in->n_phase && in->n_server == in->n_phase &&
-	       in->n_fails == in->n_phase;
-}
+	GPtrArray *steps = job->steps_with_done_tasks;
+	mt_dag_occurrence_t *occurrence = NULL;
 
-/** Restores a task; returns false when the progress record is malformed. */
-static bool unpack_task(mt_dag_task_t *task, const MtDag__Progress *progress,
-			const MtDag__StepProgress *in, mt_dag_server_cb cb,
-			void *ctx, mt_ms_t now)
-{
-	uint32_t server = in->server[task->index];
+	g_ptr_array_sort(steps, compare_steps);
+	for (guint i = 0; i < steps->len; i++) {
+		mt_dag_step_t *step = steps->pdata[i];
 
-	task->fails = in->fails[task->index];
-	task->run = in->run[task->index];
-	task->step->run = MAX(task->step->run, task->run);
-	if (in->phase[task->index] == MT_TASK_PHASE_DONE)
-		set_done(task);
-	if (in->phase[task->index] != MT_TASK_PHASE_STARTING)
-		return true;
-	if (!server || server > progress->n_servers)
-		return false;
-	mt_dag_task_place(task,
-			  cb(ctx, progress->servers[server - 1]->server,
-			     progress->servers[server - 1]->born_ms),
-			  task->run, now);
-	task->placement_stored = true;
-	task->restored = true;
-	return true;
-}
-
-bool mt_dag_job_unpack_progress(mt_dag_job_t *job, mt_str_t value,
-				mt_dag_server_cb cb, void *ctx, mt_ms_t now)
-{
-	MtDag__Progress *progress = mt_dag__progress__unpack(
-		NULL, value.len, (const uint8_t *)value.data);
-	bool valid = progress != NULL;
-
-	for (size_t i = 0; progress && i < progress->n_steps && valid; i++) {
-		const MtDag__StepProgress *in = progress->steps[i];
-		uint32_t step_index = 0;
-
-		valid = step_matches(job, in, &step_index);
-		for (uint32_t k = 0; valid && k < in->n_phase; k++)
-			valid = unpack_task(&job->steps[step_index].tasks[k],
-					    progress, in, cb, ctx, now);
-	}
-	if (progress) {
-		job->state = progress->state;
-		job->begun = progress->begun;
-		mt_dag__progress__free_unpacked(progress, NULL);
+		release_tasks(step);
+		if (occurrence && occurrence != step->occurrence)
+			release_if_over(job, occurrence);
+		occurrence = step->occurrence;
 	}
-	job->dirty = false;
-	return valid;
+	if (occurrence)
+		release_if_over(job, occurrence);
+	g_ptr_array_set_size(steps, 0);
 }
--- a/lib/dag/job_model.h
+++ b/lib/dag/job_model.h
@@ -32,6 +32,7 @@
 } mt_task_phase_t;
 
 typedef struct mt_dag_job_t mt_dag_job_t;
+typedef struct mt_dag_occurrence_t mt_dag_occurrence_t;
 typedef struct mt_dag_step_t mt_dag_step_t;
 
 /** Progress of a run that has done its work. */
@@ -89,15 +90,28 @@
 	mt_ms_t checkpoint_saved_at;
 } mt_dag_task_t;
 
-/** A step in one occurrence of its job. */
+/**
+ * A step in one occurrence of its job. Its tasks begin in the order of their
+ * indices. Only those have a state that have begun, that is were placed once,
+ * and are not done.
+ */
 struct mt_dag_step_t {
 	mt_dag_job_t *job;
-	uint32_t occurrence;
+	mt_dag_occurrence_t *occurrence;
 	uint32_t index; /**< index into job->spec->steps */
 	const MtDag__Step *spec;
-	mt_dag_task_t *tasks; /**< array of spec->count tasks */
-	uint32_t n_done;      /**< number of tasks that are done */
-	uint32_t n_placed;    /**< number of tasks that are placed */
+	/** mt_dag_task_t, the tasks with a state, in the order of their
+	 * indices. NULL: no task has begun. */
+	GPtrArray *tasks;
+	/** Tasks from this index on have not begun and have no state. Tasks
+	 * below it without a state are done. */
+	uint32_t n_begun;
+	uint32_t n_done;     /**< number of tasks that are done */
+	uint32_t n_placed;   /**< number of tasks that are placed */
+	uint32_t n_waiting;  /**< number of tasks in the phase WAITING */
+	uint32_t n_blockers; /**< steps that it depends on and that are not done
+			      */
+	bool has_done_tasks; /**< it is in job->steps_with_done_tasks */
 	/** Highest run number of its tasks; 0: none was placed. The tasks of a
 	 * gang are placed together, with the same run number. */
 	uint32_t run;
@@ -126,6 +140,31 @@
 	GQuark data_rack;
 };
 
+/**
+ * An open occurrence of a job: one that has begun or may begin soon, and that
+ * is not done. Other occurrences have no state.
+ */
+struct mt_dag_occurrence_t {
+	mt_dag_job_t *job;
+	uint32_t number;
+	uint32_t n_steps_done;
+	uint32_t n_placed;     /**< number of placed tasks of all its steps */
+	mt_dag_step_t steps[]; /**< job->spec->n_steps steps */
+};
+
+/** What is the same for a step in all occurrences of its job. */
+typedef struct mt_dag_step_layout_t {
+	GArray *successors; /**< uint32_t, steps that depend on this one */
+	/** Longest sum of estimates along a chain of steps that begins here. */
+	uint32_t path_ms;
+	/** Largest number of accelerators of any one step that depends on this
+	 * one, directly or not. */
+	uint64_t gpu_after;
+	/** Estimated work of one task in core-milliseconds; 0 for a
+	 * long-running step, whose work has no end. */
+	double work_core_ms;
+} mt_dag_step_layout_t;
+
 struct mt_dag_job_t {
 	uint64_t id;
 	MtDag__Job *spec;
@@ -139,12 +178,41 @@
 	/** The job record was replaced by the short record that
 	 * mt_dag_job_pack_ended() makes. */
 	bool job_record_shortened;
-	uint32_t n_steps_total; /**< number of steps of all occurrences */
-	mt_dag_step_t *steps;	/**< n_steps_total steps, by occurrence */
+	/** Receives the job when it becomes dirty; NULL: nobody is told. */
+	GPtrArray *dirty_jobs;
+	mt_dag_step_layout_t *layout; /**< by index of the step */
+	/** Estimated work of an occurrence that has not begun, as in
+	 * mt_dag_step_layout_t.work_core_ms. */
+	double occurrence_work_core_ms;
+	uint32_t n_occurrences; /**< in total, at least 1 */
+	/** Occurrences from this number on have never been open. Those below it
+	 * that are not open are done. */
+	uint32_t n_opened;
+	uint32_t n_occurrences_done;
+	GPtrArray *occurrences; /**< mt_dag_occurrence_t, open, by number */
+	/** mt_dag_step_t of open occurrences that depend on no unfinished step
+	 * and are not done, in the order of mt_dag_step_number(). */
+	GPtrArray *ready_steps;
+	/** mt_dag_step_t with tasks whose state is to be released, see
+	 * mt_dag_job_release_done(). */
+	GPtrArray *steps_with_done_tasks;
+	/** Steps from this number on have not begun, see
+	 * mt_dag_step_number(). */
+	uint32_t steps_begun;
+	uint32_t n_placed;	 /**< number of placed tasks */
+	mt_dag_resources_t used; /**< by the placed tasks */
+	/** Waiting tasks of the open occurrences, without those of long-running
+	 * steps, and their estimated work. */
+	uint64_t n_waiting;
+	double waiting_core_ms;
 	/** Local time at which this leader made this model. The time of the
 	 * objective counts from here, as the job record does not contain the
 	 * time of acceptance. */
 	mt_ms_t known_since;
+	/** Last result of mt_dag_job_critical_path_left_ms(); valid until a
+	 * step becomes ready or done. */
+	uint32_t path_left_ms;
+	bool path_left_known;
 	/** Critical path of the whole job: the longest sum of estimates along a
 	 * chain of dependent steps. Steps of different occurrences do not
 	 * depend on each other. */
@@ -171,18 +239,67 @@
 mt_dag_job_t *mt_dag_job_new(MtDag__Job *spec, mt_ms_t now);
 void mt_dag_job_free(mt_dag_job_t *job);
 
-/** Finds a task; returns NULL when the job has no such task. */
-mt_dag_task_t *mt_dag_job_find_task(mt_dag_job_t *job,
+/**
+ * Opens the next occurrence: gives it a state.
+ * @return NULL if there is no further one
+ */
+mt_dag_occurrence_t *mt_dag_job_open_next(mt_dag_job_t *job);
+
+/**
+ * Finds a step of an open occurrence. It may be done, or depend on steps that
+ * are not done. NULL if there is none.
+ */
+mt_dag_step_t *mt_dag_job_find_step(const mt_dag_job_t *job,
+				    uint32_t occurrence, uint32_t step);
+
+/** Finds a task with a state; NULL if there is none. */
+mt_dag_task_t *mt_dag_job_find_task(const mt_dag_job_t *job,
 				    const mt_task_key_t *key);
 mt_task_key_t mt_dag_task_key(const mt_dag_task_t *task);
 
+/** Finds a task of the step with a state; NULL if it is done or has not begun.
+ */
+mt_dag_task_t *mt_dag_step_find_task(const mt_dag_step_t *step, uint32_t index);
+
+/**
+ * Returns the state of the task that comes next in the step, and makes it.
+ * @return NULL if all tasks have begun
+ */
+mt_dag_task_t *mt_dag_step_begin_task(mt_dag_step_t *step);
+
+/**
+ * Number of the step in its job: those of an occurrence follow each other, in
+ * the order of their indices.
+ */
+uint32_t mt_dag_step_number(const mt_dag_step_t *step);
+
+/** True when all tasks of the step are done. */
+bool mt_dag_step_is_done(const mt_dag_step_t *step);
+
+/**
+ * Frees the states of tasks that are done and on no server, and those of
+ * occurrences of which all steps are. Called when their progress is being
+ * stored.
+ */
+void mt_dag_job_release_done(mt_dag_job_t *job);
+
+/** Notes that the progress record in the store is outdated. */
+void mt_dag_job_mark_dirty(mt_dag_job_t *job);
+
 /** True when all steps on which this step depends are done. */
 bool mt_dag_step_is_ready(const mt_dag_step_t *step);
 
+/** Earliest start of an occurrence, as Unix time in ms; 0: immediately. */
+int64_t mt_dag_job_earliest_start(const mt_dag_job_t *job, uint32_t occurrence);
+
+/** Number of occurrences that have never been open and may start by then. */
+uint32_t mt_dag_job_n_due_unopened(const mt_dag_job_t *job, int64_t wall_ms);
+
 /** Earliest start of the step, as Unix time in ms; 0: immediately. */
 int64_t mt_dag_step_earliest_start(const mt_dag_step_t *step);
 
-/** Resources that one task of the step requires. */
+/** Resources that one task of a step requires. */
+mt_dag_resources_t mt_dag_spec_need(const MtDag__Step *spec);
 mt_dag_resources_t mt_dag_step_need(const mt_dag_step_t *step);
 
 /** These resources as a number of cores, see mt_dag_resources_cores(). */
@@ -197,7 +314,7 @@
 
 /**
  * Handles a successful run: sets the task to done, or all tasks if it belongs
- * to a gang.
+ * to a gang. The states of tasks are kept until mt_dag_job_release_done().
  */
 void mt_dag_task_finish(mt_dag_task_t *task);
 
@@ -228,9 +345,6 @@
 /** Updates the job's state from its tasks; a final state does not change. */
 void mt_dag_job_update_state(mt_dag_job_t *job);
 
-/** Number of tasks of the job that are placed, see mt_task_phase_t. */
-uint32_t mt_dag_job_n_placed(const mt_dag_job_t *job);
-
 /**
  * Largest number of accelerators that the unfinished tasks of any one step
  * require together.
@@ -241,7 +355,13 @@
  * Critical path of the unfinished steps, by their estimates, in ms: the longest
  * one of any occurrence.
  */
-uint32_t mt_dag_job_critical_path_left_ms(const mt_dag_job_t *job);
+uint32_t mt_dag_job_critical_path_left_ms(mt_dag_job_t *job);
+
+/**
+ * Estimated work of the waiting tasks of all occurrences that may start by
+ * then, in core-milliseconds, also of those whose step depends on others.
+ */
+double mt_dag_job_waiting_core_ms(const mt_dag_job_t *job, int64_t wall_ms);
 
 /**
  * Time in ms within which the job should be completed, counted from
@@ -249,7 +369,10 @@
  */
 uint32_t mt_dag_job_objective_ms(const mt_dag_job_t *job);
 
-/** Serializes the progress record; freed with g_bytes_unref(). */
+/**
+ * Serializes the progress record; freed with g_bytes_unref(). Its size depends
+ * on the steps and tasks that have begun and are not done.
+ */
 GBytes *mt_dag_job_pack_progress(const mt_dag_job_t *job);
 
 /** Serializes the short record of an ended job, without payload and steps. */
--- a/lib/dag/load_summary.c
+++ b/lib/dag/load_summary.c
@@ -107,42 +107,47 @@
 
 /* Work that waits and runs. */
 
-static void add_step(mt_work_t *work, const mt_dag_step_t *step, mt_ms_t now)
+static bool is_counted(const mt_dag_job_t *job)
 {
-	double cores = mt_dag_step_cores(step);
+	return !mt_state_is_final(job->state) && !job->cancelled;
+}
 
-	for (uint32_t i = 0; i < step->spec->count; i++) {
-		const mt_dag_task_t *task = &step->tasks[i];
-		double left_ms = step->spec->estimate_ms;
+/** Adds the run of a task, unless it is over or its time is unlimited. */
+static void add_run(mt_load_summary_t *summary, const mt_dag_task_t *task,
+		    mt_ms_t now)
+{
+	const mt_dag_step_t *step = task->step;
+	double left_ms = step->spec->estimate_ms;
+	mt_work_t *work;
 
-		if (task->phase == MT_TASK_PHASE_WAITING)
-			work->waiting += cores * left_ms;
-		if (!task->server || task->phase == MT_TASK_PHASE_DONE)
-			continue;
-		left_ms -= (double)(now - task->placed_at);
-		work->running += cores * MAX(left_ms, 0);
-	}
+	if (!is_counted(step->job) || step->spec->lasting ||
+	    task->phase == MT_TASK_PHASE_DONE)
+		return;
+	work = work_of(find_or_add(summary, &step->job->queue.service),
+		       step->job);
+	left_ms -= (double)(now - task->placed_at);
+	work->running += mt_dag_step_cores(step) * MAX(left_ms, 0);
 }
 
-/**
- * Adds the steps of a job, including those that depend on steps which are not
- * done, but none that starts later and none that runs for an unlimited time.
- */
-static void add_job(mt_load_summary_t *summary, const mt_dag_job_t *job,
-		    mt_ms_t now, int64_t wall_ms)
+static void add_runs(mt_load_summary_t *summary, const mt_engine_t *engine)
 {
-	mt_work_t *work =
-		work_of(find_or_add(summary, &job->queue.service), job);
+	mt_ms_t now = mt_engine_now(engine);
+	GHashTableIter iter;
+	gpointer value;
 
-	for (uint32_t i = 0; i < job->n_steps_total; i++) {
-		const mt_dag_step_t *step = &job->steps[i];
+	g_hash_table_iter_init(&iter, engine->backends);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const mt_backend_t *backend = value;
 
-		if (!step->spec->lasting &&
-		    mt_dag_step_earliest_start(step) <= wall_ms)
-			add_step(work, step, now);
+		for (guint i = 0; i < backend->tasks->len; i++)
+			add_run(summary, backend->tasks->pdata[i], now);
 	}
 }
 
+/**
+ * Adds the waiting work of the jobs, including that of steps which depend on
+ * others, but none that starts later.
+ */
 static void add_jobs(mt_load_summary_t *summary, const mt_engine_t *engine)
 {
 	int64_t wall_ms = engine->deps.wall_ms();
@@ -153,8 +158,10 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const mt_dag_job_t *job = value;
 
-		if (!mt_state_is_final(job->state) && !job->cancelled)
-			add_job(summary, job, mt_engine_now(engine), wall_ms);
+		if (is_counted(job))
+			work_of(find_or_add(summary, &job->queue.service), job)
+				->waiting +=
+				mt_dag_job_waiting_core_ms(job, wall_ms);
 	}
 }
 
@@ -356,6 +363,7 @@
 	clear_loads(summary);
 	add_capacity(summary, engine);
 	add_jobs(summary, engine);
+	add_runs(summary, engine);
 	g_hash_table_iter_init(&iter, summary->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		mt_service_load_t *load = value;
--- a/lib/dag/plan.c
+++ b/lib/dag/plan.c
@@ -159,7 +159,7 @@
 static void schedule(mt_plan_run_t *run, mt_plan_unit_t *unit)
 {
 	unit->placed = 0;
-	for (uint32_t i = 0; i < unit->count; i++)
+	for (uint32_t i = 0; unit->chosen && i < unit->count; i++)
 		unit->chosen[i] = MT_PLAN_NO_SERVER;
 	if (wait_for_fast_room(run, unit))
 		return;
--- a/lib/dag/plan.h
+++ b/lib/dag/plan.h
@@ -123,7 +123,10 @@
 	 * cannot start soon. */
 	bool overdue;
 
-	/** Result: the server of each task, or MT_PLAN_NO_SERVER. */
+	/** Result: the servers of the `placed` tasks. If the caller sets it to
+	 * NULL, it is allocated for them with g_new() and freed by the caller;
+	 * otherwise it has room for `count` elements, and those beyond `placed`
+	 * receive MT_PLAN_NO_SERVER. */
 	uint32_t *chosen;
 	uint32_t placed; /**< result: number of tasks with a server */
 } mt_plan_unit_t;
--- a/lib/dag/plan_place.c
+++ b/lib/dag/plan_place.c
@@ -149,11 +149,14 @@
 {
 	mt_scope_t scope = {plan, index, unit, server_set, MT_CAPACITY_FREE,
 			    NULL};
+	uint32_t fit_count = MIN(mt_scope_fit_count(&scope), unit->count);
 	uint32_t n_assigned;
 
-	if (unit->is_gang && mt_scope_fit_count(&scope) < unit->count)
+	if (!fit_count || (unit->is_gang && fit_count < unit->count))
 		return false;
-	n_assigned = mt_plan_assign_servers(&scope, unit->chosen, unit->count);
+	if (!unit->chosen)
+		unit->chosen = g_new(uint32_t, fit_count);
+	n_assigned = mt_plan_assign_servers(&scope, unit->chosen, fit_count);
 	mt_plan_allocate(plan, unit, unit->chosen, n_assigned);
 	unit->placed = n_assigned;
 	return n_assigned == unit->count;
--- a/lib/dag/plan_reserve.c
+++ b/lib/dag/plan_reserve.c
@@ -47,6 +47,7 @@
 			    server_set,
 			    MT_CAPACITY_FREE_OR_RELEASING,
 			    NULL};
+	uint32_t fit_count;
 	uint32_t *chosen;
 	uint32_t n_assigned;
 
@@ -56,8 +57,9 @@
 	if (unit->reservation_limited &&
 	    run->n_limited_reservations++ >= run->plan->reservations_max)
 		return;
-	chosen = g_new(uint32_t, unit->count);
-	n_assigned = mt_plan_assign_servers(&scope, chosen, unit->count);
+	fit_count = MIN(mt_scope_fit_count(&scope), unit->count);
+	chosen = g_new(uint32_t, fit_count);
+	n_assigned = mt_plan_assign_servers(&scope, chosen, fit_count);
 	for (uint32_t i = 0; i < n_assigned; i++)
 		reserve_on(run, unit, chosen[i], soon);
 	g_free(chosen);
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -252,8 +252,8 @@
 	if (!step->spec->per_server_max)
 		return NULL;
 	already_placed = g_new0(uint32_t, planner->backends->len + 1);
-	for (uint32_t i = 0; i < step->spec->count; i++) {
-		const mt_dag_task_t *task = &step->tasks[i];
+	for (guint i = 0; step->tasks && i < step->tasks->len; i++) {
+		const mt_dag_task_t *task = step->tasks->pdata[i];
 		guint index_plus_one = GPOINTER_TO_UINT(g_hash_table_lookup(
 			planner->backend_index, task->server));
 
@@ -336,7 +336,7 @@
 static int64_t compute_time_left(const mt_planner_t *planner,
 				 const mt_dag_step_t *step)
 {
-	const mt_dag_job_t *job = step->job;
+	mt_dag_job_t *job = step->job;
 	int64_t left_ms = (int64_t)job->known_since +
 			  mt_dag_job_objective_ms(job) - (int64_t)planner->now;
 	uint32_t path_left_ms = mt_dag_job_critical_path_left_ms(job);
@@ -405,7 +405,6 @@
 		unit->may_preempt ||
 		(unit->is_gang && candidate->waited_ms > RESERVE_AFTER_MS);
 	unit->overdue = candidate->overdue;
-	unit->chosen = g_new(uint32_t, unit->count);
 	if (!spread && step->spec->same_rack && any_rack_fits(planner, step))
 		unit->same_rack = true;
 	if (!spread && step->data_rack &&
@@ -445,6 +444,23 @@
 			candidate->guaranteed ? "true" : "false");
 }
 
+/**
+ * Returns the first waiting task of the step.
+ * @param at index into step->tasks from which to search; receives that of the
+ * element after the task
+ */
+static mt_dag_task_t *next_waiting_task(mt_dag_step_t *step, guint *at)
+{
+	while (step->tasks && *at < step->tasks->len) {
+		mt_dag_task_t *task = step->tasks->pdata[(*at)++];
+
+		if (task->phase == MT_TASK_PHASE_WAITING)
+			return task;
+	}
+	++*at;
+	return mt_dag_step_begin_task(step);
+}
+
 /** Places the waiting tasks of the step on the servers chosen for the unit. */
 static void place_unit(mt_planner_t *planner, const mt_plan_unit_t *unit,
 		       const mt_candidate_step_t *candidate)
@@ -452,14 +468,14 @@
 	mt_dag_step_t *step = candidate->step;
 	uint32_t gang_run = step->run + 1;
 	uint32_t next = 0;
+	guint at = 0;
 
-	for (uint32_t i = 0; i < step->spec->count && next < unit->placed;
-	     i++) {
-		mt_dag_task_t *task = &step->tasks[i];
+	while (next < unit->placed) {
+		mt_dag_task_t *task = next_waiting_task(step, &at);
 		mt_backend_t *backend;
 
-		if (task->phase != MT_TASK_PHASE_WAITING)
-			continue;
+		if (!task)
+			break;
 		backend = planner->backends->pdata[unit->chosen[next++]];
 		mt_dag_task_place(task, backend,
 				  step->spec->gang ? gang_run : task->run + 1,
@@ -580,6 +596,8 @@
 			mt_wait_log_write(&planner);
 		apply_plan(&planner);
 	}
+	engine->pass_pace.n_steps_visited += planner.n_steps_visited;
+	engine->pass_pace.n_candidates += planner.candidates->len;
 	free_plan(&planner);
 }
 
@@ -595,7 +613,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const mt_dag_job_t *job = value;
 
-		if (!mt_state_is_final(job->state))
+		if (!mt_state_is_final(job->state) &&
+		    !g_hash_table_contains(services, &job->queue.service))
 			g_hash_table_add(services,
 					 mt_name_dup(&job->queue.service));
 	}
--- a/lib/dag/planner_internal.h
+++ b/lib/dag/planner_internal.h
@@ -33,6 +33,12 @@
 	bool overdue;
 } mt_candidate_step_t;
 
+/**
+ * Maximum number of candidates with the same step of a job, in different
+ * occurrences: the others would get what these leave over, that is nothing.
+ */
+#define MT_CANDIDATES_OF_STEP_MAX 128u
+
 /** The planning of one service in one scheduling pass. */
 typedef struct mt_planner_t {
 	mt_engine_t *engine;
@@ -49,6 +55,7 @@
 	/** Steps that are not started, as their tasks would probably be
 	 * preempted before they end. */
 	unsigned n_held_back;
+	unsigned n_steps_visited; /**< ready steps that were looked at */
 	GPtrArray *backends; /**< mt_backend_t, in the order of plan.servers */
 	/** Maps mt_backend_t to its index in `backends` plus one. */
 	GHashTable *backend_index;
--- a/lib/dag/relocation.c
+++ b/lib/dag/relocation.c
@@ -168,8 +168,8 @@
 	mt_dag_task_t **tasks = g_new(mt_dag_task_t *, step->n_placed);
 	unsigned n = 0;
 
-	for (uint32_t i = 0; i < step->spec->count && n < step->n_placed; i++) {
-		mt_dag_task_t *task = &step->tasks[i];
+	for (guint i = 0; i < step->tasks->len && n < step->n_placed; i++) {
+		mt_dag_task_t *task = step->tasks->pdata[i];
 
 		if (!has_pace(task, now))
 			continue;
@@ -196,9 +196,12 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const mt_dag_job_t *job = value;
 
-		for (uint32_t i = 0; i < job->n_steps_total; i++) {
-			if (job->steps[i].n_placed)
-				compare_step(engine, &job->steps[i], now);
+		for (guint i = 0; job->n_placed && i < job->ready_steps->len;
+		     i++) {
+			const mt_dag_step_t *step = job->ready_steps->pdata[i];
+
+			if (step->n_placed)
+				compare_step(engine, step, now);
 		}
 	}
 }
@@ -350,11 +353,14 @@
 /** Notes that the run, or its whole gang, is moved from a slow server. */
 static void note_moved_from_slow(mt_dag_task_t *task)
 {
-	mt_dag_step_t *step = task->step;
+	const mt_dag_step_t *step = task->step;
 
 	task->moved_from_slow = true;
-	for (uint32_t i = 0; step->spec->gang && i < step->spec->count; i++)
-		step->tasks[i].moved_from_slow = true;
+	for (guint i = 0; step->spec->gang && i < step->tasks->len; i++) {
+		mt_dag_task_t *member = step->tasks->pdata[i];
+
+		member->moved_from_slow = true;
+	}
 }
 
 /* Ends of runs. */
--- a/lib/dag/reports.c
+++ b/lib/dag/reports.c
@@ -46,7 +46,7 @@
 static void fail_job(mt_engine_t *engine, mt_dag_job_t *job)
 {
 	job->state = MT_DAG__STATE__FAILED;
-	job->dirty = true;
+	mt_dag_job_mark_dirty(job);
 	mt_kernel_event(engine->deps.kernel, "job_failed",
 			"\"job\":\"%016" G_GINT64_MODIFIER
 			"x\",\"reason\":\"attempts used up\"",
@@ -63,9 +63,11 @@
  */
 static void stop_starting_members(mt_engine_t *engine, mt_dag_step_t *step)
 {
-	for (uint32_t i = 0; i < step->spec->count; i++) {
-		if (step->tasks[i].phase == MT_TASK_PHASE_STARTING)
-			mt_commands_stop(engine, &step->tasks[i]);
+	for (guint i = 0; i < step->tasks->len; i++) {
+		mt_dag_task_t *task = step->tasks->pdata[i];
+
+		if (task->phase == MT_TASK_PHASE_STARTING)
+			mt_commands_stop(engine, task);
 	}
 }
 
--- a/lib/dag/server_speeds.c
+++ b/lib/dag/server_speeds.c
@@ -67,11 +67,14 @@
 {
 	mt_ms_t confirmed_at = 0;
 
-	for (uint32_t i = 0; i < step->spec->count; i++) {
-		if (step->tasks[i].phase != MT_TASK_PHASE_RUNNING)
+	if (step->n_begun < step->spec->count)
+		return 0;
+	for (guint i = 0; i < step->tasks->len; i++) {
+		const mt_dag_task_t *task = step->tasks->pdata[i];
+
+		if (task->phase != MT_TASK_PHASE_RUNNING)
 			return 0;
-		confirmed_at =
-			MAX(confirmed_at, step->tasks[i].start_settled_at);
+		confirmed_at = MAX(confirmed_at, task->start_settled_at);
 	}
 	return confirmed_at;
 }
@@ -122,7 +125,7 @@
 		return false;
 	*sample = (mt_speed_sample_t){
 		.job = task->step->job->id,
-		.occurrence = task->step->occurrence,
+		.occurrence = task->step->occurrence->number,
 		.step = task->step->index,
 		.task = task->index,
 		.run = task->run,
--- a/lib/dag/step_times.c
+++ b/lib/dag/step_times.c
@@ -34,8 +34,8 @@
 /** Adds the run times of the members of a gang, by their last known rates. */
 static void observe_gang(mt_engine_t *engine, const mt_dag_step_t *step)
 {
-	for (uint32_t i = 0; i < step->spec->count; i++) {
-		const mt_dag_task_t *task = &step->tasks[i];
+	for (guint i = 0; i < step->tasks->len; i++) {
+		const mt_dag_task_t *task = step->tasks->pdata[i];
 
 		if (task->server && task->measured_rate > 0)
 			observe(engine, task, task->measured_rate);
--- a/lib/dag/victims.c
+++ b/lib/dag/victims.c
@@ -126,13 +126,14 @@
 	uint32_t n = 0;
 	uint32_t n_outside = 0;
 
-	for (uint32_t i = 0; i < step->spec->count; i++) {
-		if (step->tasks[i].server)
-			left_ms = MAX(left_ms,
-				      run_left_ms(planner, &step->tasks[i]));
+	for (guint i = 0; i < step->tasks->len; i++) {
+		const mt_dag_task_t *task = step->tasks->pdata[i];
+
+		if (task->server)
+			left_ms = MAX(left_ms, run_left_ms(planner, task));
 	}
-	for (uint32_t i = 0; i < step->spec->count; i++) {
-		const mt_dag_task_t *task = &step->tasks[i];
+	for (guint i = 0; i < step->tasks->len; i++) {
+		const mt_dag_task_t *task = step->tasks->pdata[i];
 
 		if (!task->server)
 			continue;
--- a/lib/dag/work_lost.c
+++ b/lib/dag/work_lost.c
@@ -36,8 +36,8 @@
 {
 	double core_s = 0;
 
-	for (uint32_t i = 0; i < step->spec->count; i++) {
-		const mt_dag_task_t *task = &step->tasks[i];
+	for (guint i = 0; i < step->tasks->len; i++) {
+		const mt_dag_task_t *task = step->tasks->pdata[i];
 
 		if (task->server && task->phase != MT_TASK_PHASE_DONE)
 			core_s += unsaved_work(task, now);
--- a/tests/unit/engine_fixture.c
+++ b/tests/unit/engine_fixture.c
@@ -114,6 +114,7 @@
 						   HOLD_RETRY_LONGEST_MS);
 	g_array_unref(fixture->holds);
 	g_hash_table_destroy(fixture->engine->jobs);
+	g_ptr_array_unref(fixture->engine->dirty_jobs);
 	g_hash_table_destroy(fixture->engine->backends);
 	g_ptr_array_unref(fixture->engine->flushes);
 	g_hash_table_destroy(fixture->engine->logged_zones);
@@ -125,23 +126,39 @@
 	mt_timers_free(fixture->timers);
 }
 
+MtDag__Step mt_engine_fixture_step(uint32_t count)
+{
+	MtDag__Step step = MT_DAG__STEP__INIT;
+
+	step.count = count;
+	step.gpu = MT_ENGINE_FIXTURE_GPU;
+	step.cpu_milli = 1000;
+	step.estimate_ms = 5000;
+	step.gang = count > 1;
+	return step;
+}
+
 mt_dag_job_t *mt_engine_fixture_add_job(mt_engine_fixture_t *fixture,
 					uint64_t id, uint32_t priority,
 					uint32_t count)
+{
+	MtDag__Step step = mt_engine_fixture_step(count);
+
+	return mt_engine_fixture_add_job_of(fixture, id, priority, &step, 0);
+}
+
+mt_dag_job_t *mt_engine_fixture_add_job_of(mt_engine_fixture_t *fixture,
+					   uint64_t id, uint32_t priority,
+					   MtDag__Step *step, uint32_t repeat)
 {
 	MtDag__Job job = MT_DAG__JOB__INIT;
-	MtDag__Step step = MT_DAG__STEP__INIT;
-	MtDag__Step *steps[] = {&step};
+	MtDag__Step *steps[] = {step};
 	GBytes *bytes;
 	mt_str_t view;
 	mt_dag_job_t *job_model;
 
-	step.count = count;
-	step.gpu = MT_ENGINE_FIXTURE_GPU;
-	step.cpu_milli = 1000;
-	step.estimate_ms = 5000;
-	step.gang = count > 1;
 	job.id = id;
+	job.repeat = repeat;
 	job.queue = (char *)"batch";
 	job.service = (char *)"service";
 	job.priority = priority;
@@ -156,10 +173,24 @@
 	g_bytes_unref(bytes);
 	job_model->queue.service = mt_name("service");
 	job_model->queue.priority = priority;
-	g_hash_table_insert(fixture->engine->jobs, &job_model->id, job_model);
+	mt_engine_insert_job(fixture->engine, job_model);
 	return job_model;
 }
 
+mt_dag_step_t *mt_first_step(mt_dag_job_t *job)
+{
+	if (!job->n_opened)
+		mt_dag_job_open_next(job);
+	return mt_dag_job_find_step(job, 0, 0);
+}
+
+mt_dag_task_t *mt_task_of(mt_dag_step_t *step, uint32_t index)
+{
+	while (step->n_begun <= index)
+		mt_dag_step_begin_task(step);
+	return mt_dag_step_find_task(step, index);
+}
+
 void mt_engine_fixture_advance(mt_engine_fixture_t *fixture, mt_ms_t ms)
 {
 	for (mt_ms_t i = 0; i < ms; i += 100)
@@ -169,8 +200,8 @@
 
 mt_dag_task_t *mt_engine_fixture_add_running_task(mt_engine_fixture_t *fixture)
 {
-	mt_dag_task_t *task =
-		&mt_engine_fixture_add_job(fixture, 1, 2, 1)->steps[0].tasks[0];
+	mt_dag_task_t *task = mt_task_of(
+		mt_first_step(mt_engine_fixture_add_job(fixture, 1, 2, 1)), 0);
 
 	mt_dag_task_place(task, fixture->servers[0], 1, 9000);
 	task->placement_stored = true;
--- a/tests/unit/engine_fixture.h
+++ b/tests/unit/engine_fixture.h
@@ -53,6 +53,20 @@
 					uint64_t id, uint32_t priority,
 					uint32_t count);
 
+/** The step of such a job. */
+MtDag__Step mt_engine_fixture_step(uint32_t count);
+
+/** Adds a job of this step that runs `repeat` times, all due at once. */
+mt_dag_job_t *mt_engine_fixture_add_job_of(mt_engine_fixture_t *fixture,
+					   uint64_t id, uint32_t priority,
+					   MtDag__Step *step, uint32_t repeat);
+
+/** The first step of a job, in its first occurrence, which is opened. */
+mt_dag_step_t *mt_first_step(mt_dag_job_t *job);
+
+/** The state of a task that is not done; the tasks up to it are begun. */
+mt_dag_task_t *mt_task_of(mt_dag_step_t *step, uint32_t index);
+
 /** Places a running task of a new job, 1, on the first server. */
 mt_dag_task_t *mt_engine_fixture_add_running_task(mt_engine_fixture_t *fixture);
 
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -97,6 +97,8 @@
 	add_suite("cold", mt_cold_tests);
 	add_suite("fast share", mt_fast_share_tests);
 	add_suite("http guard", mt_http_guard_tests);
+	add_suite("same plan", mt_same_plan_tests);
+	add_suite("wide jobs", mt_wide_jobs_tests);
 	CU_basic_set_mode(CU_BRM_NORMAL);
 	CU_basic_run_tests();
 	printf("%u passed, %u failed\n",
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -483,7 +483,7 @@
 	double drained = 0;
 
 	open_summary(&fixture);
-	step = &mt_engine_fixture_add_job(&fixture, 2, 1, 3)->steps[0];
+	step = mt_first_step(mt_engine_fixture_add_job(&fixture, 2, 1, 3));
 	for (unsigned i = 0; i < 40; i++) {
 		if (i % 2)
 			mt_load_summary_note_done(fixture.engine->load_summary,
@@ -532,10 +532,10 @@
 		g_snprintf(name, sizeof(name), "account-with-a-name-%02u",
 			   (unsigned)i);
 		set_account(job, name);
-		((MtDag__Step *)job->steps[0].spec)->cpu_milli =
+		((MtDag__Step *)mt_first_step(job)->spec)->cpu_milli =
 			1000 * (uint32_t)i;
-		mt_dag_task_place(&job->steps[0].tasks[0], fixture.servers[0],
-				  1, 9000);
+		mt_dag_task_place(mt_task_of(mt_first_step(job), 0),
+				  fixture.servers[0], 1, 9000);
 	}
 	mt_engine_fixture_add_job(&fixture, 99, 2, 5);
 	pressure = summarize(&fixture);
--- a/tests/unit/test_cold.c
+++ b/tests/unit/test_cold.c
@@ -106,7 +106,7 @@
 				      uint32_t count)
 {
 	mt_dag_step_t *step =
-		&mt_engine_fixture_add_job(fixture, id, 2, count)->steps[0];
+		mt_first_step(mt_engine_fixture_add_job(fixture, id, 2, count));
 	MtDag__Step *spec = (MtDag__Step *)step->spec;
 
 	spec->gang = false;
--- a/tests/unit/test_engine.c
+++ b/tests/unit/test_engine.c
@@ -13,15 +13,14 @@
 /** Adds a gang whose members are running, one on each server. */
 static mt_dag_step_t *add_running_gang(mt_engine_fixture_t *fixture)
 {
-	mt_dag_step_t *step = &mt_engine_fixture_add_job(
-				       fixture, 1, 2, MT_ENGINE_FIXTURE_SERVERS)
-				       ->steps[0];
+	mt_dag_step_t *step = mt_first_step(mt_engine_fixture_add_job(
+		fixture, 1, 2, MT_ENGINE_FIXTURE_SERVERS));
 
 	for (unsigned i = 0; i < MT_ENGINE_FIXTURE_SERVERS; i++) {
-		mt_dag_task_place(&step->tasks[i], fixture->servers[i], 1,
+		mt_dag_task_place(mt_task_of(step, i), fixture->servers[i], 1,
 				  9000);
-		step->tasks[i].placement_stored = true;
-		step->tasks[i].phase = MT_TASK_PHASE_RUNNING;
+		mt_task_of(step, i)->placement_stored = true;
+		mt_task_of(step, i)->phase = MT_TASK_PHASE_RUNNING;
 	}
 	return step;
 }
@@ -41,8 +40,8 @@
 	fixture.servers[1]->avoid_until = 99999; /* after the test */
 	mt_engine_fixture_add_job(&fixture, 2, 0, 1);
 	mt_planner_run(fixture.engine);
-	CU_ASSERT_TRUE(gang->tasks[0].stop_wanted);
-	CU_ASSERT_TRUE(gang->tasks[1].stop_wanted);
+	CU_ASSERT_TRUE(mt_task_of(gang, 0)->stop_wanted);
+	CU_ASSERT_TRUE(mt_task_of(gang, 1)->stop_wanted);
 	CU_ASSERT_EQUAL(fixture.stops, 2);
 	mt_engine_fixture_close(&fixture);
 }
@@ -60,14 +59,14 @@
 	mt_engine_fixture_open(&fixture);
 	gang = add_running_gang(&fixture);
 	for (unsigned i = 0; i < MT_ENGINE_FIXTURE_SERVERS; i++) {
-		gang->tasks[i].placement_stored = false;
-		gang->tasks[i].phase = MT_TASK_PHASE_STARTING;
+		mt_task_of(gang, i)->placement_stored = false;
+		mt_task_of(gang, i)->phase = MT_TASK_PHASE_STARTING;
 	}
 	fixture.servers[1]->n_failed_holds = 1;
 	mt_engine_fixture_add_job(&fixture, 2, 0, 1);
 	mt_planner_run(fixture.engine);
-	CU_ASSERT_EQUAL(gang->tasks[0].phase, MT_TASK_PHASE_WAITING);
-	CU_ASSERT_EQUAL(gang->tasks[1].phase, MT_TASK_PHASE_WAITING);
+	CU_ASSERT_EQUAL(mt_task_of(gang, 0)->phase, MT_TASK_PHASE_WAITING);
+	CU_ASSERT_EQUAL(mt_task_of(gang, 1)->phase, MT_TASK_PHASE_WAITING);
 	CU_ASSERT_EQUAL(fixture.stops, 0);
 	mt_engine_fixture_close(&fixture);
 }
@@ -94,12 +93,12 @@
 
 	mt_engine_fixture_open(&fixture);
 	gang = add_running_gang(&fixture);
-	gang->tasks[1].phase = MT_TASK_PHASE_STARTING;
-	gang->tasks[1].start_unanswered = true;
+	mt_task_of(gang, 1)->phase = MT_TASK_PHASE_STARTING;
+	mt_task_of(gang, 1)->start_unanswered = true;
 	fixture.port.start = answer_unavailable;
-	mt_commands_start(fixture.engine, &gang->tasks[1]);
-	CU_ASSERT_TRUE(gang->tasks[0].stop_wanted);
-	CU_ASSERT_TRUE(gang->tasks[1].stop_wanted);
+	mt_commands_start(fixture.engine, mt_task_of(gang, 1));
+	CU_ASSERT_TRUE(mt_task_of(gang, 0)->stop_wanted);
+	CU_ASSERT_TRUE(mt_task_of(gang, 1)->stop_wanted);
 	CU_ASSERT_EQUAL(fixture.stops, 2);
 	mt_engine_fixture_close(&fixture);
 }
@@ -112,7 +111,7 @@
 	mt_engine_fixture_open(&fixture);
 	urgent = mt_engine_fixture_add_job(&fixture, 2, 0, 1);
 	mt_planner_run(fixture.engine);
-	CU_ASSERT_EQUAL(urgent->steps[0].tasks[0].phase,
+	CU_ASSERT_EQUAL(mt_task_of(mt_first_step(urgent), 0)->phase,
 			MT_TASK_PHASE_STARTING);
 	CU_ASSERT_EQUAL(fixture.stops, 0);
 	mt_engine_fixture_close(&fixture);
@@ -141,13 +140,14 @@
 
 	mt_engine_fixture_open(&fixture);
 	add_preemptions(&fixture);
-	mt_dag_task_place(&mt_engine_fixture_add_job(&fixture, 1, 2, 1)
-				   ->steps[0]
-				   .tasks[0],
+	mt_dag_task_place(mt_task_of(mt_first_step(mt_engine_fixture_add_job(
+					     &fixture, 1, 2, 1)),
+				     0),
 			  fixture.servers[0], 1, 9000);
 	batch = mt_engine_fixture_add_job(&fixture, 2, 2, 1);
 	mt_planner_run(fixture.engine);
-	CU_ASSERT_EQUAL(batch->steps[0].tasks[0].phase, MT_TASK_PHASE_STARTING);
+	CU_ASSERT_EQUAL(mt_task_of(mt_first_step(batch), 0)->phase,
+			MT_TASK_PHASE_STARTING);
 	mt_engine_fixture_close(&fixture);
 }
 
@@ -166,22 +166,24 @@
 
 	mt_engine_fixture_open(&fixture);
 	add_preemptions(&fixture);
-	mt_dag_task_place(&mt_engine_fixture_add_job(&fixture, 1, 0, 1)
-				   ->steps[0]
-				   .tasks[0],
+	mt_dag_task_place(mt_task_of(mt_first_step(mt_engine_fixture_add_job(
+					     &fixture, 1, 0, 1)),
+				     0),
 			  fixture.servers[0], 1, 9000);
 	fixture.servers[1]->used.cpu_milli = 30000;
 	batch = mt_engine_fixture_add_job(&fixture, 2, 2, 1);
 	mt_planner_run(fixture.engine);
-	CU_ASSERT_EQUAL(batch->steps[0].tasks[0].phase, MT_TASK_PHASE_STARTING);
-	mt_dag_task_unplace(&batch->steps[0].tasks[0]);
+	CU_ASSERT_EQUAL(mt_task_of(mt_first_step(batch), 0)->phase,
+			MT_TASK_PHASE_STARTING);
+	mt_dag_task_unplace(mt_task_of(mt_first_step(batch), 0));
 	fixture.servers[1]->info.capacity.cpu_milli = 32000;
 	fixture.servers[0]->info.capacity.cpu_milli = 10000;
 	mt_planner_run(fixture.engine);
-	CU_ASSERT_EQUAL(batch->steps[0].tasks[0].phase, MT_TASK_PHASE_WAITING);
+	CU_ASSERT_EQUAL(mt_task_of(mt_first_step(batch), 0)->phase,
+			MT_TASK_PHASE_WAITING);
 	urgent = mt_engine_fixture_add_job(&fixture, 3, 0, 1);
 	mt_planner_run(fixture.engine);
-	CU_ASSERT_EQUAL(urgent->steps[0].tasks[0].phase,
+	CU_ASSERT_EQUAL(mt_task_of(mt_first_step(urgent), 0)->phase,
 			MT_TASK_PHASE_STARTING);
 	mt_engine_fixture_close(&fixture);
 }
@@ -270,7 +272,7 @@
 	job->spec->payload = strdup(payload);
 	g_free(payload);
 	job->state = MT_DAG__STATE__COMPLETED;
-	job->dirty = true;
+	mt_dag_job_mark_dirty(job);
 	mt_flush_changes(fixture.engine);
 	/* A progress record and the job record that replaces the long one. */
 	CU_ASSERT_STRING_EQUAL(store.written->str, "p:short a:short ");
@@ -299,7 +301,7 @@
 	fixture.engine->writer = mt_writer_new(&deps);
 	job = mt_engine_fixture_add_job(&fixture, 1, 2, 1);
 	for (unsigned i = 0; i < 100; i++) {
-		job->dirty = true;
+		mt_dag_job_mark_dirty(job);
 		mt_flush_changes(fixture.engine);
 	}
 	CU_ASSERT_TRUE(mt_writer_n_pending(fixture.engine->writer) < 10);
@@ -353,8 +355,9 @@
 	lead(&fixture, &store);
 	job = mt_engine_fixture_add_job(&fixture, 1, 2, 1);
 	bytes = mt_dag_pack(&job->spec->base);
-	mt_dag_task_place(&job->steps[0].tasks[0], fixture.servers[0], 1, 9000);
-	job->steps[0].tasks[0].placement_stored = true;
+	mt_dag_task_place(mt_task_of(mt_first_step(job), 0), fixture.servers[0],
+			  1, 9000);
+	mt_task_of(mt_first_step(job), 0)->placement_stored = true;
 	apply_record(fixture.engine->deps.table, MT_RECORD_JOB, 1,
 		     mt_bytes_view(bytes), 1);
 	apply_record(fixture.engine->deps.table, MT_RECORD_CANCEL, 1,
@@ -390,7 +393,7 @@
 	job = mt_engine_job(fixture.engine, 1);
 	mt_planner_run(fixture.engine);
 	CU_ASSERT_TRUE(job && job->state == MT_DAG__STATE__CANCELLED);
-	CU_ASSERT_TRUE(job && !mt_dag_job_n_placed(job));
+	CU_ASSERT_TRUE(job && !job->n_placed);
 	g_bytes_unref(bytes);
 	stop_leading(&fixture, &store);
 	mt_engine_fixture_close(&fixture);
@@ -676,10 +679,12 @@
 	fixture.servers[1]->hold_answered = false;
 	job = mt_engine_fixture_add_job(&fixture, 1, 0, 1);
 	mt_planner_run(fixture.engine);
-	CU_ASSERT_EQUAL(job->steps[0].tasks[0].phase, MT_TASK_PHASE_WAITING);
+	CU_ASSERT_EQUAL(mt_task_of(mt_first_step(job), 0)->phase,
+			MT_TASK_PHASE_WAITING);
 	fixture.servers[0]->listed = true;
 	mt_planner_run(fixture.engine);
-	CU_ASSERT_EQUAL(job->steps[0].tasks[0].phase, MT_TASK_PHASE_STARTING);
+	CU_ASSERT_EQUAL(mt_task_of(mt_first_step(job), 0)->phase,
+			MT_TASK_PHASE_STARTING);
 	mt_engine_fixture_close(&fixture);
 }
 
--- a/tests/unit/test_evacuations.c
+++ b/tests/unit/test_evacuations.c
@@ -293,12 +293,12 @@
 				      uint32_t count)
 {
 	mt_dag_step_t *step =
-		&mt_engine_fixture_add_job(fixture, 1, 2, count)->steps[0];
+		mt_first_step(mt_engine_fixture_add_job(fixture, 1, 2, count));
 
 	for (uint32_t i = 0; i < count; i++) {
-		mt_dag_task_place(&step->tasks[i], fixture->servers[i], 1,
+		mt_dag_task_place(mt_task_of(step, i), fixture->servers[i], 1,
 				  9000);
-		step->tasks[i].placement_stored = true;
+		mt_task_of(step, i)->placement_stored = true;
 	}
 	return step;
 }
@@ -324,9 +324,9 @@
 	running = mt_engine_fixture_add_running_task(&fixture.engine);
 	evacuate(&fixture, "z1");
 	evacuate(&fixture, "z2");
-	task = &mt_engine_fixture_add_job(&fixture.engine, 2, 0, 1)
-			->steps[0]
-			.tasks[0];
+	task = mt_task_of(mt_first_step(mt_engine_fixture_add_job(
+				  &fixture.engine, 2, 0, 1)),
+			  0);
 	mt_planner_run(fixture.engine.engine);
 	CU_ASSERT_EQUAL(task->phase, MT_TASK_PHASE_WAITING);
 	CU_ASSERT_EQUAL(running->phase, MT_TASK_PHASE_RUNNING);
@@ -373,7 +373,7 @@
 	mt_dag_task_t *task;
 
 	open_engine(&fixture);
-	task = &add_placed_step(&fixture.engine, 1)->tasks[0];
+	task = mt_task_of(add_placed_step(&fixture.engine, 1), 0);
 	evacuate(&fixture, "z1");
 	mt_commands_start(fixture.engine.engine, task);
 	CU_ASSERT_EQUAL(fixture.engine.starts, 0);
@@ -393,7 +393,7 @@
 	mt_dag_task_t *task;
 
 	open_engine(&fixture);
-	task = &add_placed_step(&fixture.engine, 1)->tasks[0];
+	task = mt_task_of(add_placed_step(&fixture.engine, 1), 0);
 	fixture.engine.servers[0]->leases_expire_at = 99999;
 	task->first_start_sent_at = 9000;
 	task->last_start_sent_at = 9000;
@@ -417,7 +417,7 @@
 	mt_dag_task_t *task;
 
 	open_engine(&fixture);
-	task = &add_placed_step(&fixture.engine, 1)->tasks[0];
+	task = mt_task_of(add_placed_step(&fixture.engine, 1), 0);
 	fixture.engine.servers[0]->leases_expire_at = 99999;
 	task->start_in_flight = true;
 	evacuate(&fixture, "z1");
@@ -445,13 +445,13 @@
 	gang = add_placed_step(&fixture.engine, MT_ENGINE_FIXTURE_SERVERS);
 	fixture.engine.servers[0]->leases_expire_at = 99999;
 	fixture.engine.servers[1]->leases_expire_at = 99999;
-	gang->tasks[1].phase = MT_TASK_PHASE_RUNNING;
-	gang->tasks[1].start_settled_at = 9500;
+	mt_task_of(gang, 1)->phase = MT_TASK_PHASE_RUNNING;
+	mt_task_of(gang, 1)->start_settled_at = 9500;
 	evacuate(&fixture, "z1");
 	tick_all(&fixture.engine);
 	CU_ASSERT_EQUAL(fixture.engine.starts, 0);
-	CU_ASSERT_EQUAL(gang->tasks[0].phase, MT_TASK_PHASE_WAITING);
-	CU_ASSERT_TRUE(gang->tasks[1].stop_wanted);
+	CU_ASSERT_EQUAL(mt_task_of(gang, 0)->phase, MT_TASK_PHASE_WAITING);
+	CU_ASSERT_TRUE(mt_task_of(gang, 1)->stop_wanted);
 	CU_ASSERT_EQUAL(fixture.engine.stops, 1);
 	close_engine(&fixture);
 }
@@ -466,7 +466,7 @@
 	mt_dag_task_t *task;
 
 	open_engine(&fixture);
-	task = &add_placed_step(&fixture.engine, 1)->tasks[0];
+	task = mt_task_of(add_placed_step(&fixture.engine, 1), 0);
 	mt_timers_advance(fixture.engine.timers,
 			  10000 + START_AGE_MAX_MS + 100);
 	mt_commands_start(fixture.engine.engine, task);
@@ -545,13 +545,13 @@
 	open_engine(&fixture);
 	mt_fake_topic_put(&fixture.topic, "evacuate/z1", "{}");
 	lead(&fixture, &store);
-	former = &add_placed_step(&fixture.engine, 1)->tasks[0];
+	former = mt_task_of(add_placed_step(&fixture.engine, 1), 0);
 	former->restored = true;
 	former->placed_at = mt_engine_now(fixture.engine.engine) + 1;
 	fixture.engine.servers[0]->leases_expire_at = 99999;
-	task = &mt_engine_fixture_add_job(&fixture.engine, 2, 0, 1)
-			->steps[0]
-			.tasks[0];
+	task = mt_task_of(mt_first_step(mt_engine_fixture_add_job(
+				  &fixture.engine, 2, 0, 1)),
+			  0);
 	mt_engine_fixture_advance(&fixture.engine, 1000);
 	CU_ASSERT_EQUAL(task->phase, MT_TASK_PHASE_WAITING);
 	CU_ASSERT_EQUAL(former->phase, MT_TASK_PHASE_STARTING);
--- a/tests/unit/test_job_model.c
+++ b/tests/unit/test_job_model.c
@@ -2,6 +2,7 @@
 #include <CUnit/Basic.h>
 
 #include "dag/job_model.h"
+#include "unit/engine_fixture.h"
 #include "unit/tests.h"
 
 #define ATTEMPTS 3u
@@ -57,8 +58,8 @@
  */
 static mt_dag_job_t *restore(mt_dag_job_t *job, mt_backend_t *server)
 {
-	mt_dag_job_t *restored =
-		make_job(job->steps[0].spec->count, job->steps[0].spec->gang);
+	mt_dag_job_t *restored = make_job(mt_first_step(job)->spec->count,
+					  mt_first_step(job)->spec->gang);
 	GBytes *record = mt_dag_job_pack_progress(job);
 
 	CU_ASSERT_TRUE(mt_dag_job_unpack_progress(
@@ -70,7 +71,7 @@
 
 static bool fail_once(mt_dag_job_t *job, mt_backend_t *server)
 {
-	mt_dag_task_t *task = &job->steps[0].tasks[0];
+	mt_dag_task_t *task = mt_task_of(mt_first_step(job), 0);
 
 	mt_dag_task_place(task, server, task->run + 1, 0);
 	return mt_dag_task_fail(task);
@@ -96,16 +97,17 @@
 {
 	mt_backend_t *server = make_server();
 	mt_dag_job_t *job = make_job(2, true);
-	mt_dag_task_t *tasks = job->steps[0].tasks;
+	mt_dag_task_t *first = mt_task_of(mt_first_step(job), 0);
+	mt_dag_task_t *second = mt_task_of(mt_first_step(job), 1);
 
 	for (unsigned run = 1; run < ATTEMPTS; run++) {
-		mt_dag_task_place(&tasks[0], server, run, 0);
-		mt_dag_task_place(&tasks[1], server, run, 0);
-		CU_ASSERT_TRUE(mt_dag_task_fail(&tasks[0]));
-		CU_ASSERT_TRUE(mt_dag_task_fail(&tasks[1]));
+		mt_dag_task_place(first, server, run, 0);
+		mt_dag_task_place(second, server, run, 0);
+		CU_ASSERT_TRUE(mt_dag_task_fail(first));
+		CU_ASSERT_TRUE(mt_dag_task_fail(second));
 	}
-	mt_dag_task_place(&tasks[0], server, ATTEMPTS, 0);
-	CU_ASSERT_FALSE(mt_dag_task_fail(&tasks[0]));
+	mt_dag_task_place(first, server, ATTEMPTS, 0);
+	CU_ASSERT_FALSE(mt_dag_task_fail(first));
 	mt_dag_job_free(job);
 	free_server(server);
 }
--- a/tests/unit/test_odd_entries.c
+++ b/tests/unit/test_odd_entries.c
@@ -14,6 +14,7 @@
 #include "platform/config_json.h"
 #include "platform/store_http.h"
 #include "unit/odd_json.h"
+#include "unit/engine_fixture.h"
 #include "unit/tests.h"
 
 #define SEED 20261205u
@@ -260,9 +261,10 @@
 
 	CU_ASSERT_TRUE_FATAL(spec && mt_dag_job_spec_is_valid(spec));
 	model = mt_dag_job_new(spec, 1000);
-	for (uint32_t i = 0; i < model->n_steps_total; i++)
-		CU_ASSERT_TRUE(mt_dag_step_earliest_start(&model->steps[i]) >=
-			       0);
+	for (uint32_t i = 0; i < model->n_occurrences; i++)
+		CU_ASSERT_TRUE(mt_dag_job_earliest_start(model, i) >= 0);
+	while (mt_dag_job_open_next(model))
+		;
 	mt_dag_job_objective_ms(model);
 	mt_dag_job_gpu_wanted(model);
 	mt_dag_job_free(model);
@@ -307,7 +309,8 @@
 	GBytes *progress;
 
 	model = mt_dag_job_new(job, 1000);
-	mt_dag_task_place(&model->steps[0].tasks[0], &server, 1, 1000);
+	mt_dag_task_place(mt_task_of(mt_first_step(model), 0), &server, 1,
+			  1000);
 	progress = mt_dag_job_pack_progress(model);
 	mt_dag_job_free(model);
 	for (unsigned i = 0; i < ROUNDS; i++) {
--- a/tests/unit/test_plan_preempt.c
+++ b/tests/unit/test_plan_preempt.c
@@ -241,24 +241,24 @@
 			       uint32_t count, unsigned server,
 			       mt_ms_t placed_at)
 {
-	mt_dag_step_t *step =
-		&mt_engine_fixture_add_job(fixture, job, 2, count)->steps[0];
+	mt_dag_step_t *step = mt_first_step(
+		mt_engine_fixture_add_job(fixture, job, 2, count));
 
 	((MtDag__Step *)step->spec)->gpu = MT_ENGINE_FIXTURE_GPU / 2;
 	for (uint32_t i = 0; i < count; i++) {
-		mt_dag_task_place(&step->tasks[i],
+		mt_dag_task_place(mt_task_of(step, i),
 				  fixture->servers[(server + i) % 2], 1,
 				  placed_at);
-		step->tasks[i].phase = MT_TASK_PHASE_RUNNING;
+		mt_task_of(step, i)->phase = MT_TASK_PHASE_RUNNING;
 	}
-	return step->tasks;
+	return mt_task_of(step, 0);
 }
 
 /** Adds an urgent job, and runs a pass. True if the task is stopped for it. */
 static bool is_stopped(mt_engine_fixture_t *fixture, const mt_dag_task_t *task)
 {
 	mt_dag_step_t *step =
-		&mt_engine_fixture_add_job(fixture, 99, 0, 1)->steps[0];
+		mt_first_step(mt_engine_fixture_add_job(fixture, 99, 0, 1));
 
 	((MtDag__Step *)step->spec)->gpu = MT_ENGINE_FIXTURE_GPU / 2;
 	mt_planner_run(fixture->engine);
@@ -301,7 +301,8 @@
 		add_half(&fixture, 1, 1, 0, 1000)->n_preemptions = 9;
 		task = add_half(&fixture, 2, 1, 0, 1000);
 		task->n_preemptions = 8;
-		step = &mt_engine_fixture_add_job(&fixture, 3, 0, 1)->steps[0];
+		step = mt_first_step(
+			mt_engine_fixture_add_job(&fixture, 3, 0, 1));
 		((MtDag__Step *)step->spec)->gpu = MT_ENGINE_FIXTURE_GPU / 2;
 		((MtDag__Step *)step->spec)->lasting = lasting;
 		mt_planner_run(fixture.engine);
--- a/tests/unit/test_planner.c
+++ b/tests/unit/test_planner.c
@@ -17,9 +17,8 @@
 static mt_dag_step_t *add_waiting_gang(mt_engine_fixture_t *fixture,
 				       uint32_t priority, uint32_t count)
 {
-	mt_dag_step_t *step =
-		&mt_engine_fixture_add_job(fixture, 1, priority, count)
-			 ->steps[0];
+	mt_dag_step_t *step = mt_first_step(
+		mt_engine_fixture_add_job(fixture, 1, priority, count));
 
 	step->waiting_since = 10000 - LONG_WAIT_MS;
 	return step;
@@ -29,7 +28,8 @@
 static bool is_placed_next(mt_engine_fixture_t *fixture, mt_dag_job_t *job)
 {
 	mt_planner_run(fixture->engine);
-	return job->steps[0].tasks[0].phase == MT_TASK_PHASE_STARTING;
+	return mt_task_of(mt_first_step(job), 0)->phase ==
+	       MT_TASK_PHASE_STARTING;
 }
 
 /** Guards against: a gang wider than all servers stops all scheduling (LOST).
@@ -59,7 +59,7 @@
 	fixture.servers[1]->listed = false;
 	CU_ASSERT_TRUE(is_placed_next(
 		&fixture, mt_engine_fixture_add_job(&fixture, 2, 2, 1)));
-	CU_ASSERT_EQUAL(gang->tasks[0].phase, MT_TASK_PHASE_WAITING);
+	CU_ASSERT_EQUAL(mt_task_of(gang, 0)->phase, MT_TASK_PHASE_WAITING);
 	mt_engine_fixture_close(&fixture);
 }
 
@@ -70,7 +70,8 @@
 	mt_dag_task_t *task;
 
 	mt_engine_fixture_open(&fixture);
-	task = &mt_engine_fixture_add_job(&fixture, 3, 2, 1)->steps[0].tasks[0];
+	task = mt_task_of(
+		mt_first_step(mt_engine_fixture_add_job(&fixture, 3, 2, 1)), 0);
 	((MtDag__Step *)task->step->spec)->lasting = true;
 	mt_dag_task_place(task, fixture.servers[1], 1, 9000);
 	add_waiting_gang(&fixture, 2, 2);
@@ -89,14 +90,14 @@
 	mt_dag_job_t *job;
 
 	mt_engine_fixture_open(&fixture);
-	mt_dag_task_place(&mt_engine_fixture_add_job(&fixture, 3, 2, 1)
-				   ->steps[0]
-				   .tasks[0],
+	mt_dag_task_place(mt_task_of(mt_first_step(mt_engine_fixture_add_job(
+					     &fixture, 3, 2, 1)),
+				     0),
 			  fixture.servers[1], 1, 9000);
 	add_waiting_gang(&fixture, 2, 2);
 	job = mt_engine_fixture_add_job(&fixture, 2, 2, 1);
 	CU_ASSERT_FALSE(is_placed_next(&fixture, job));
-	job->steps[0].waiting_since = 10000 - LONG_WAIT_MS;
+	mt_first_step(job)->waiting_since = 10000 - LONG_WAIT_MS;
 	CU_ASSERT_TRUE(is_placed_next(&fixture, job));
 	mt_engine_fixture_close(&fixture);
 }
@@ -113,14 +114,14 @@
 	mt_engine_fixture_open(&fixture);
 	fixture.servers[0]->info.rack = g_quark_from_static_string("r1");
 	fixture.servers[1]->info.rack = g_quark_from_static_string("r2");
-	mt_dag_task_place(&mt_engine_fixture_add_job(&fixture, 3, 2, 1)
-				   ->steps[0]
-				   .tasks[0],
+	mt_dag_task_place(mt_task_of(mt_first_step(mt_engine_fixture_add_job(
+					     &fixture, 3, 2, 1)),
+				     0),
 			  fixture.servers[0], 1, 9000);
 	job = mt_engine_fixture_add_job(&fixture, 2, 2, 1);
-	job->steps[0].data_rack = fixture.servers[0]->info.rack;
+	mt_first_step(job)->data_rack = fixture.servers[0]->info.rack;
 	CU_ASSERT_FALSE(is_placed_next(&fixture, job));
-	job->steps[0].waiting_since = 10000 - LONG_WAIT_MS;
+	mt_first_step(job)->waiting_since = 10000 - LONG_WAIT_MS;
 	CU_ASSERT_TRUE(is_placed_next(&fixture, job));
 	mt_engine_fixture_close(&fixture);
 }
@@ -139,7 +140,7 @@
 		fixture.servers[i]->suspect_until = 99999; /* after the test */
 	job = mt_engine_fixture_add_job(&fixture, 2, 2, 1);
 	CU_ASSERT_FALSE(is_placed_next(&fixture, job));
-	job->steps[0].waiting_since = 10000 - LONG_WAIT_MS;
+	mt_first_step(job)->waiting_since = 10000 - LONG_WAIT_MS;
 	CU_ASSERT_TRUE(is_placed_next(&fixture, job));
 	mt_engine_fixture_close(&fixture);
 }
@@ -155,9 +156,10 @@
 	mt_engine_fixture_open(&fixture);
 	fixture.servers[0]->suspect_until = 99999; /* after the test */
 	job = mt_engine_fixture_add_job(&fixture, 2, 2, 1);
-	job->steps[0].waiting_since = 10000 - LONG_WAIT_MS;
+	mt_first_step(job)->waiting_since = 10000 - LONG_WAIT_MS;
 	CU_ASSERT_TRUE(is_placed_next(&fixture, job));
-	CU_ASSERT_PTR_EQUAL(job->steps[0].tasks[0].server, fixture.servers[1]);
+	CU_ASSERT_PTR_EQUAL(mt_task_of(mt_first_step(job), 0)->server,
+			    fixture.servers[1]);
 	mt_engine_fixture_close(&fixture);
 }
 
@@ -238,7 +240,7 @@
 	mt_dag_job_t *job =
 		mt_engine_fixture_add_job(&rivals->fixture, id, 2, 1);
 
-	((MtDag__Step *)job->steps[0].spec)->gpu = gpu;
+	((MtDag__Step *)mt_first_step(job)->spec)->gpu = gpu;
 	job->queue.slack_factor = 3;
 	job->known_since = known_since;
 	return job;
@@ -262,7 +264,7 @@
 	mt_timers_advance(rivals->fixture.timers, RIVALS_NOW_MS);
 	rivals->fixture.servers[1]->listed = false;
 	rivals->running = add_rival(rivals, 1, gpu_used, RIVALS_NOW_MS);
-	mt_dag_task_place(&rivals->running->steps[0].tasks[0],
+	mt_dag_task_place(mt_task_of(mt_first_step(rivals->running), 0),
 			  rivals->fixture.servers[0], 1, RIVALS_NOW_MS);
 	rivals->older = add_rival(rivals, 2, MT_ENGINE_FIXTURE_GPU - gpu_used,
 				  RIVALS_NOW_MS - older_for_ms);
@@ -275,7 +277,7 @@
 {
 	bool first = is_placed_next(&rivals->fixture, rivals->older);
 
-	CU_ASSERT_EQUAL(rivals->newer->steps[0].tasks[0].phase,
+	CU_ASSERT_EQUAL(mt_task_of(mt_first_step(rivals->newer), 0)->phase,
 			first ? MT_TASK_PHASE_WAITING : MT_TASK_PHASE_STARTING);
 	mt_engine_fixture_close(&rivals->fixture);
 	return first;
@@ -326,10 +328,10 @@
 	mt_rivals_t rivals;
 
 	open_rivals(&rivals, true, 20000);
-	((MtDag__Step *)rivals.older->steps[0].spec)->gpu = 1;
-	((MtDag__Step *)rivals.newer->steps[0].spec)->gpu = 1;
+	((MtDag__Step *)mt_first_step(rivals.older)->spec)->gpu = 1;
+	((MtDag__Step *)mt_first_step(rivals.newer)->spec)->gpu = 1;
 	CU_ASSERT_TRUE(is_placed_next(&rivals.fixture, rivals.older));
-	CU_ASSERT_EQUAL(rivals.newer->steps[0].tasks[0].phase,
+	CU_ASSERT_EQUAL(mt_task_of(mt_first_step(rivals.newer), 0)->phase,
 			MT_TASK_PHASE_STARTING);
 	mt_engine_fixture_close(&rivals.fixture);
 }
@@ -349,7 +351,7 @@
 		set_account(rivals.older, "large");
 		set_account(rivals.newer, "small");
 		if (i == 2)
-			rivals.older->steps[0].waiting_since =
+			mt_first_step(rivals.older)->waiting_since =
 				RIVALS_NOW_MS - 31000;
 		CU_ASSERT_EQUAL(older_comes_first(&rivals), i != 1);
 	}
@@ -405,12 +407,12 @@
 	mt_timers_advance(fixture->timers, RIVALS_NOW_MS);
 	rivals->running =
 		add_rival(rivals, 1, MT_ENGINE_FIXTURE_GPU, RIVALS_NOW_MS);
-	mt_dag_task_place(&rivals->running->steps[0].tasks[0],
+	mt_dag_task_place(mt_task_of(mt_first_step(rivals->running), 0),
 			  fixture->servers[rivalry->server], 1, RIVALS_NOW_MS);
 	rivals->older = add_rival(rivals, 2, MT_ENGINE_FIXTURE_GPU,
 				  RIVALS_NOW_MS - 2000);
 	rivals->older->queue.slack_factor = rivalry->slack_factor;
-	rivals->older->steps[0].waiting_since =
+	mt_first_step(rivals->older)->waiting_since =
 		RIVALS_NOW_MS - rivalry->waited_ms;
 	rivals->newer = add_rival(rivals, 3, MT_ENGINE_FIXTURE_GPU,
 				  RIVALS_NOW_MS - 1000);
@@ -450,9 +452,9 @@
 	mt_engine_fixture_teach_speeds(&fixture);
 	mt_engine_fixture_add_server(&fixture, "other-2");
 	fast = mt_engine_fixture_add_server(&fixture, "other-3");
-	gang = mt_engine_fixture_add_job(&fixture, 1, 0, 2)->steps;
+	gang = mt_first_step(mt_engine_fixture_add_job(&fixture, 1, 0, 2));
 	mt_planner_run(fixture.engine);
-	CU_ASSERT_EQUAL(gang->tasks[0].phase, MT_TASK_PHASE_STARTING);
+	CU_ASSERT_EQUAL(mt_task_of(gang, 0)->phase, MT_TASK_PHASE_STARTING);
 	CU_ASSERT_EQUAL(fixture.servers[1]->tasks->len, 1);
 	CU_ASSERT_EQUAL(fast->tasks->len, 1);
 	mt_engine_fixture_close(&fixture);
@@ -480,18 +482,17 @@
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(timings); i++) {
 		mt_engine_fixture_t fixture;
+		MtDag__Step step = mt_engine_fixture_step(1);
 		mt_dag_job_t *job;
 
 		mt_engine_fixture_open(&fixture);
 		mt_engine_fixture_teach_speeds(&fixture);
-		job = mt_engine_fixture_add_job(&fixture, 1, 2, 1);
-		((MtDag__Step *)job->steps[0].spec)->estimate_ms =
-			timings[i].estimate_ms;
-		job->critical_path_ms = timings[i].estimate_ms;
+		step.estimate_ms = timings[i].estimate_ms;
+		job = mt_engine_fixture_add_job_of(&fixture, 1, 2, &step, 0);
 		job->queue.slack_factor = 0;
 		job->queue.objective_extra_ms = timings[i].objective_ms;
 		CU_ASSERT_TRUE(is_placed_next(&fixture, job));
-		CU_ASSERT_PTR_EQUAL(job->steps[0].tasks[0].server,
+		CU_ASSERT_PTR_EQUAL(mt_task_of(mt_first_step(job), 0)->server,
 				    fixture.servers[timings[i].server]);
 		mt_engine_fixture_close(&fixture);
 	}
--- a/tests/unit/test_relocation.c
+++ b/tests/unit/test_relocation.c
@@ -13,14 +13,14 @@
 				       uint32_t count)
 {
 	mt_dag_step_t *step =
-		&mt_engine_fixture_add_job(fixture, 1, 2, count)->steps[0];
+		mt_first_step(mt_engine_fixture_add_job(fixture, 1, 2, count));
 
 	for (unsigned i = 0; i < count; i++) {
-		mt_dag_task_place(&step->tasks[i], fixture->servers[i], 1,
+		mt_dag_task_place(mt_task_of(step, i), fixture->servers[i], 1,
 				  10000);
-		step->tasks[i].placement_stored = true;
-		step->tasks[i].phase = MT_TASK_PHASE_RUNNING;
-		step->tasks[i].start_settled_at = 10000;
+		mt_task_of(step, i)->placement_stored = true;
+		mt_task_of(step, i)->phase = MT_TASK_PHASE_RUNNING;
+		mt_task_of(step, i)->start_settled_at = 10000;
 	}
 	return step;
 }
@@ -34,7 +34,7 @@
 	mt_timers_advance(fixture->timers, mt_timers_now(fixture->timers) + ms);
 	now = mt_timers_now(fixture->timers);
 	for (uint32_t i = 0; i < step->spec->count; i++) {
-		mt_dag_task_t *task = &step->tasks[i];
+		mt_dag_task_t *task = mt_task_of(step, i);
 
 		fixture->servers[i]->answered_at = now;
 		if (task->percent != percents[i])
@@ -53,9 +53,9 @@
 	mt_engine_fixture_open(&fixture);
 	step = add_running_step(&fixture, 1);
 	report_progress(&fixture, step, 3000, (uint32_t[]){0});
-	CU_ASSERT_FALSE(step->tasks[0].stop_wanted);
+	CU_ASSERT_FALSE(mt_task_of(step, 0)->stop_wanted);
 	report_progress(&fixture, step, 1000, (uint32_t[]){0});
-	CU_ASSERT_TRUE(step->tasks[0].stop_wanted);
+	CU_ASSERT_TRUE(mt_task_of(step, 0)->stop_wanted);
 	mt_engine_fixture_close(&fixture);
 }
 
@@ -73,8 +73,8 @@
 	for (uint32_t percent = 10; percent <= 90; percent += 10)
 		report_progress(&fixture, step, 1000,
 				(uint32_t[]){100, percent});
-	CU_ASSERT_FALSE(step->tasks[0].stop_wanted);
-	CU_ASSERT_FALSE(step->tasks[1].stop_wanted);
+	CU_ASSERT_FALSE(mt_task_of(step, 0)->stop_wanted);
+	CU_ASSERT_FALSE(mt_task_of(step, 1)->stop_wanted);
 	mt_engine_fixture_close(&fixture);
 }
 
@@ -107,10 +107,10 @@
 		if (second % 6 == 0)
 			percent++;
 		report_progress(&fixture, step, 1000, &percent);
-		if (!step->tasks[0].stop_wanted)
+		if (!mt_task_of(step, 0)->stop_wanted)
 			continue;
 		CU_ASSERT_TRUE_FATAL(++n_moves < 10);
-		start_again(&fixture, &step->tasks[0]);
+		start_again(&fixture, mt_task_of(step, 0));
 		second = 0;
 		percent = 0;
 	}
@@ -128,9 +128,9 @@
 	mt_engine_fixture_open(&fixture);
 	if (speeds_are_known)
 		mt_engine_fixture_teach_speeds(&fixture);
-	step = mt_engine_fixture_add_job(&fixture, 1, 1, 4)->steps;
+	step = mt_first_step(mt_engine_fixture_add_job(&fixture, 1, 1, 4));
 	for (uint32_t i = 0; i < 4; i++) {
-		mt_dag_task_t *task = &step->tasks[i];
+		mt_dag_task_t *task = mt_task_of(step, i);
 
 		mt_dag_task_place(task, fixture.servers[i % 2], 1, 9000);
 		task->phase = MT_TASK_PHASE_RUNNING;
@@ -190,8 +190,9 @@
 	mt_engine_fixture_teach_speeds(fixture);
 	server = fixture->servers[is_on_slower ? 0 : 1];
 	crawler->other = fixture->servers[is_on_slower ? 1 : 0];
-	crawler->task = mt_engine_fixture_add_job(fixture, 1, priority, 1)
-				->steps->tasks;
+	crawler->task = mt_task_of(mt_first_step(mt_engine_fixture_add_job(
+					   fixture, 1, priority, 1)),
+				   0);
 	mt_dag_task_place(crawler->task, server, 1, 10000);
 	crawler->task->placement_stored = true;
 	crawler->task->phase = MT_TASK_PHASE_RUNNING;
@@ -296,7 +297,7 @@
 		       uint32_t slow, mt_backend_t *sound)
 {
 	for (uint32_t i = 0; i < 2; i++) {
-		mt_dag_task_t *task = &gang->tasks[i];
+		mt_dag_task_t *task = mt_task_of(gang, i);
 
 		if (task->server)
 			mt_dag_task_unplace(task);
@@ -308,7 +309,7 @@
 		task->start_settled_at = 10000;
 		task->stop_wanted = false;
 	}
-	crawler->task = &gang->tasks[slow];
+	crawler->task = mt_task_of(gang, slow);
 	measure_crawler(crawler);
 }
 
@@ -325,10 +326,11 @@
 	mt_engine_fixture_open(&crawler.fixture);
 	mt_engine_fixture_teach_speeds(&crawler.fixture);
 	sound = mt_engine_fixture_add_server(&crawler.fixture, "other-3");
-	gang = mt_engine_fixture_add_job(&crawler.fixture, 1, 2, 2)->steps;
+	gang = mt_first_step(
+		mt_engine_fixture_add_job(&crawler.fixture, 1, 2, 2));
 	start_gang(&crawler, gang, 0, sound);
 	CU_ASSERT_TRUE(is_moved(&crawler));
-	CU_ASSERT_TRUE(gang->tasks[1].stop_wanted);
+	CU_ASSERT_TRUE(mt_task_of(gang, 1)->stop_wanted);
 	start_gang(&crawler, gang, 1, sound);
 	CU_ASSERT_FALSE(is_moved(&crawler));
 	mt_engine_fixture_close(&crawler.fixture);
--- a/tests/unit/test_run_times.c
+++ b/tests/unit/test_run_times.c
@@ -210,7 +210,8 @@
 	mt_dag_task_t *task;
 
 	mt_engine_fixture_open(&fixture);
-	task = &mt_engine_fixture_add_job(&fixture, 1, 2, 1)->steps[0].tasks[0];
+	task = mt_task_of(
+		mt_first_step(mt_engine_fixture_add_job(&fixture, 1, 2, 1)), 0);
 	for (unsigned i = 0; i < 20; i++)
 		run_task(&fixture, task, 10000);
 	CU_ASSERT_EQUAL(mt_step_times_predict_ms(fixture.engine, task->step),
--- a/tests/unit/test_speed.c
+++ b/tests/unit/test_speed.c
@@ -466,12 +466,12 @@
 static mt_dag_step_t *place_gang(mt_engine_fixture_t *fixture)
 {
 	mt_dag_step_t *step =
-		&mt_engine_fixture_add_job(fixture, 1, 2, 2)->steps[0];
+		mt_first_step(mt_engine_fixture_add_job(fixture, 1, 2, 2));
 
 	for (unsigned i = 0; i < 2; i++) {
-		mt_dag_task_place(&step->tasks[i], fixture->servers[i], 1,
+		mt_dag_task_place(mt_task_of(step, i), fixture->servers[i], 1,
 				  mt_timers_now(fixture->timers));
-		step->tasks[i].placement_stored = true;
+		mt_task_of(step, i)->placement_stored = true;
 	}
 	return step;
 }
@@ -528,10 +528,10 @@
 	mt_engine_fixture_open(&fixture);
 	mt_timers_advance(fixture.timers, 20000);
 	step = place_gang(&fixture);
-	confirm(&fixture, &step->tasks[0]);
-	confirm(&fixture, &step->tasks[1]);
-	report(&fixture, &step->tasks[0], 1000, 20);
-	report(&fixture, &step->tasks[1], 0, 30);
+	confirm(&fixture, mt_task_of(step, 0));
+	confirm(&fixture, mt_task_of(step, 1));
+	report(&fixture, mt_task_of(step, 0), 1000, 20);
+	report(&fixture, mt_task_of(step, 1), 0, 30);
 	CU_ASSERT_EQUAL(n_sampled(&fixture), 2);
 	mt_engine_fixture_close(&fixture);
 }
@@ -548,11 +548,11 @@
 	mt_engine_fixture_open(&fixture);
 	mt_timers_advance(fixture.timers, 20000);
 	step = place_gang(&fixture);
-	confirm(&fixture, &step->tasks[0]);
-	confirm(&fixture, &step->tasks[1]);
+	confirm(&fixture, mt_task_of(step, 0));
+	confirm(&fixture, mt_task_of(step, 1));
 	for (unsigned i = 1; i < 4; i++) {
-		report(&fixture, &step->tasks[0], 500, 20 * i);
-		report(&fixture, &step->tasks[1], 0, 0);
+		report(&fixture, mt_task_of(step, 0), 500, 20 * i);
+		report(&fixture, mt_task_of(step, 1), 0, 0);
 	}
 	CU_ASSERT_EQUAL(n_sampled(&fixture), 0);
 	mt_engine_fixture_close(&fixture);
@@ -572,12 +572,12 @@
 	mt_engine_fixture_open(&fixture);
 	mt_timers_advance(fixture.timers, 20000);
 	step = place_gang(&fixture);
-	first = &step->tasks[0];
+	first = mt_task_of(step, 0);
 	confirm(&fixture, first);
 	mt_timers_advance(fixture.timers, 23000);
-	confirm(&fixture, &step->tasks[1]);
+	confirm(&fixture, mt_task_of(step, 1));
 	report(&fixture, first, 1000, 20);
-	report(&fixture, &step->tasks[1], 0, 20);
+	report(&fixture, mt_task_of(step, 1), 0, 20);
 	CU_ASSERT_EQUAL(n_sampled(&fixture), 2);
 	CU_ASSERT_TRUE(
 		mt_server_speeds_sample(fixture.engine, first, false, &sample));
@@ -601,10 +601,10 @@
 	step = place_gang(&fixture);
 	step->data_rack = g_quark_from_static_string("rack-1");
 	fixture.servers[0]->info.rack = step->data_rack;
-	confirm(&fixture, &step->tasks[0]);
-	confirm(&fixture, &step->tasks[1]);
-	report(&fixture, &step->tasks[0], 1000, 30);
-	report(&fixture, &step->tasks[1], 0, 10);
+	confirm(&fixture, mt_task_of(step, 0));
+	confirm(&fixture, mt_task_of(step, 1));
+	report(&fixture, mt_task_of(step, 0), 1000, 30);
+	report(&fixture, mt_task_of(step, 1), 0, 10);
 	CU_ASSERT_EQUAL(n_sampled(&fixture), 0);
 	mt_engine_fixture_close(&fixture);
 }
@@ -619,10 +619,10 @@
 	mt_timers_advance(fixture.timers, 20000);
 	fixture.servers[0]->cold_until = 20500;
 	step = place_gang(&fixture);
-	confirm(&fixture, &step->tasks[0]);
-	confirm(&fixture, &step->tasks[1]);
-	report(&fixture, &step->tasks[0], 1000, 10);
-	report(&fixture, &step->tasks[1], 0, 30);
+	confirm(&fixture, mt_task_of(step, 0));
+	confirm(&fixture, mt_task_of(step, 1));
+	report(&fixture, mt_task_of(step, 0), 1000, 10);
+	report(&fixture, mt_task_of(step, 1), 0, 30);
 	CU_ASSERT_EQUAL(n_sampled(&fixture), 0);
 	mt_engine_fixture_close(&fixture);
 }
@@ -640,18 +640,18 @@
 	mt_engine_fixture_open(&fixture);
 	mt_timers_advance(fixture.timers, 20000);
 	step = place_gang(&fixture);
-	step->tasks[0].restored = true;
-	step->tasks[1].restored = true;
-	confirm(&fixture, &step->tasks[0]);
-	confirm(&fixture, &step->tasks[1]);
-	report(&fixture, &step->tasks[0], 1000, 70);
-	report(&fixture, &step->tasks[1], 0, 20);
+	mt_task_of(step, 0)->restored = true;
+	mt_task_of(step, 1)->restored = true;
+	confirm(&fixture, mt_task_of(step, 0));
+	confirm(&fixture, mt_task_of(step, 1));
+	report(&fixture, mt_task_of(step, 0), 1000, 70);
+	report(&fixture, mt_task_of(step, 1), 0, 20);
 	CU_ASSERT_EQUAL(n_sampled(&fixture), 0);
-	report(&fixture, &step->tasks[0], 1000, 90);
-	report(&fixture, &step->tasks[1], 0, 40);
+	report(&fixture, mt_task_of(step, 0), 1000, 90);
+	report(&fixture, mt_task_of(step, 1), 0, 40);
 	CU_ASSERT_EQUAL(n_sampled(&fixture), 2);
-	CU_ASSERT_TRUE(mt_server_speeds_sample(fixture.engine, &step->tasks[0],
-					       false, &sample));
+	CU_ASSERT_TRUE(mt_server_speeds_sample(
+		fixture.engine, mt_task_of(step, 0), false, &sample));
 	CU_ASSERT_DOUBLE_EQUAL(sample.rate, 20, 0.01);
 	mt_engine_fixture_close(&fixture);
 }
@@ -665,10 +665,10 @@
 	mt_engine_fixture_open(&fixture);
 	mt_timers_advance(fixture.timers, 20000);
 	step = place_gang(&fixture);
-	confirm(&fixture, &step->tasks[0]);
-	confirm(&fixture, &step->tasks[1]);
-	report(&fixture, &step->tasks[0], 1000, 20);
-	report(&fixture, &step->tasks[1], 0, 30);
+	confirm(&fixture, mt_task_of(step, 0));
+	confirm(&fixture, mt_task_of(step, 1));
+	report(&fixture, mt_task_of(step, 0), 1000, 20);
+	report(&fixture, mt_task_of(step, 1), 0, 30);
 	mt_reports_server_restarted(fixture.engine, fixture.servers[1], 5);
 	CU_ASSERT_EQUAL(n_sampled(&fixture), 0);
 	mt_engine_fixture_close(&fixture);
--- a/tests/unit/test_work_lost.c
+++ b/tests/unit/test_work_lost.c
@@ -14,14 +14,14 @@
 static mt_dag_step_t *add_gang(mt_engine_fixture_t *fixture)
 {
 	mt_dag_step_t *step =
-		&mt_engine_fixture_add_job(fixture, 1, 2, 2)->steps[0];
+		mt_first_step(mt_engine_fixture_add_job(fixture, 1, 2, 2));
 
 	for (unsigned i = 0; i < 2; i++) {
-		mt_dag_task_place(&step->tasks[i], fixture->servers[i], 1,
+		mt_dag_task_place(mt_task_of(step, i), fixture->servers[i], 1,
 				  9000);
-		step->tasks[i].phase = MT_TASK_PHASE_RUNNING;
-		step->tasks[i].placement_stored = true;
-		step->tasks[i].start_settled_at = 9000;
+		mt_task_of(step, i)->phase = MT_TASK_PHASE_RUNNING;
+		mt_task_of(step, i)->placement_stored = true;
+		mt_task_of(step, i)->start_settled_at = 9000;
 	}
 	return step;
 }
@@ -51,9 +51,9 @@
 	fixture.servers[1]->listed = false;
 	mt_engine_fixture_add_job(&fixture, 2, 0, 1);
 	mt_planner_run(fixture.engine);
-	CU_ASSERT_TRUE(gang->tasks[1].stop_wanted);
+	CU_ASSERT_TRUE(mt_task_of(gang, 1)->stop_wanted);
 	CU_ASSERT_EQUAL(core_seconds(&fixture, "preempted"), 2 * CORES);
-	mt_reports_run_lost(fixture.engine, &gang->tasks[0], "test");
+	mt_reports_run_lost(fixture.engine, mt_task_of(gang, 0), "test");
 	CU_ASSERT_EQUAL(core_seconds(&fixture, "preempted"), 2 * CORES);
 	CU_ASSERT_EQUAL(core_seconds(&fixture, "gang_broken"), 0);
 	mt_engine_fixture_close(&fixture);
@@ -66,9 +66,9 @@
 
 	mt_engine_fixture_open(&fixture);
 	gang = add_gang(&fixture);
-	mt_reports_run_lost(fixture.engine, &gang->tasks[0], "test");
+	mt_reports_run_lost(fixture.engine, mt_task_of(gang, 0), "test");
 	CU_ASSERT_EQUAL(core_seconds(&fixture, "gang_broken"), 2 * CORES);
-	mt_reports_run_lost(fixture.engine, &gang->tasks[1], "test");
+	mt_reports_run_lost(fixture.engine, mt_task_of(gang, 1), "test");
 	CU_ASSERT_EQUAL(core_seconds(&fixture, "gang_broken"), 2 * CORES);
 	mt_engine_fixture_close(&fixture);
 }
@@ -82,7 +82,7 @@
 	mt_engine_fixture_open(&fixture);
 	gang = add_gang(&fixture);
 	gang->job->cancelled = true;
-	mt_reports_run_lost(fixture.engine, &gang->tasks[0], "test");
+	mt_reports_run_lost(fixture.engine, mt_task_of(gang, 0), "test");
 	CU_ASSERT_EQUAL(core_seconds(&fixture, "gang_broken"), 0);
 	mt_engine_fixture_close(&fixture);
 }
@@ -115,12 +115,12 @@
 
 	mt_engine_fixture_open(&fixture);
 	gang = add_gang(&fixture);
-	gang->tasks[0].percent = 100;
+	mt_task_of(gang, 0)->percent = 100;
 	for (unsigned i = 0; i < 20; i++) {
 		for (unsigned k = 0; k < 2; k++)
 			mt_work_lost_on_tick(&fixture.engine->work_lost,
-					     fixture.kernel, &gang->tasks[k],
-					     0.1);
+					     fixture.kernel,
+					     mt_task_of(gang, k), 0.1);
 	}
 	CU_ASSERT(core_seconds(&fixture, "gang_wait") >= 2 * CORES - 1);
 	CU_ASSERT(core_seconds(&fixture, "gang_wait") <= 2 * CORES);
--- a/tests/unit/tests.h
+++ b/tests/unit/tests.h
@@ -36,5 +36,7 @@
 extern const mt_test_t mt_fast_share_tests[];
 extern const mt_test_t mt_admission_tests[];
 extern const mt_test_t mt_http_guard_tests[];
+extern const mt_test_t mt_same_plan_tests[];
+extern const mt_test_t mt_wide_jobs_tests[];
 
 #endif
