--- a/lib/dag/candidates.c
+++ b/lib/dag/candidates.c
@@ -467,15 +467,13 @@
 
 void mt_candidates_collect(mt_planner_t *planner)
 {
-	GHashTableIter iter;
-	gpointer value;
+	const GPtrArray *awake = planner->engine->wakeups.awake;
 
 	planner->contended = is_contended(planner);
 	planner->underused = is_underused(planner);
 	find_account_use(planner);
-	g_hash_table_iter_init(&iter, planner->engine->jobs);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		mt_dag_job_t *job = value;
+	for (guint i = 0; i < awake->len; i++) {
+		mt_dag_job_t *job = awake->pdata[i];
 
 		if (!mt_state_is_final(job->state) && !job->cancelled &&
 		    mt_name_equal(&job->queue.service, planner->service))
--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -22,6 +22,12 @@
  */
 #define FORMER_LEADER_RENEWAL_MS 4000u
 
+/**
+ * Number of models of jobs that a new leader makes at once. Heartbeats and
+ * answers come between.
+ */
+#define LOAD_SLICE 256u
+
 static void run_pass(void *ctx);
 static void tick(void *ctx);
 
@@ -33,11 +39,24 @@
 void mt_engine_insert_job(mt_engine_t *engine, mt_dag_job_t *job)
 {
 	g_hash_table_insert(engine->jobs, &job->id, job);
+	mt_wakeups_add(&engine->wakeups, job);
 	job->dirty_jobs = engine->dirty_jobs;
 	if (job->dirty)
 		g_ptr_array_add(engine->dirty_jobs, job);
 }
 
+void mt_engine_remove_job(mt_engine_t *engine, mt_dag_job_t *job)
+{
+	mt_wakeups_remove(&engine->wakeups, job);
+	g_hash_table_remove(engine->jobs, &job->id);
+}
+
+int64_t mt_engine_start_time_max(const mt_engine_t *engine)
+{
+	return engine->deps.wall_ms() +
+	       (int64_t)engine->deps.timings.start_early_ms;
+}
+
 mt_dag_job_t *mt_engine_job(const mt_engine_t *engine, uint64_t id)
 {
 	return g_hash_table_lookup(engine->jobs, &id);
@@ -69,7 +88,7 @@
 	mt_ms_t now = mt_engine_now(engine);
 	mt_ms_t due = engine->pass_started_at + PASS_INTERVAL_MIN_MS;
 
-	if (engine->leading && !engine->pass_timer)
+	if (engine->leading && !engine->jobs_to_load && !engine->pass_timer)
 		engine->pass_timer = mt_timers_after(
 			mt_kernel_timers(engine->deps.kernel),
 			due > now ? due - now : 0, run_pass, engine);
@@ -96,6 +115,7 @@
 	engine->jobs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					     free_job);
 	engine->dirty_jobs = g_ptr_array_new();
+	mt_wakeups_init(&engine->wakeups);
 	engine->backends = g_hash_table_new_full(
 		mt_name_hash, mt_name_key_equal, NULL, free_backend);
 	engine->flushes = g_ptr_array_new_with_free_func(mt_flush_free);
@@ -131,8 +151,10 @@
 
 	engine->catalog = catalog;
 	g_hash_table_iter_init(&iter, engine->jobs);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		refresh_queue(engine, value);
+		mt_wakeups_update_priority(&engine->wakeups, value);
+	}
 	mt_engine_request_pass(engine);
 }
 
@@ -324,6 +346,8 @@
 	mt_server_speeds_update(engine);
 	mt_planner_run(engine);
 	mt_flush_changes(engine);
+	mt_wakeups_let_sleep(&engine->wakeups,
+			     mt_engine_start_time_max(engine));
 	mt_pass_pace_end(&engine->pass_pace, engine->deps.kernel, steady_us());
 }
 
@@ -393,11 +417,59 @@
 
 /* Leadership. The log events call it "office". */
 
-void mt_engine_become_leader(mt_engine_t *engine, uint64_t term)
+static void note_job_to_load(void *ctx, const mt_table_job_t *entry)
+{
+	mt_engine_t *engine = ctx;
+
+	if (entry->packed_job)
+		g_array_append_val(engine->jobs_to_load, entry->id);
+}
+
+/** Begins to schedule; all jobs are known. */
+static void begin_scheduling(mt_engine_t *engine)
 {
-	mt_table_watcher_t job_watcher = {engine, add_job, on_job_cancelled};
 	mt_directory_watcher_t server_watcher = {engine, on_server,
 						 on_server_unlisted};
+
+	g_clear_pointer(&engine->jobs_to_load, g_array_unref);
+	mt_directory_open(engine->deps.directory, &server_watcher);
+	if (engine->deps.evacuations)
+		mt_evacuations_open(engine->deps.evacuations);
+	engine->tick_timer = mt_timers_every(
+		mt_kernel_timers(engine->deps.kernel), TICK_MS, tick, engine);
+	mt_kernel_event(engine->deps.kernel, "office_won",
+			"\"term\":%" G_GUINT64_FORMAT ",\"jobs\":%u",
+			engine->term, g_hash_table_size(engine->jobs));
+	mt_engine_request_pass(engine);
+}
+
+/** Makes the models of the next jobs. */
+static void load_jobs(void *ctx)
+{
+	mt_engine_t *engine = ctx;
+	GArray *ids = engine->jobs_to_load;
+
+	engine->load_timer = 0;
+	for (unsigned i = 0; i < LOAD_SLICE && ids->len; i++) {
+		uint64_t id = g_array_index(ids, uint64_t, ids->len - 1);
+		const mt_table_job_t *entry =
+			mt_table_find(engine->deps.table, id);
+
+		g_array_set_size(ids, ids->len - 1);
+		if (entry)
+			add_job(engine, entry);
+	}
+	if (ids->len)
+		engine->load_timer =
+			mt_timers_after(mt_kernel_timers(engine->deps.kernel),
+					0, load_jobs, engine);
+	else
+		begin_scheduling(engine);
+}
+
+void mt_engine_become_leader(mt_engine_t *engine, uint64_t term)
+{
+	mt_table_watcher_t job_watcher = {engine, add_job, on_job_cancelled};
 	/* The first sequence number is 1: this producer and epoch have used 0
 	 * for the record that begins the term, see write_fence() in host.c. */
 	mt_writer_deps_t writer_deps = {engine->deps.kernel,
@@ -416,16 +488,10 @@
 	engine->writer = mt_writer_new(&writer_deps);
 	mt_speed_records_read(engine);
 	engine->load_summary = mt_load_summary_new();
-	mt_table_each(engine->deps.table, add_job, engine);
+	engine->jobs_to_load = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	mt_table_each(engine->deps.table, note_job_to_load, engine);
 	mt_table_watch(engine->deps.table, &job_watcher);
-	mt_directory_open(engine->deps.directory, &server_watcher);
-	if (engine->deps.evacuations)
-		mt_evacuations_open(engine->deps.evacuations);
-	engine->tick_timer = mt_timers_every(
-		mt_kernel_timers(engine->deps.kernel), TICK_MS, tick, engine);
-	mt_kernel_event(engine->deps.kernel, "office_won",
-			"\"term\":%" G_GUINT64_FORMAT ",\"jobs\":%u", term,
-			g_hash_table_size(engine->jobs));
+	load_jobs(engine);
 }
 
 void mt_engine_step_down(mt_engine_t *engine)
@@ -438,6 +504,9 @@
 			"\"term\":%" G_GUINT64_FORMAT, engine->term);
 	engine->leading = false;
 	engine->generation++;
+	mt_timers_cancel(timers, engine->load_timer);
+	engine->load_timer = 0;
+	g_clear_pointer(&engine->jobs_to_load, g_array_unref);
 	mt_timers_cancel(timers, engine->pass_timer);
 	mt_timers_cancel(timers, engine->tick_timer);
 	engine->pass_timer = 0;
@@ -452,6 +521,7 @@
 	g_clear_pointer(&engine->load_summary, mt_load_summary_free);
 	g_ptr_array_set_size(engine->flushes, 0);
 	g_ptr_array_set_size(engine->dirty_jobs, 0);
+	mt_wakeups_remove_all(&engine->wakeups);
 	g_hash_table_remove_all(engine->jobs);
 	g_hash_table_remove_all(engine->backends);
 	mt_server_speeds_clear(engine);
--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -26,6 +26,7 @@
 #include "dag/job_model.h"
 #include "dag/run_times.h"
 #include "dag/speed.h"
+#include "dag/wakeups.h"
 #include "dag/work_lost.h"
 #include "dag/writer.h"
 
@@ -40,10 +41,16 @@
 	mt_writer_t *writer;
 	GHashTable *jobs;		/**< id to mt_dag_job_t */
 	GPtrArray *dirty_jobs;		/**< mt_dag_job_t, those of `jobs` */
+	mt_wakeups_t wakeups;		/**< those of `jobs` */
 	GHashTable *backends;		/**< id to mt_backend_t */
 	GPtrArray *flushes;		/**< mt_flush_t in progress */
 	bool advice_request_pending;	/**< an advice request is in progress */
 	mt_ms_t next_advice_request_at; /**< no advice request before then */
+	/** Ids of the jobs of which this host, which leads now, has still to
+	 * make the models, uint64_t. NULL: all models are made. Nothing is
+	 * scheduled before. */
+	GArray *jobs_to_load;
+	uint64_t load_timer; /**< makes further models */
 	uint64_t pass_timer; /**< runs the next pass; 0: none is scheduled */
 	uint64_t tick_timer; /**< runs the ticks while this host leads */
 	/** Observed running time and preemptions, by priority. */
@@ -88,6 +95,12 @@
 /** Adds a job to `jobs`; takes ownership of it. */
 void mt_engine_insert_job(mt_engine_t *engine, mt_dag_job_t *job);
 
+/** Removes a job from `jobs` and frees it. */
+void mt_engine_remove_job(mt_engine_t *engine, mt_dag_job_t *job);
+
+/** Unix time in ms by which steps may start. */
+int64_t mt_engine_start_time_max(const mt_engine_t *engine);
+
 /** The job with this id, or NULL if it is not in memory. */
 mt_dag_job_t *mt_engine_job(const mt_engine_t *engine, uint64_t id);
 mt_ms_t mt_engine_now(const mt_engine_t *engine);
--- a/lib/dag/flush.c
+++ b/lib/dag/flush.c
@@ -217,7 +217,7 @@
 	if (!is_removable(job))
 		return;
 	log_job_ended(engine, job);
-	g_hash_table_remove(engine->jobs, &job->id);
+	mt_engine_remove_job(engine, job);
 }
 
 /**
--- a/lib/dag/guarantees.c
+++ b/lib/dag/guarantees.c
@@ -21,15 +21,13 @@
 	GPtrArray *top_priority_jobs = g_ptr_array_new();
 	/* Accelerators that the guaranteed jobs require, by account. */
 	GHashTable *gpu_by_account = g_hash_table_new(g_str_hash, g_str_equal);
-	GHashTableIter iter;
-	gpointer value;
+	const GPtrArray *urgent = engine->wakeups.urgent;
 
-	g_hash_table_iter_init(&iter, engine->jobs);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const mt_dag_job_t *job = value;
+	for (guint i = 0; i < urgent->len; i++) {
+		mt_dag_job_t *job = urgent->pdata[i];
 
-		if (!job->queue.priority && !mt_state_is_final(job->state))
-			g_ptr_array_add(top_priority_jobs, value);
+		if (!mt_state_is_final(job->state))
+			g_ptr_array_add(top_priority_jobs, job);
 	}
 	g_ptr_array_sort(top_priority_jobs, compare_known_since);
 	for (guint i = 0; i < top_priority_jobs->len; i++) {
--- a/lib/dag/host.c
+++ b/lib/dag/host.c
@@ -1,6 +1,7 @@
 /** @file host.c A host: configuration, records of jobs, and scheduler. */
 #include "dag/host.h"
 
+#include <malloc.h>
 #include <string.h>
 
 #include "dag/config_relay.h"
@@ -26,6 +27,12 @@
  */
 #define STANDBY_READ_DELAY_MS 100u
 
+/**
+ * Free memory is given back to the operating system once the jobs need this much
+ * less than they did.
+ */
+#define GIVE_BACK_BYTES (4u * 1024u * 1024u)
+
 struct mt_dag_host_t {
 	mt_dag_host_deps_t deps;
 	mt_leadership_t *leadership;
@@ -56,6 +63,9 @@
 	/** At the last check, the age of the configuration exceeded
 	 * config_age_max_ms, or its first snapshot was not complete yet. */
 	bool store_lost;
+	/** Most memory that the jobs have needed since free memory was given
+	 * back, see mt_table_memory_bytes(). */
+	uint64_t most_jobs_bytes;
 };
 
 /* Configuration. */
@@ -294,11 +304,28 @@
 			"\"age_ms\":%" G_GINT64_FORMAT, (gint64)age);
 }
 
+/**
+ * Gives back the memory of jobs that have ended, which the allocator keeps. The
+ * peak of later jobs then does not come on top of it.
+ */
+static void give_back_memory(mt_dag_host_t *host)
+{
+	uint64_t bytes = mt_table_memory_bytes(host->table);
+
+	host->most_jobs_bytes = MAX(host->most_jobs_bytes, bytes);
+	if (host->most_jobs_bytes - bytes < GIVE_BACK_BYTES)
+		return;
+	host->most_jobs_bytes = bytes;
+	malloc_trim(0);
+	mt_kernel_count(host->deps.kernel, "memory_given_back_total");
+}
+
 static void on_tick(void *ctx)
 {
 	mt_dag_host_t *host = ctx;
 
 	check_store(host);
+	give_back_memory(host);
 	mt_leadership_set_has_records(host->leadership, has_records(host));
 	if (host->records_follower)
 		mt_follower_set_read_delay(host->records_follower,
--- a/lib/dag/job_model.h
+++ b/lib/dag/job_model.h
@@ -184,6 +184,11 @@
 	/** The job record was replaced by the short record that
 	 * mt_dag_job_pack_ended() makes. */
 	bool job_record_shortened;
+	/* See wakeups.h. */
+	guint awake_index;	  /**< while it is awake: index into `awake` */
+	bool is_urgent;		  /**< it is in `urgent` */
+	guint urgent_index;	  /**< index into `urgent` */
+	GSequenceIter *asleep_at; /**< its place in `asleep`; NULL: awake */
 	/** Receives the job when it becomes dirty; NULL: nobody is told. */
 	GPtrArray *dirty_jobs;
 	mt_dag_step_layout_t *layout; /**< by index of the step */
--- a/lib/dag/load_summary.c
+++ b/lib/dag/load_summary.c
@@ -151,12 +151,10 @@
 static void add_jobs(mt_load_summary_t *summary, const mt_engine_t *engine)
 {
 	int64_t wall_ms = engine->deps.wall_ms();
-	GHashTableIter iter;
-	gpointer value;
+	const GPtrArray *awake = engine->wakeups.awake;
 
-	g_hash_table_iter_init(&iter, engine->jobs);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const mt_dag_job_t *job = value;
+	for (guint i = 0; i < awake->len; i++) {
+		const mt_dag_job_t *job = awake->pdata[i];
 
 		if (is_counted(job))
 			work_of(find_or_add(summary, &job->queue.service), job)
--- a/lib/dag/planner.c
+++ b/lib/dag/planner.c
@@ -574,9 +574,7 @@
 
 	planner.engine = engine;
 	planner.now = mt_engine_now(engine);
-	planner.start_time_max_ms =
-		engine->deps.wall_ms() +
-		(int64_t)engine->deps.timings.start_early_ms;
+	planner.start_time_max_ms = mt_engine_start_time_max(engine);
 	planner.service = service;
 	planner.guaranteed = guaranteed;
 	planner.backends = g_ptr_array_new();
@@ -601,17 +599,14 @@
 	free_plan(&planner);
 }
 
-/** Set of the services of unfinished jobs. */
+/** Set of the services of unfinished jobs that are awake. */
 static GHashTable *list_services(const mt_engine_t *engine)
 {
 	GHashTable *services = g_hash_table_new_full(
 		mt_name_hash, mt_name_key_equal, g_free, NULL);
-	GHashTableIter iter;
-	gpointer value;
 
-	g_hash_table_iter_init(&iter, engine->jobs);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const mt_dag_job_t *job = value;
+	for (guint i = 0; i < engine->wakeups.awake->len; i++) {
+		const mt_dag_job_t *job = engine->wakeups.awake->pdata[i];
 
 		if (!mt_state_is_final(job->state) &&
 		    !g_hash_table_contains(services, &job->queue.service))
@@ -632,6 +627,7 @@
 	if (engine->deps.evacuations &&
 	    !mt_evacuations_are_known(engine->deps.evacuations))
 		return;
+	mt_wakeups_wake_due(&engine->wakeups, mt_engine_start_time_max(engine));
 	services = list_services(engine);
 	guaranteed = mt_guarantees_find(engine);
 	log_waits = mt_wait_log_is_due(engine);
--- a/lib/dag/relocation.c
+++ b/lib/dag/relocation.c
@@ -189,12 +189,10 @@
 
 static void compare_all_steps(const mt_engine_t *engine, mt_ms_t now)
 {
-	GHashTableIter iter;
-	gpointer value;
+	const GPtrArray *awake = engine->wakeups.awake;
 
-	g_hash_table_iter_init(&iter, engine->jobs);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const mt_dag_job_t *job = value;
+	for (guint k = 0; k < awake->len; k++) {
+		const mt_dag_job_t *job = awake->pdata[k];
 
 		for (guint i = 0; job->n_placed && i < job->ready_steps->len;
 		     i++) {
--- a/lib/dag/sweep.c
+++ b/lib/dag/sweep.c
@@ -8,6 +8,9 @@
 /** Minimum interval between sweeps. */
 #define SWEEP_INTERVAL_MS 5000u
 
+/** Maximum number of jobs that one sweep looks at. */
+#define SWEEP_MAX_VISITS 2000u
+
 /** Maximum number of jobs whose records one sweep deletes. */
 #define SWEEP_MAX_JOBS 50u
 
@@ -64,12 +67,11 @@
  * apply an append only in part: a host that starts up finds a job only through
  * its job record, and would never delete records that are left without one.
  */
-static void sweep_job(void *ctx, const mt_table_job_t *job)
+static void sweep_job(mt_sweep_t *sweep, const mt_table_job_t *job)
 {
-	mt_sweep_t *sweep = ctx;
 	mt_engine_t *engine = sweep->engine;
 
-	if (!job->ended_at || sweep->n_swept >= SWEEP_MAX_JOBS ||
+	if (sweep->n_swept >= SWEEP_MAX_JOBS ||
 	    mt_engine_now(engine) - keep_from(job) < keep_ms(engine, job))
 		return;
 	sweep->n_swept++;
@@ -79,9 +81,8 @@
 }
 
 /** Deletes the cancellation if it was read long ago. */
-static void sweep_absent_cancel(void *ctx, const mt_table_job_t *job)
+static void sweep_absent_cancel(mt_sweep_t *sweep, const mt_table_job_t *job)
 {
-	mt_sweep_t *sweep = ctx;
 	mt_engine_t *engine = sweep->engine;
 
 	if (sweep->n_absent_cancels >= SWEEP_MAX_ABSENT_CANCELS ||
@@ -92,6 +93,16 @@
 	delete_record(engine, MT_RECORD_CANCEL, job->id);
 }
 
+static void sweep_entry(void *ctx, const mt_table_job_t *job)
+{
+	mt_sweep_t *sweep = ctx;
+
+	if (job->queue.len)
+		sweep_job(sweep, job);
+	else
+		sweep_absent_cancel(sweep, job);
+}
+
 void mt_sweep_ended(mt_engine_t *engine)
 {
 	mt_sweep_t sweep = {engine, 0, 0};
@@ -99,9 +110,8 @@
 	if (mt_engine_now(engine) - engine->last_sweep_at < SWEEP_INTERVAL_MS)
 		return;
 	engine->last_sweep_at = mt_engine_now(engine);
-	mt_table_each(engine->deps.table, sweep_job, &sweep);
-	mt_table_each_absent_cancel(engine->deps.table, sweep_absent_cancel,
-				    &sweep);
+	mt_table_visit_over(engine->deps.table, SWEEP_MAX_VISITS, sweep_entry,
+			    &sweep);
 	if (sweep.n_swept || sweep.n_absent_cancels)
 		mt_writer_commit(engine->writer, MT_WRITER_ALWAYS_RETRIES, NULL,
 				 NULL);
--- a/lib/dag/table.c
+++ b/lib/dag/table.c
@@ -13,6 +13,9 @@
 	GHashTable *n_pending;
 	/** Records of speeds: hash of the service to mt_speeds_record_t. */
 	GHashTable *speeds;
+	/** mt_table_job_t that have ended, or are absent and cancelled. */
+	GPtrArray *over;
+	guint next_over;       /**< index of the next one to be visited */
 	mt_ms_t current_as_of; /**< see mt_table_set_current_as_of() */
 };
 
@@ -48,6 +51,7 @@
 					    free_job);
 	table->speeds = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					      free_speeds);
+	table->over = g_ptr_array_new();
 	table->n_pending = g_hash_table_new_full(
 		mt_name_hash, mt_name_key_equal, g_free, NULL);
 	return table;
@@ -58,6 +62,7 @@
 	g_hash_table_destroy(table->jobs);
 	g_hash_table_destroy(table->speeds);
 	g_hash_table_destroy(table->n_pending);
+	g_ptr_array_unref(table->over);
 	g_free(table);
 }
 
@@ -66,6 +71,7 @@
 	g_hash_table_remove_all(table->jobs);
 	g_hash_table_remove_all(table->speeds);
 	g_hash_table_remove_all(table->n_pending);
+	g_ptr_array_set_size(table->over, 0);
 	table->n_absent_cancels = 0;
 	table->memory_bytes = 0;
 }
@@ -293,13 +299,42 @@
 		g_hash_table_remove(table->n_pending, queue);
 }
 
+static void add_over(mt_table_t *table, mt_table_job_t *job)
+{
+	g_ptr_array_add(table->over, job);
+	job->over_index = table->over->len;
+}
+
+static void remove_over(mt_table_t *table, mt_table_job_t *job)
+{
+	guint index = job->over_index - 1;
+
+	job->over_index = 0;
+	g_ptr_array_remove_index_fast(table->over, index);
+	if (index < table->over->len) {
+		mt_table_job_t *moved = table->over->pdata[index];
+
+		moved->over_index = index + 1;
+	}
+}
+
+/** True if only the records of the job are left, see sweep.c. */
+static bool is_over(const mt_table_job_t *job)
+{
+	return job->queue.len ? job->ended_at != 0 : job->cancelled;
+}
+
 /** Adds the job to the counts of the table (1), or takes it out (-1). */
 static void count_job(mt_table_t *table, uint64_t id, int change)
 {
-	const mt_table_job_t *job = g_hash_table_lookup(table->jobs, &id);
+	mt_table_job_t *job = g_hash_table_lookup(table->jobs, &id);
 
 	if (!job)
 		return;
+	if (change < 0 && job->over_index)
+		remove_over(table, job);
+	if (change > 0 && is_over(job))
+		add_over(table, job);
 	table->n_absent_cancels +=
 		(unsigned)(change * mt_table_is_absent_cancelled(table, id));
 	table->memory_bytes += (uint64_t)(change * (int64_t)memory_of(job));
@@ -350,12 +385,7 @@
 	return g_hash_table_size(table->jobs);
 }
 
-/**
- * Calls `cb` for each job whose job record has been read, or for each other
- * job that is cancelled.
- */
-static void each_job(const mt_table_t *table, bool has_record, mt_table_cb cb,
-		     void *ctx)
+void mt_table_each(const mt_table_t *table, mt_table_cb cb, void *ctx)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -364,17 +394,11 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const mt_table_job_t *job = value;
 
-		if (has_record ? job->queue.len > 0
-			       : job->cancelled && !job->queue.len)
+		if (job->queue.len)
 			cb(ctx, job);
 	}
 }
 
-void mt_table_each(const mt_table_t *table, mt_table_cb cb, void *ctx)
-{
-	each_job(table, true, cb, ctx);
-}
-
 void mt_table_each_speeds(const mt_table_t *table, mt_table_speeds_cb cb,
 			  void *ctx)
 {
@@ -389,8 +413,12 @@
 	}
 }
 
-void mt_table_each_absent_cancel(const mt_table_t *table, mt_table_cb cb,
-				 void *ctx)
+void mt_table_visit_over(mt_table_t *table, unsigned n_max, mt_table_cb cb,
+			 void *ctx)
 {
-	each_job(table, false, cb, ctx);
+	for (unsigned i = MIN(n_max, table->over->len); i > 0; i--) {
+		if (table->next_over >= table->over->len)
+			table->next_over = 0;
+		cb(ctx, table->over->pdata[table->next_over++]);
+	}
 }
--- a/lib/dag/table.h
+++ b/lib/dag/table.h
@@ -41,6 +41,9 @@
 	mt_ms_t ended_at;
 	/** Memory of the unfinished job, see mt_memory_budget_job_bytes(). */
 	size_t memory_bytes;
+	/** Index plus one in the list for mt_table_visit_over(); 0: it is not
+	 * in it. */
+	guint over_index;
 } mt_table_job_t;
 
 typedef struct mt_table_t mt_table_t;
@@ -127,8 +130,12 @@
 void mt_table_each_speeds(const mt_table_t *table, mt_table_speeds_cb cb,
 			  void *ctx);
 
-/** Calls `cb` for each job for which mt_table_is_absent_cancelled() is true. */
-void mt_table_each_absent_cancel(const mt_table_t *table, mt_table_cb cb,
-				 void *ctx);
+/**
+ * Calls `cb` for at most `n_max` jobs that have ended, or that are absent and
+ * cancelled; further calls go on with the others, in turn. `cb` must not change
+ * the table.
+ */
+void mt_table_visit_over(mt_table_t *table, unsigned n_max, mt_table_cb cb,
+			 void *ctx);
 
 #endif
--- a/tests/scale/main.c
+++ b/tests/scale/main.c
@@ -128,6 +128,7 @@
 		gint64 took_us;
 
 		mt_planner_run(fixture.engine);
+		mt_wakeups_let_sleep(&fixture.engine->wakeups, 0);
 		took_us = g_get_monotonic_time() - began_us;
 		longest_us = MAX(longest_us, took_us);
 		sum_us += took_us;
--- a/tests/scripts/many-jobs.sh
+++ b/tests/scripts/many-jobs.sh
@@ -186,7 +186,34 @@
 sleep 2
 check_below "its peak of resident memory in KB" $((BOUND_MB * 1024)) \
 	"$(peak_kb "$SMALL")"
+
+# Ends all jobs; their memory must be given back.
+cancel_all() {
+	local n
+	for ((n = 1; n <= accepted + refused; n++)); do
+		curl -s -o /dev/null -X DELETE -m 5 -H "Host: jobs.example" \
+			-H "Authorization: Token good" \
+			"http://127.0.0.1:$(entry_callers_port "$SMALL")/batch/$(printf 'b%015x' "$n")"
+	done
+}
+
+rss_kb() {
+	sed -n 's/^VmRSS:[^0-9]*\([0-9]*\) kB/\1/p' "/proc/${PID[$1]}/status"
+}
+
+full=$(rss_kb "$SMALL")
+cancel_all
+until=$((SECONDS + WAIT_S))
+while [ $SECONDS -lt $until ] && [ "$(rss_kb "$SMALL")" -ge "$full" ]; do
+	sleep 0.2
+done
+check_below "memory after the end of all jobs in KB" "$full" \
+	"$(rss_kb "$SMALL")"
+check "memory is given back" 1 "$(curl -s -m 2 \
+	"http://127.0.0.1:$((FIRST_PORT + 60 + SMALL))/metrics" |
+	grep -c memory_given_back_total)"
 echo "$accepted accepted, $refused refused, peak of the smaller host" \
-	"$(($(peak_kb "$SMALL") / 1024)) MB"
+	"$(($(peak_kb "$SMALL") / 1024)) MB, afterwards" \
+	"$(($(rss_kb "$SMALL") / 1024)) MB"
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- a/tests/unit/engine_fixture.c
+++ b/tests/unit/engine_fixture.c
@@ -115,6 +115,7 @@
 	g_array_unref(fixture->holds);
 	g_hash_table_destroy(fixture->engine->jobs);
 	g_ptr_array_unref(fixture->engine->dirty_jobs);
+	mt_wakeups_clear(&fixture->engine->wakeups);
 	g_hash_table_destroy(fixture->engine->backends);
 	g_ptr_array_unref(fixture->engine->flushes);
 	g_hash_table_destroy(fixture->engine->logged_zones);
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -100,6 +100,7 @@
 	add_suite("same plan", mt_same_plan_tests);
 	add_suite("wide jobs", mt_wide_jobs_tests);
 	add_suite("memory budget", mt_memory_budget_tests);
+	add_suite("pass cost", mt_pass_cost_tests);
 	CU_basic_set_mode(CU_BRM_NORMAL);
 	CU_basic_run_tests();
 	printf("%u passed, %u failed\n",
--- a/tests/unit/test_planner.c
+++ b/tests/unit/test_planner.c
@@ -253,6 +253,13 @@
 	job->spec->account = strdup(name);
 }
 
+static void set_priority(mt_rivals_t *rivals, mt_dag_job_t *job,
+			 uint32_t priority)
+{
+	job->queue.priority = priority;
+	mt_wakeups_update_priority(&rivals->fixture.engine->wakeups, job);
+}
+
 /** @param older_for_ms how long the older job has been known */
 static void open_rivals(mt_rivals_t *rivals, bool contended,
 			mt_ms_t older_for_ms)
@@ -368,8 +375,8 @@
 	account->guaranteed_gpu = 2;
 	open_rivals(&rivals, true, 20000);
 	rivals.fixture.engine->catalog = catalog;
-	rivals.older->queue.priority = 0;
-	rivals.newer->queue.priority = 0;
+	set_priority(&rivals, rivals.older, 0);
+	set_priority(&rivals, rivals.newer, 0);
 	set_account(rivals.running, "large");
 	set_account(rivals.older, "large");
 	set_account(rivals.newer, "small");
--- a/tests/unit/tests.h
+++ b/tests/unit/tests.h
@@ -39,5 +39,6 @@
 extern const mt_test_t mt_same_plan_tests[];
 extern const mt_test_t mt_wide_jobs_tests[];
 extern const mt_test_t mt_memory_budget_tests[];
+extern const mt_test_t mt_pass_cost_tests[];
 
 #endif
