--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -27,6 +27,7 @@
  * answers come between.
  */
 #define LOAD_SLICE 256u
+#define LOAD_PAUSE_MS 1u
 
 static void run_pass(void *ctx);
 static void tick(void *ctx);
@@ -462,7 +463,7 @@
 	if (ids->len)
 		engine->load_timer =
 			mt_timers_after(mt_kernel_timers(engine->deps.kernel),
-					0, load_jobs, engine);
+					LOAD_PAUSE_MS, load_jobs, engine);
 	else
 		begin_scheduling(engine);
 }
@@ -510,6 +511,7 @@
 	mt_timers_cancel(timers, engine->pass_timer);
 	mt_timers_cancel(timers, engine->tick_timer);
 	engine->pass_timer = 0;
+	engine->tick_timer = 0;
 	mt_table_watch(engine->deps.table, NULL);
 	mt_directory_close(engine->deps.directory);
 	if (engine->deps.evacuations)
--- a/tests/unit/test_engine.c
+++ b/tests/unit/test_engine.c
@@ -321,8 +321,9 @@
 	mt_table_apply(table, &record);
 }
 
-/** Makes the engine the leader, with a table of jobs and the given store. */
-static void lead(mt_engine_fixture_t *fixture, mt_capturing_store_t *store)
+/** Gives the engine a table of jobs and the store. */
+static void connect_store(mt_engine_fixture_t *fixture,
+			  mt_capturing_store_t *store)
 {
 	static const mt_directory_format_t format = {"servers", NULL};
 
@@ -330,6 +331,12 @@
 	fixture->engine->deps.table = mt_table_new(fixture->kernel);
 	fixture->engine->deps.directory =
 		mt_directory_new(fixture->kernel, &store->port, &format);
+}
+
+/** Makes the engine the leader, with a table of jobs and the given store. */
+static void lead(mt_engine_fixture_t *fixture, mt_capturing_store_t *store)
+{
+	connect_store(fixture, store);
 	mt_engine_become_leader(fixture->engine, 7);
 }
 
@@ -369,6 +376,56 @@
 	mt_engine_fixture_close(&fixture);
 }
 
+/** Adds unfinished jobs to the engine's table. */
+static void fill_table(mt_engine_fixture_t *fixture, uint64_t n_jobs)
+{
+	for (uint64_t id = 1; id <= n_jobs; id++) {
+		mt_dag_job_t *job =
+			mt_engine_fixture_add_job(fixture, id, 2, 1);
+		GBytes *bytes = mt_dag_pack(&job->spec->base);
+
+		mt_engine_remove_job(fixture->engine, job);
+		apply_record(fixture->engine->deps.table, MT_RECORD_JOB, id,
+			     mt_bytes_view(bytes), id);
+		g_bytes_unref(bytes);
+	}
+}
+
+/**
+ * Guards against: a new leader makes the models of all jobs at once, so that
+ * its heartbeats stop; or it schedules before it knows all jobs, and stops
+ * their runs as unknown.
+ */
+static void a_take_over_is_sliced(void)
+{
+	mt_engine_fixture_t fixture;
+	mt_capturing_store_t store;
+	unsigned slices = 0;
+	guint known = 0;
+
+	mt_engine_fixture_open(&fixture);
+	open_store(&store);
+	connect_store(&fixture, &store);
+	fill_table(&fixture, 1000);
+	mt_engine_become_leader(fixture.engine, 8);
+	while (fixture.engine->jobs_to_load && slices < 100) {
+		guint n_jobs = g_hash_table_size(fixture.engine->jobs);
+
+		CU_ASSERT_TRUE(n_jobs - known <= 256);
+		CU_ASSERT_FALSE(fixture.engine->pass_timer);
+		CU_ASSERT_FALSE(fixture.engine->tick_timer);
+		known = n_jobs;
+		slices++;
+		mt_timers_advance(fixture.timers,
+				  mt_timers_now(fixture.timers) + 1);
+	}
+	CU_ASSERT_TRUE(slices >= 3);
+	CU_ASSERT_EQUAL(g_hash_table_size(fixture.engine->jobs), 1000);
+	CU_ASSERT_TRUE(fixture.engine->tick_timer);
+	stop_leading(&fixture, &store);
+	mt_engine_fixture_close(&fixture);
+}
+
 /**
  * Guards against: a job runs that was stored after its cancelling was answered
  * with "no such job" (UNASKED).
@@ -385,7 +442,7 @@
 	lead(&fixture, &store);
 	job = mt_engine_fixture_add_job(&fixture, 1, 2, 1);
 	bytes = mt_dag_pack(&job->spec->base);
-	g_hash_table_remove_all(fixture.engine->jobs);
+	mt_engine_remove_job(fixture.engine, job);
 	apply_record(fixture.engine->deps.table, MT_RECORD_CANCEL, 1,
 		     MT_STR("1"), 1);
 	apply_record(fixture.engine->deps.table, MT_RECORD_JOB, 1,
@@ -689,6 +746,7 @@
 }
 
 const mt_test_t mt_engine_tests[] = {
+	{"a take-over is sliced", a_take_over_is_sliced},
 	{"a leader with old records starts and renews nothing",
 	 a_leader_with_old_records_starts_and_renews_nothing},
 	{"a server that has left gets no tasks",
