--- a/lib/dag/candidates.c
+++ b/lib/dag/candidates.c
@@ -243,6 +243,7 @@
 	mt_candidate_step_t candidate = {.step = step, .count = count};
 	mt_dag_job_t *job = step->job;
 
+	mt_dag_step_find_names(step);
 	if (is_held_back(planner, step)) {
 		planner->n_held_back++;
 		return;
--- a/lib/dag/flush.c
+++ b/lib/dag/flush.c
@@ -138,6 +138,18 @@
 	g_bytes_unref(bytes);
 }
 
+/** Counts the bytes of progress records, and keeps the largest one. */
+static void count_progress(mt_engine_t *engine, size_t bytes)
+{
+	mt_kernel_t *kernel = engine->deps.kernel;
+	uint64_t *largest =
+		mt_kernel_counter(kernel, "progress_record_largest_bytes");
+
+	*largest = MAX(*largest, bytes);
+	*mt_kernel_counter(kernel, "progress_bytes_total") += bytes;
+	++*mt_kernel_counter(kernel, "progress_records_total");
+}
+
 /**
  * Adds the progress record of a job to the writer's current group. When the job
  * ends, its job record is replaced in the same group by a short record, without
@@ -147,8 +159,10 @@
  */
 static void add_progress(mt_engine_t *engine, mt_dag_job_t *job)
 {
-	add_record(engine, MT_RECORD_PROGRESS, job->id,
-		   mt_dag_job_pack_progress(job));
+	GBytes *progress = mt_dag_job_pack_progress(job);
+
+	count_progress(engine, g_bytes_get_size(progress));
+	add_record(engine, MT_RECORD_PROGRESS, job->id, progress);
 	mt_dag_job_release_done(job);
 	job->dirty = false;
 	if (!mt_state_is_final(job->state) || job->job_record_shortened)
--- a/lib/dag/job_model.c
+++ b/lib/dag/job_model.c
@@ -165,6 +165,29 @@
 	add_waiting_of_job(step->job, step->index, change);
 }
 
+/** Stands for a label or rack that no server has had so far. */
+static GQuark unknown_name(void)
+{
+	return g_quark_from_static_string("\001unknown");
+}
+
+static GQuark find_name(const char *name)
+{
+	GQuark known = g_quark_try_string(name);
+
+	if (!*name)
+		return 0;
+	return known ? known : unknown_name();
+}
+
+void mt_dag_step_find_names(mt_dag_step_t *step)
+{
+	if (step->label == unknown_name())
+		step->label = find_name(step->spec->label);
+	if (step->data_rack == unknown_name())
+		step->data_rack = find_name(step->spec->data_rack);
+}
+
 /** Makes the state of a step that depends on no unfinished step any more. */
 static void make_step(mt_dag_occurrence_t *occurrence, uint32_t index)
 {
@@ -176,9 +199,8 @@
 	step->occurrence = occurrence;
 	step->index = index;
 	step->spec = spec;
-	step->label = *spec->label ? g_quark_from_string(spec->label) : 0;
-	step->data_rack =
-		*spec->data_rack ? g_quark_from_string(spec->data_rack) : 0;
+	step->label = find_name(spec->label);
+	step->data_rack = find_name(spec->data_rack);
 	step->n_waiting = spec->count;
 	add_ready(step);
 }
--- a/lib/dag/job_model.h
+++ b/lib/dag/job_model.h
@@ -298,6 +298,12 @@
 /** True when all tasks of the step are done. */
 bool mt_dag_step_is_done(const mt_dag_step_t *step);
 
+/**
+ * Looks up `label` and `data_rack` again if no server had them before: names
+ * that only a job mentions are not interned, as they would never be freed.
+ */
+void mt_dag_step_find_names(mt_dag_step_t *step);
+
 /**
  * Frees the states of tasks that are done and on no server, and those of
  * occurrences of which all steps are. Called when their progress is being
--- a/lib/dag/pass_pace.c
+++ b/lib/dag/pass_pace.c
@@ -60,7 +60,8 @@
 
 	*longest = MAX(*longest, took_us);
 	pace->longest_us = MAX(pace->longest_us, took_us);
-	mt_kernel_observe(kernel, "pass_ms", took_us / US_PER_MS);
+	*mt_kernel_counter(kernel, "pass_us_total") += took_us;
+	++*mt_kernel_counter(kernel, "passes_total");
 	adapt(pace, took_us);
 	log_long(pace, kernel);
 }
--- a/tests/unit/test_wide_jobs.c
+++ b/tests/unit/test_wide_jobs.c
@@ -515,7 +515,28 @@
 	}
 }
 
+/** Guards against: names in jobs fill the memory for good. */
+static void names_of_jobs_are_not_interned(void)
+{
+	mt_engine_fixture_t fixture;
+	MtDag__Step step = single_tasks(1);
+	mt_dag_step_t *waiting;
+
+	mt_engine_fixture_open(&fixture);
+	step.label = (char *)"a label that only this job mentions";
+	waiting = mt_first_step(
+		mt_engine_fixture_add_job_of(&fixture, 1, 2, &step, 0));
+	run_pass(&fixture);
+	CU_ASSERT_EQUAL(waiting->n_placed, 0);
+	CU_ASSERT_EQUAL(g_quark_try_string(step.label), 0);
+	fixture.servers[1]->info.labels[0] = g_quark_from_string(step.label);
+	run_pass(&fixture);
+	CU_ASSERT_EQUAL(fixture.servers[1]->tasks->len, 1);
+	mt_engine_fixture_close(&fixture);
+}
+
 const mt_test_t mt_wide_jobs_tests[] = {
+	{"names of jobs are not interned", names_of_jobs_are_not_interned},
 	{"waiting tasks cost no memory", waiting_tasks_cost_no_memory},
 	{"occurrences not begun cost no memory",
 	 occurrences_not_begun_cost_no_memory},
