--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -16,7 +16,7 @@
 /**
  * How long a former leader may still renew leases after this host has become
  * the leader. A leader does not renew leases if its copy of the records is
- * older than RENEW_STALENESS_MAX_MS (commands.c), which therefore has the same
+ * older than RENEW_STALENESS_MAX_MS (holds.c), which therefore has the same
  * value. The former leader's runs on a server that does not answer are given up
  * as lost only when a lease renewed at the end of this time has expired.
  */
@@ -37,6 +37,11 @@
 	return mt_kernel_now(engine->deps.kernel);
 }
 
+mt_ms_t mt_engine_records_age(const mt_engine_t *engine)
+{
+	return engine->deps.records_age_ms(engine->deps.records_age_ctx);
+}
+
 void mt_engine_insert_job(mt_engine_t *engine, mt_dag_job_t *job)
 {
 	g_hash_table_insert(engine->jobs, &job->id, job);
--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -4,6 +4,7 @@
  * planner.c (builds and applies placement plans), guarantees.c (finds the jobs
  * within their accounts' guarantees), advice_requests.c (advice requests, that
  * is requests to the policy service), commands.c (sends commands to servers),
+ * holds.c (polls servers, which renews leases),
  * reports.c (applies what servers report), relocation.c (moves runs to other
  * servers), server_speeds.c (learns the speeds of servers), speed_records.c
  * (keeps them in the store), step_times.c (learns the run times of tasks),
@@ -105,6 +106,9 @@
 mt_dag_job_t *mt_engine_job(const mt_engine_t *engine, uint64_t id);
 mt_ms_t mt_engine_now(const mt_engine_t *engine);
 
+/** Age of this host's copy of the records, see mt_engine_deps_t. */
+mt_ms_t mt_engine_records_age(const mt_engine_t *engine);
+
 /** True if the server is in an evacuated data centre: no task starts there. */
 bool mt_engine_is_evacuated(const mt_engine_t *engine,
 			    const mt_backend_t *backend);
@@ -192,6 +196,13 @@
 
 /* commands.c */
 
+/**
+ * A server counts as responsive for this long after it answered a hold. On a
+ * server that is not responsive, leases are not renewed, and the start of a
+ * task is repeated only for START_RETRY_WINDOW_MS (commands.c).
+ */
+#define MT_RESPONSIVE_WINDOW_MS 2500u
+
 /**
  * Sends the start of a task whose placement is stored. Sends no start while the
  * server's clock is unknown or this host's copy of the records or of the
@@ -217,24 +228,6 @@
 /** Stops a task, or the whole gang that it belongs to. */
 void mt_commands_stop_task_or_gang(mt_engine_t *engine, mt_dag_task_t *task);
 
-/**
- * Sends the next hold to the server, if it is of use (see needs_hold() in
- * commands.c). Sends none in these cases:
- * - A hold is in progress or waits for its retry timer.
- * - OVERDUE_HOLDS_MAX holds (commands.c) are overdue.
- * - The server's address is not known.
- * - The platform's list has no entry for the server, and no task is on it.
- * - Effects of reported ended runs are not stored yet, and the last hold was
- *   sent less than UNSTORED_ENDS_HOLD_INTERVAL_MS (commands.c) ago.
- *
- * The answer contains the server's report: its active runs and its ended runs.
- * The hold also renews the leases of the runs on the server if the server's
- * clock is known, the server is responsive, and this host's copy of the records
- * is recent. The first hold to a server since this host began to lead never
- * renews, as only an answered hold makes the server responsive.
- */
-void mt_commands_hold(mt_engine_t *engine, mt_backend_t *backend);
-
 /**
  * Called at each tick for each server. Once all leases on the server have
  * expired, and LISTED_GRACE_MS (commands.c) later if the server is listed,
@@ -251,6 +244,26 @@
 void mt_commands_stop_stray(mt_engine_t *engine, mt_backend_t *backend,
 			    const mt_task_key_t *key, uint32_t run);
 
+/* holds.c */
+
+/**
+ * Sends the next hold to the server, if it is of use (see needs_hold() in
+ * holds.c). Sends none in these cases:
+ * - A hold is in progress or waits for its retry timer.
+ * - OVERDUE_HOLDS_MAX holds (holds.c) are overdue.
+ * - The server's address is not known.
+ * - The platform's list has no entry for the server, and no task is on it.
+ * - Effects of reported ended runs are not stored yet, and the last hold was
+ *   sent less than UNSTORED_ENDS_HOLD_INTERVAL_MS (holds.c) ago.
+ *
+ * The answer contains the server's report: its active runs and its ended runs.
+ * The hold also renews the leases of the runs on the server if the server's
+ * clock is known, the server is responsive, and this host's copy of the records
+ * is recent. The first hold to a server since this host began to lead never
+ * renews, as only an answered hold makes the server responsive.
+ */
+void mt_commands_hold(mt_engine_t *engine, mt_backend_t *backend);
+
 /* relocation.c */
 
 /** Measures the rate of progress of a run that its server reports. */
--- a/lib/dag/planner_internal.h
+++ b/lib/dag/planner_internal.h
@@ -1,9 +1,9 @@
 /**
  * @file planner_internal.h
  * Internal interface of the planner: candidates.c (lists the steps that wait to
- * start), victims.c (lists the runs that may be preempted), planner.c (builds
- * the placement plan and applies it) and wait_log.c (logs why steps still
- * wait).
+ * start), planner_servers.c (describes the servers), victims.c (lists the runs
+ * that may be preempted), planner.c (builds the placement plan and applies it)
+ * and wait_log.c (logs why steps still wait).
  */
 #ifndef MT_DAG_PLANNER_INTERNAL_H
 #define MT_DAG_PLANNER_INTERNAL_H
@@ -96,6 +96,9 @@
  */
 double mt_planner_weight(uint32_t priority);
 
+/** Fills the servers of the plan, `backends` and `backend_index`. */
+void mt_planner_collect_servers(mt_planner_t *planner);
+
 /** Fills the victims and the ends of the plan, and `victims`. */
 void mt_victims_collect(mt_planner_t *planner);
 
--- a/tests/unit/engine_fixture.c
+++ b/tests/unit/engine_fixture.c
@@ -3,7 +3,7 @@
 
 #include <stdlib.h>
 
-/** At least HOLD_RETRY_MAX_MS in commands.c. */
+/** At least HOLD_RETRY_MAX_MS in holds.c. */
 #define HOLD_RETRY_LONGEST_MS 1000u
 
 /**
--- a/tests/unit/test_wide_jobs.c
+++ b/tests/unit/test_wide_jobs.c
@@ -262,24 +262,40 @@
 	mt_engine_fixture_close(&fixture);
 }
 
+/** Places all tasks of the step, as late runs, on servers in turn. */
+static void place_all(mt_engine_fixture_t *fixture, mt_dag_step_t *step,
+		      unsigned server)
+{
+	for (uint32_t i = 0; i < step->spec->count; i++)
+		mt_dag_task_place(mt_task_of(step, i),
+				  fixture->servers[(server + i) %
+						   MT_ENGINE_FIXTURE_SERVERS],
+				  200, 9000);
+}
+
 /**
  * Guards against: the progress record of a job of which all tasks run at the
- * same time is larger than the store takes.
+ * same time is larger than the store takes, whether the job has many tasks or
+ * many occurrences.
  */
 static void a_record_of_running_tasks_fits(void)
 {
 	mt_engine_fixture_t fixture;
+	MtDag__Step wide = single_tasks(MT_DAG_TASKS_MAX);
 	mt_dag_job_t *job;
 	mt_dag_occurrence_t *occurrence;
 
 	mt_engine_fixture_open(&fixture);
-	job = add_chains(&fixture, REPEAT);
-	while ((occurrence = mt_dag_job_open_next(job))) {
-		mt_dag_step_t *step = occurrence->slots[0].step;
-
-		mt_dag_task_place(mt_task_of(step, 0), fixture.servers[0], 200,
-				  9000);
-	}
+	job = mt_engine_fixture_add_job_of(&fixture, 1, 2, &wide, 0);
+	place_all(&fixture, mt_first_step(job), 0);
+	CU_ASSERT_EQUAL(job->n_placed, MT_DAG_TASKS_MAX);
+	CU_ASSERT_TRUE(record_bytes(job) < RECORD_MAX_BYTES);
+	wide.count = 2;
+	job = mt_engine_fixture_add_job_of(&fixture, 2, 2, &wide, REPEAT);
+	while ((occurrence = mt_dag_job_open_next(job)))
+		place_all(&fixture, occurrence->slots[0].step,
+			  occurrence->number);
+	CU_ASSERT_EQUAL(job->n_placed, MT_DAG_TASKS_MAX);
 	CU_ASSERT_TRUE(record_bytes(job) < RECORD_MAX_BYTES);
 	mt_engine_fixture_close(&fixture);
 }
