--- a/lib/dag/host.c
+++ b/lib/dag/host.c
@@ -28,8 +28,8 @@
 #define STANDBY_READ_DELAY_MS 100u
 
 /**
- * Free memory is given back to the operating system once the jobs need this much
- * less than they did.
+ * Free memory is given back to the operating system once the jobs need this
+ * much less than they did.
  */
 #define GIVE_BACK_BYTES (4u * 1024u * 1024u)
 
--- a/tests/scripts/mutants.sh
+++ b/tests/scripts/mutants.sh
@@ -116,15 +116,15 @@
 SIMULATION=fleet
 mutant "lease considered expired too early" lib/dag/backend.c \
 	's/leases_expire_at = now \+ lease_ms \+ drift \+ LEASE_MARGIN_MS/leases_expire_at = now + drift + 0 * LEASE_MARGIN_MS/'
-mutant "start sent before its placement is stored" lib/dag/job_model.c \
+mutant "start sent before its placement is stored" lib/dag/job_tasks.c \
 	's/task->placement_stored = false;/task->placement_stored = true;/'
-mutant "end of a task declared deletable before it is stored" lib/dag/commands.c \
+mutant "end of a task declared deletable before it is stored" lib/dag/holds.c \
 	's/n_failed_holds \? 0 : backend->last_end_stored/n_failed_holds ? 0 : backend->last_end_handled/'
-mutant "answer to an overdue hold ignored" lib/dag/commands.c \
+mutant "answer to an overdue hold ignored" lib/dag/holds.c \
 	's/if \(answer->result == MT_COMMAND_DONE\)\n\t\ton_report/if (timely \&\& answer->result == MT_COMMAND_DONE)\n\t\ton_report/'
 mutant "runs of a listed server given up with their leases" lib/dag/commands.c \
 	's/backend->listed \? LISTED_GRACE_MS : 0/0/'
-mutant "ended runs deletable after a failed hold" lib/dag/commands.c \
+mutant "ended runs deletable after a failed hold" lib/dag/holds.c \
 	's/n_failed_holds \? 0 : backend->last_end_stored/n_failed_holds ? backend->last_end_stored : backend->last_end_stored/'
 mutant "age of the copy of a relay ignored" lib/dag/config_relay.c \
 	's/page.age_ms = reply->age_ms;//'
@@ -137,10 +137,10 @@
 mutant "run deemed lost though an unanswered start may have run it" lib/dag/commands.c \
 	's/if \(!task->start_unanswered\)/if (true)/'
 mutant "step started before its dependencies" lib/dag/job_model.c \
-	's/if \(!is_done\(step_of_same_occurrence/if (false \&\& !is_done(step_of_same_occurrence/'
+	's/if \(!spec->n_after\)/if (true)/; s/if \(!--occurrence->slots\[next\].n_blockers\)/if (--occurrence->slots[next].n_blockers, false)/'
 mutant "cancelled job not stopped" lib/dag/engine.c \
 	's/mt_dag_job_update_state\(job\);\n\tmt_engine_stop_tasks\(engine, job\);/mt_dag_job_update_state(job);/'
-mutant "failed runs not counted" lib/dag/job_model.c \
+mutant "failed runs not counted" lib/dag/job_tasks.c \
 	's/counter_task->fails\+\+;//'
 mutant "one task of a gang stopped alone" lib/dag/commands.c \
 	's/if \(task->step->spec->gang\)\s*mt_commands_stop_gang/if (false) mt_commands_stop_gang/'
@@ -154,7 +154,7 @@
 	's/host->cores_milli > election->cores_milli/false/'
 mutant "preemptions ignored when estimating their probability" lib/dag/survival.c \
 	's/survival->preemptions\[level_of\(priority\)\] \+= 1;//'
-mutant "ended job keeps its payload" lib/dag/job_model.c \
+mutant "ended job keeps its payload" lib/dag/job_progress.c \
 	's/ended.payload = \(char \*\)protobuf_c_empty_string;//'
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
