--- a/lib/dag/backend.c
+++ b/lib/dag/backend.c
@@ -32,6 +32,23 @@
 	backend->cold_until = now + info->cold_remaining_ms;
 }
 
+bool mt_backend_info_is_current(const mt_backend_t *backend)
+{
+	return !backend->info.born_ms || !backend->born_ms ||
+	       backend->info.born_ms == backend->born_ms;
+}
+
+bool mt_backend_has_label(const mt_backend_t *backend, GQuark label)
+{
+	if (!label)
+		return true;
+	for (unsigned i = 0; i < MT_BACKEND_LABELS_MAX; i++) {
+		if (backend->info.labels[i] == label)
+			return true;
+	}
+	return false;
+}
+
 uint64_t mt_backend_clock(const mt_backend_t *backend, mt_ms_t now)
 {
 	return backend->clock_ms + (now - backend->drift_start);
--- a/lib/dag/backend.h
+++ b/lib/dag/backend.h
@@ -123,6 +123,15 @@
 void mt_backend_note_cold(mt_backend_t *backend, const mt_backend_info_t *info,
 			  mt_ms_t now);
 
+/**
+ * False while the list entry, `info`, may be about an earlier process of the
+ * server than the one that answers.
+ */
+bool mt_backend_info_is_current(const mt_backend_t *backend);
+
+/** True if the list entry has the label; always true for label 0. */
+bool mt_backend_has_label(const mt_backend_t *backend, GQuark label);
+
 /** Estimates the server's present clock; only valid if `clock_known`. */
 uint64_t mt_backend_clock(const mt_backend_t *backend, mt_ms_t now);
 
--- a/lib/dag/candidates.c
+++ b/lib/dag/candidates.c
@@ -52,6 +52,7 @@
 			const mt_backend_t *backend)
 {
 	return backend->listed && !backend->info.draining &&
+	       mt_backend_info_is_current(backend) &&
 	       !mt_engine_is_evacuated(planner->engine, backend) &&
 	       backend->hold_answered && !backend->n_failed_holds &&
 	       backend->clock_known && planner->now >= backend->avoid_until &&
--- a/lib/dag/commands.c
+++ b/lib/dag/commands.c
@@ -226,11 +226,35 @@
 		mt_evacuations_are_fresh(engine->deps.evacuations));
 }
 
-/** Gives up a start on a server whose data centre is evacuated. */
-static void withdraw_start(mt_engine_t *engine, mt_dag_task_t *task)
+/**
+ * Why the task must not be started on its server any more, or NULL. The server
+ * may have restarted as another kind since the task was placed there.
+ */
+static const char *reason_to_withdraw(const mt_engine_t *engine,
+				      const mt_dag_task_t *task)
+{
+	const mt_backend_t *server = task->server;
+
+	if (mt_engine_is_evacuated(engine, server))
+		return "data centre evacuated";
+	if (!server->listed)
+		return NULL;
+	if (!mt_name_equal(&server->info.service,
+			   &task->step->job->queue.service))
+		return "its server runs another service";
+	if (!mt_backend_has_label(server, task->step->label))
+		return "its server has the label no more";
+	if (!mt_dag_resources_fit(&server->used, &server->info.capacity))
+		return "its server has become smaller";
+	return NULL;
+}
+
+/** Gives up a start that must not be sent any more. */
+static void withdraw_start(mt_engine_t *engine, mt_dag_task_t *task,
+			   const char *reason)
 {
 	mt_kernel_count(engine->deps.kernel, "starts_withdrawn_total");
-	give_up_start(engine, task, "data centre evacuated");
+	give_up_start(engine, task, reason);
 }
 
 void mt_commands_start(mt_engine_t *engine, mt_dag_task_t *task)
@@ -245,16 +269,17 @@
 				      task->step->job->spec->payload,
 				      task->checkpoint,
 				      ticket_of(task, now)};
+	const char *reason = reason_to_withdraw(engine, task);
 
-	if (mt_engine_is_evacuated(engine, backend)) {
-		withdraw_start(engine, task);
+	if (reason) {
+		withdraw_start(engine, task, reason);
 		return;
 	}
 	if (!backend->clock_known) {
 		mt_commands_hold(engine, backend);
 		return;
 	}
-	if (!copies_are_recent(engine))
+	if (!copies_are_recent(engine) || !mt_backend_info_is_current(backend))
 		return;
 	if (task->step->job->queue.advised && !command.ticket) {
 		handle_start_without_effect(engine, task, 0);
@@ -408,8 +433,10 @@
 		return;
 	}
 	if (waits_for_start(task)) {
-		if (mt_engine_is_evacuated(engine, task->server)) {
-			withdraw_start(engine, task);
+		const char *reason = reason_to_withdraw(engine, task);
+
+		if (reason) {
+			withdraw_start(engine, task, reason);
 			return;
 		}
 		if (now - task->last_start_sent_at >= START_RETRY_MS &&
--- a/lib/dag/relocation.c
+++ b/lib/dag/relocation.c
@@ -243,25 +243,15 @@
 		judge_server(engine, value, now);
 }
 
-static bool has_label(const mt_backend_t *server, GQuark label)
-{
-	if (!label)
-		return true;
-	for (unsigned i = 0; i < MT_BACKEND_LABELS_MAX; i++) {
-		if (server->info.labels[i] == label)
-			return true;
-	}
-	return false;
-}
-
 /** True if tasks may be placed on the server, and nothing speaks against it. */
 static bool is_sound(const mt_engine_t *engine, const mt_backend_t *server,
 		     mt_ms_t now)
 {
 	return server->listed && !server->info.draining &&
-	       server->hold_answered && !server->n_failed_holds &&
-	       server->clock_known && now >= server->avoid_until &&
-	       now >= server->suspect_until && now >= server->cold_until &&
+	       mt_backend_info_is_current(server) && server->hold_answered &&
+	       !server->n_failed_holds && server->clock_known &&
+	       now >= server->avoid_until && now >= server->suspect_until &&
+	       now >= server->cold_until &&
 	       !mt_engine_is_evacuated(engine, server);
 }
 
@@ -277,7 +267,7 @@
 	return server != task->server &&
 	       mt_dag_resources_fit(&need, &available) &&
 	       is_sound(engine, server, now) &&
-	       has_label(server, step->label) &&
+	       mt_backend_has_label(server, step->label) &&
 	       (!step->data_rack || server->info.rack == step->data_rack) &&
 	       mt_name_equal(&server->info.service,
 			     &task->server->info.service);
--- a/tests/unit/test_engine.c
+++ b/tests/unit/test_engine.c
@@ -349,6 +349,131 @@
 	mt_directory_free(fixture->engine->deps.directory);
 }
 
+/** A task on the first server that needs a label; its start got no answer. */
+static mt_dag_task_t *add_labelled_task(mt_engine_fixture_t *fixture)
+{
+	GQuark label = g_quark_from_static_string("kind-a");
+	MtDag__Step step = mt_engine_fixture_step(1);
+	mt_backend_t *server = fixture->servers[0];
+	mt_dag_task_t *task;
+
+	server->info.labels[0] = label;
+	server->info.born_ms = server->born_ms = 100;
+	server->leases_expire_at = 99999;
+	step.label = (char *)"kind-a";
+	task = mt_task_of(mt_first_step(mt_engine_fixture_add_job_of(
+				  fixture, 1, 2, &step, 0)),
+			  0);
+	mt_dag_task_place(task, server, 1, 10000);
+	task->placement_stored = true;
+	mt_commands_start(fixture->engine, task);
+	task->start_in_flight = false;
+	task->start_unanswered = true;
+	return task;
+}
+
+/** Lets a later process of the server answer holds. */
+static void restart(mt_engine_fixture_t *fixture, mt_backend_t *server)
+{
+	mt_reports_server_restarted(fixture->engine, server, 200);
+	server->clock_known = true;
+	server->hold_answered = true;
+}
+
+/**
+ * Guards against: a start that got no answer is repeated to the next process of
+ * the server, which lacks the label that the task needs (ROUTE).
+ */
+static void a_start_is_not_repeated_to_another_kind(void)
+{
+	mt_engine_fixture_t fixture;
+	mt_backend_t *server;
+	mt_dag_task_t *task;
+
+	mt_engine_fixture_open(&fixture);
+	server = fixture.servers[0];
+	task = add_labelled_task(&fixture);
+	CU_ASSERT_EQUAL(fixture.starts, 1);
+	restart(&fixture, server);
+	/* What the list says may be about the former process. */
+	mt_engine_fixture_advance(&fixture, 500);
+	mt_commands_tick(fixture.engine, server);
+	CU_ASSERT_EQUAL(fixture.starts, 1);
+	CU_ASSERT_EQUAL(fixture.stops, 0);
+	server->info.born_ms = 200;
+	server->info.labels[0] = g_quark_from_static_string("kind-b");
+	mt_commands_tick(fixture.engine, server);
+	CU_ASSERT_EQUAL(fixture.starts, 1);
+	CU_ASSERT_EQUAL(fixture.stops, 1);
+	CU_ASSERT_TRUE(task->stop_wanted);
+	mt_engine_fixture_close(&fixture);
+}
+
+/** A server that comes back as what it was gets the start again. */
+static void a_start_is_repeated_to_the_same_kind(void)
+{
+	mt_engine_fixture_t fixture;
+	mt_backend_t *server;
+
+	mt_engine_fixture_open(&fixture);
+	server = fixture.servers[0];
+	add_labelled_task(&fixture);
+	restart(&fixture, server);
+	server->info.born_ms = 200;
+	mt_engine_fixture_advance(&fixture, 500);
+	mt_commands_tick(fixture.engine, server);
+	CU_ASSERT_EQUAL(fixture.starts, 2);
+	CU_ASSERT_EQUAL(fixture.stops, 0);
+	mt_engine_fixture_close(&fixture);
+}
+
+/**
+ * Guards against: a placement that was being stored while its server restarted
+ * is started on a process with less room, or of another service (LIMIT, ROUTE).
+ */
+static void a_first_start_is_not_sent_to_another_kind(void)
+{
+	for (unsigned smaller = 0; smaller < 2; smaller++) {
+		mt_engine_fixture_t fixture;
+		mt_backend_t *server;
+		mt_dag_task_t *task;
+
+		mt_engine_fixture_open(&fixture);
+		server = fixture.servers[0];
+		task = mt_task_of(mt_first_step(mt_engine_fixture_add_job(
+					  &fixture, 1, 2, 1)),
+				  0);
+		mt_dag_task_place(task, server, 1, 10000);
+		task->placement_stored = true;
+		if (smaller)
+			server->info.capacity.gpu = 1;
+		else
+			server->info.service = mt_name("other");
+		mt_commands_start(fixture.engine, task);
+		CU_ASSERT_EQUAL(fixture.starts, 0);
+		CU_ASSERT_EQUAL(task->phase, MT_TASK_PHASE_WAITING);
+		mt_engine_fixture_close(&fixture);
+	}
+}
+
+/** A server whose list entry is about its former process gets no tasks. */
+static void an_outdated_entry_is_not_used(void)
+{
+	mt_engine_fixture_t fixture;
+	mt_dag_job_t *job;
+
+	mt_engine_fixture_open(&fixture);
+	for (unsigned i = 0; i < MT_ENGINE_FIXTURE_SERVERS; i++)
+		fixture.servers[i]->info.born_ms = 100;
+	fixture.servers[0]->born_ms = 200;
+	fixture.servers[1]->born_ms = 100;
+	job = mt_engine_fixture_add_job(&fixture, 1, 2, 1);
+	mt_planner_run(fixture.engine);
+	CU_ASSERT_PTR_EQUAL(mt_task_of(mt_first_step(job), 0)->server,
+			    fixture.servers[1]);
+	mt_engine_fixture_close(&fixture);
+}
+
 /** A cancel record stops the tasks without waiting for a server's report. */
 static void a_cancelled_job_is_stopped_at_once(void)
 {
@@ -746,6 +871,13 @@
 }
 
 const mt_test_t mt_engine_tests[] = {
+	{"a start is not repeated to another kind",
+	 a_start_is_not_repeated_to_another_kind},
+	{"a start is repeated to the same kind",
+	 a_start_is_repeated_to_the_same_kind},
+	{"a first start is not sent to another kind",
+	 a_first_start_is_not_sent_to_another_kind},
+	{"an outdated entry is not used", an_outdated_entry_is_not_used},
 	{"a take-over is sliced", a_take_over_is_sliced},
 	{"a leader with old records starts and renews nothing",
 	 a_leader_with_old_records_starts_and_renews_nothing},
