--- a/lib/dag/dag.pb-c.c
+++ b/lib/dag/dag.pb-c.c
@@ -1031,7 +1031,7 @@
   (ProtobufCMessageInit) mt_dag__step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mt_dag__job__field_descriptors[13] =
+static const ProtobufCFieldDescriptor mt_dag__job__field_descriptors[16] =
 {
   {
     "id",
@@ -1189,13 +1189,52 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "advised",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__Job, advised),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "decision_ms",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__Job, decision_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "per_server_ms",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__Job, per_server_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mt_dag__job__field_indices_by_name[] = {
   2,   /* field[2] = account */
+  13,   /* field[13] = advised */
   10,   /* field[10] = attempts_max */
+  14,   /* field[14] = decision_ms */
   0,   /* field[0] = id */
   6,   /* field[6] = interval_ms */
   3,   /* field[3] = payload */
+  15,   /* field[15] = per_server_ms */
   9,   /* field[9] = priority */
   1,   /* field[1] = queue */
   7,   /* field[7] = repeat */
@@ -1208,7 +1247,7 @@
 static const ProtobufCIntRange mt_dag__job__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor mt_dag__job__descriptor =
 {
@@ -1218,7 +1257,7 @@
   "MtDag__Job",
   "mt_dag",
   sizeof(MtDag__Job),
-  13,
+  16,
   mt_dag__job__field_descriptors,
   mt_dag__job__field_indices_by_name,
   1,  mt_dag__job__number_ranges,
--- a/lib/dag/dag.pb-c.h
+++ b/lib/dag/dag.pb-c.h
@@ -169,10 +169,16 @@
    */
   uint32_t slack_permille;
   uint32_t target_ms;
+  /*
+   * Policy service of the queue, see mt_queue_t.
+   */
+  protobuf_c_boolean advised;
+  uint32_t decision_ms;
+  uint32_t per_server_ms;
 };
 #define MT_DAG__JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mt_dag__job__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/lib/dag/front_submit.c
+++ b/lib/dag/front_submit.c
@@ -216,6 +216,9 @@
 	job->attempts_max = queue->attempts_max;
 	job->slack_permille = (uint32_t)(queue->slack_factor * 1000);
 	job->target_ms = queue->objective_extra_ms;
+	job->advised = queue->advised;
+	job->decision_ms = queue->decision_ms;
+	job->per_server_ms = queue->per_server_ms;
 }
 
 /** True if the store takes a record with this value, and a key of ours. */
--- a/lib/dag/job_model.c
+++ b/lib/dag/job_model.c
@@ -13,6 +13,9 @@
 	queue->attempts_max = spec->attempts_max;
 	queue->slack_factor = spec->slack_permille / 1000.0;
 	queue->objective_extra_ms = spec->target_ms;
+	queue->advised = spec->advised;
+	queue->decision_ms = spec->decision_ms;
+	queue->per_server_ms = spec->per_server_ms;
 }
 
 static bool step_is_valid(const MtDag__Step *step, size_t index)
--- a/tests/unit/test_front.c
+++ b/tests/unit/test_front.c
@@ -6,6 +6,7 @@
 #include <CUnit/Basic.h>
 
 #include "dag/front.h"
+#include "dag/job_model.h"
 #include "unit/tests.h"
 
 #define JOB_ID "00000000000000a1"
@@ -16,6 +17,7 @@
 	GArray *calls; /**< mt_pending_call_t, oldest first */
 	/** The pending append: its records, as the keys with a space each. */
 	GString *append_keys;
+	GBytes *last_value;    /**< of its last record; NULL: none */
 	unsigned n_appends;    /**< number of appends so far */
 	uint64_t expected_end; /**< condition of the pending append */
 	mt_store_append_cb append_cb;
@@ -58,6 +60,11 @@
 	store->append_cb = cb;
 	store->append_ctx = ctx;
 	g_string_truncate(store->append_keys, 0);
+	g_clear_pointer(&store->last_value, g_bytes_unref);
+	if (append->count)
+		store->last_value = g_bytes_new(
+			append->records[append->count - 1].value.data,
+			append->records[append->count - 1].value.len);
 	for (size_t i = 0; i < append->count; i++)
 		g_string_append_printf(store->append_keys, "%.*s ",
 				       (int)append->records[i].key.len,
@@ -235,6 +242,7 @@
 		answer_oldest(&fixture->store, MT_STORE_REFUSED);
 	g_array_unref(fixture->store.calls);
 	g_string_free(fixture->store.append_keys, TRUE);
+	g_clear_pointer(&fixture->store.last_value, g_bytes_unref);
 	g_array_unref(fixture->peer_calls);
 	mt_table_free(fixture->deps.table);
 	mt_catalog_free(fixture->catalog);
@@ -620,6 +628,70 @@
 	tear_down(&fixture);
 }
 
+/** Makes the front end again, which then decodes each body as a job. */
+static void accept_jobs(mt_front_fixture_t *fixture)
+{
+	fixture->deps.decode_job = decode_any_job;
+	mt_dag_front_free(fixture->front);
+	fixture->front = mt_dag_front_new(&fixture->deps);
+	mt_dag_front_set_catalog(fixture->front, fixture->catalog);
+}
+
+/**
+ * Guards against: a leader that comes after the queue was removed does not know
+ * that it needs tickets, and each start is rejected for want of one (LOST).
+ */
+static void a_job_keeps_that_its_queue_needs_tickets(void)
+{
+	mt_front_fixture_t fixture;
+	mt_queue_t *queue;
+	mt_dag_job_t *job;
+	mt_str_t value;
+
+	set_up_without_records(&fixture, 0);
+	queue = fixture.catalog->queues->pdata[0];
+	queue->advised = true;
+	queue->decision_ms = 70;
+	queue->per_server_ms = 3;
+	accept_jobs(&fixture);
+	send_call(&fixture, MT_VERB_SUBMIT);
+	value = mt_bytes_view(fixture.store.last_value);
+	job = mt_dag_job_new(mt_dag__job__unpack(NULL, value.len,
+						 (const uint8_t *)value.data),
+			     1000);
+	CU_ASSERT_TRUE(job->queue.advised);
+	CU_ASSERT_EQUAL(job->queue.decision_ms, 70);
+	CU_ASSERT_EQUAL(job->queue.per_server_ms, 3);
+	mt_dag_job_free(job);
+	tear_down(&fixture);
+}
+
+/**
+ * Guards against: a job for which there is no memory is stored, or refused
+ * without a time to come back.
+ */
+static void a_job_beyond_the_memory_is_refused_unstored(void)
+{
+	mt_front_fixture_t fixture;
+	mt_memory_budget_t budget = {0};
+
+	set_up_without_records(&fixture, 0);
+	fixture.deps.memory_budget = &budget;
+	accept_jobs(&fixture);
+	mt_memory_budget_on_host(&budget, 120, 1);
+	mt_memory_budget_on_leader(&budget,
+				   mt_memory_budget_max_bytes(&budget));
+	send_call(&fixture, MT_VERB_SUBMIT);
+	CU_ASSERT_EQUAL(fixture.reply.outcome, MT_FRONT_OUTCOME_NOT_DONE);
+	CU_ASSERT_TRUE(fixture.reply.retry_after_s >= 5);
+	CU_ASSERT_EQUAL(fixture.store.n_appends, 0);
+	mt_memory_budget_on_leader(&budget, 1);
+	send_call(&fixture, MT_VERB_SUBMIT);
+	CU_ASSERT_EQUAL(fixture.store.n_appends, 1);
+	CU_ASSERT_TRUE(budget.accepted_bytes > 0);
+	tear_down(&fixture);
+}
+
 /* Refusals for lack of capacity. */
 
 /** A service with so much waiting work that each job is refused. */
@@ -1070,6 +1142,10 @@
 }
 
 const mt_test_t mt_front_tests[] = {
+	{"a job keeps that its queue needs tickets",
+	 a_job_keeps_that_its_queue_needs_tickets},
+	{"a job beyond the memory is refused unstored",
+	 a_job_beyond_the_memory_is_refused_unstored},
 	{"a call is refused by its header", a_call_is_refused_by_its_header},
 	{"a refusal is stored before it is told",
 	 a_refusal_is_stored_before_it_is_told},
