tests: what scripts of mimosaturn-entry hosts share stands once

Change: tests/scripts/entry-lib.sh has the checks, ports, starts and waits of entry-hosts.sh, hostile-clients.sh and many-jobs.sh; mt_make_job() of the fixture makes a model from its record in place of five copies. No check changed.

--- a/tests/scale/main.c
+++ b/tests/scale/main.c
@@ -45,6 +45,7 @@
 	{"jobs not due", 10000, 0, 1, 4, 1000000},
 };
 
+/** Adds a job of steps that each depend on the one before. */
 static void add_job(mt_engine_fixture_t *fixture, const mt_scale_case_t *at,
 		    uint64_t id)
 {
@@ -52,15 +53,11 @@
 	MtDag__Step *steps = g_new(MtDag__Step, at->steps);
 	MtDag__Step **list = g_new(MtDag__Step *, at->steps);
 	uint32_t *after = g_new(uint32_t, at->steps);
-	GBytes *bytes;
-	mt_str_t view;
 
 	for (uint32_t i = 0; i < at->steps; i++) {
-		mt_dag__step__init(&steps[i]);
-		steps[i].count = at->tasks;
-		steps[i].cpu_milli = 1000;
+		steps[i] = mt_engine_fixture_step(at->tasks);
+		steps[i].gang = false;
 		steps[i].gpu = 1;
-		steps[i].estimate_ms = 1000;
 		after[i] = i - 1;
 		steps[i].after = &after[i];
 		steps[i].n_after = i > 0;
@@ -70,19 +67,11 @@
 	spec.queue = (char *)"batch";
 	spec.service = (char *)"service";
 	spec.priority = 2;
-	spec.attempts_max = 3;
 	spec.start_at_ms = at->start_at_ms;
 	spec.repeat = at->repeat;
 	spec.n_steps = at->steps;
 	spec.steps = list;
-	bytes = mt_dag_pack(&spec.base);
-	view = mt_bytes_view(bytes);
-	mt_engine_insert_job(
-		fixture->engine,
-		mt_dag_job_new(mt_dag__job__unpack(NULL, view.len,
-						   (const uint8_t *)view.data),
-			       9000));
-	g_bytes_unref(bytes);
+	mt_engine_insert_job(fixture->engine, mt_make_job(&spec, 9000));
 	g_free(after);
 	g_free(list);
 	g_free(steps);
--- a/tests/scripts/entry-hosts.sh
+++ b/tests/scripts/entry-hosts.sh
@@ -5,6 +5,7 @@
 # ADMISSION.
 cd "$(dirname "$0")/../.." || exit 1
 . tests/scripts/lib.sh
+. tests/scripts/entry-lib.sh
 trap stop_all EXIT
 
 WORK=$(mktemp -d)
@@ -12,25 +13,6 @@
 HOST_COUNT=6
 ADMISSION=${ADMISSION:-off}
 WAIT_S=15 # limit of wait_ready and wait_state
-passed=0
-failed=0
-
-# Counts a check as passed or failed.
-# check NAME EXPECTED GOT
-check() {
-	if [ "$2" = "$3" ]; then
-		passed=$((passed + 1))
-	else
-		failed=$((failed + 1))
-		echo "$1: expected '$2', got '$3'"
-	fi
-}
-
-# Prints the port on which a host answers clients (the port of its setting
-# callers).
-entry_callers_port() {
-	echo $((FIRST_PORT + 40 + $1))
-}
 
 write_settings() {
 	cat >"$WORK/host-$1.json" <<-EOF
@@ -62,20 +44,6 @@
               "guaranteed": {"gpu": 16}}]}
 EOF
 
-declare -A PID
-start_entry() {
-	"$BUILD/programs/mimosaturn-entry" --settings "$WORK/host-$1.json" \
-		>>"$WORK/host-$1.log" 2>&1 &
-	PID[$1]=$!
-	PIDS+=($!)
-}
-
-# Prints the HTTP status of a host's readiness check.
-readiness_status() {
-	curl -s -o /dev/null -m 1 -w '%{http_code}' \
-		"http://127.0.0.1:$((FIRST_PORT + 50 + $1))/mimosaturn/readyz"
-}
-
 # call HOST METHOD PATH [BODY]: prints the body and the status.  Uses the API key
 # in KEY, if set.
 call() {
@@ -85,17 +53,6 @@
 		"http://127.0.0.1:$(entry_callers_port "$1")$3"
 }
 
-# Waits until a host is ready.
-wait_ready() {
-	local until=$((SECONDS + WAIT_S))
-	while [ $SECONDS -lt $until ]; do
-		[ "$(readiness_status "$1")" = 200 ] && return 0
-		sleep 0.05
-	done
-	echo "host $1 was not ready after $WAIT_S s" >&2
-	return 1
-}
-
 # wait_state HOST PATH STATE: prints the state, or the last answer if it differs
 wait_state() {
 	local answer until=$((SECONDS + WAIT_S))
--- a/tests/scripts/hostile-clients.sh
+++ b/tests/scripts/hostile-clients.sh
@@ -12,6 +12,7 @@
 # them if none is given
 cd "$(dirname "$0")/../.." || exit 1
 . tests/scripts/lib.sh
+. tests/scripts/entry-lib.sh
 trap stop_all EXIT
 
 WORK=$(mktemp -d)
@@ -29,33 +30,6 @@
 CLIENT_KINDS="announced chunked whole piecewise headers one-header silent
 	pipelined malformed keys"
 JOB='{"spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":10,"estimate_ms":10}]}'
-passed=0
-failed=0
-
-# Counts a check as passed or failed.
-# check NAME EXPECTED GOT
-check() {
-	if [ "$2" = "$3" ]; then
-		passed=$((passed + 1))
-	else
-		failed=$((failed + 1))
-		echo "$1: expected '$2', got '$3'"
-	fi
-}
-
-# check_below NAME BOUND GOT
-check_below() {
-	if [ "$3" -lt "$2" ]; then
-		passed=$((passed + 1))
-	else
-		failed=$((failed + 1))
-		echo "$1: expected less than $2, got $3"
-	fi
-}
-
-entry_callers_port() {
-	echo $((FIRST_PORT + 40 + $1))
-}
 
 write_settings() {
 	cat >"$WORK/host-$1.json" <<-END
@@ -83,33 +57,12 @@
               "guaranteed": {"gpu": 16}}]}
 END
 
-declare -A PID
-start_entry() {
-	"$BUILD/programs/mimosaturn-entry" --settings "$WORK/host-$1.json" \
-		>>"$WORK/host-$1.log" 2>&1 &
-	PID[$1]=$!
-	PIDS+=($!)
-}
-
 # stop_entry HOST: ends a host without a graceful stop
 stop_entry() {
 	kill -9 "${PID[$1]}" 2>/dev/null
 	wait "${PID[$1]}" 2>/dev/null
 }
 
-# Waits until a host is ready.
-wait_ready() {
-	local until=$((SECONDS + WAIT_S))
-	while [ $SECONDS -lt $until ]; do
-		curl -fs -o /dev/null -m 1 \
-			"http://127.0.0.1:$((FIRST_PORT + 50 + $1))/mimosaturn/readyz" &&
-			return 0
-		sleep 0.05
-	done
-	echo "host $1 was not ready after $WAIT_S s" >&2
-	return 1
-}
-
 # submit ID: submits a job to the target until it is accepted; prints the answer,
 # or the last one after WAIT_S
 submit() {
@@ -175,14 +128,6 @@
 	PIDS+=($!)
 }
 
-# Prints the peak of the resident memory of the target in KB; of a process that
-# has ended, more than each bound.
-peak_kb() {
-	sed -n 's/^VmHWM:[^0-9]*\([0-9]*\) kB/\1/p' \
-		"/proc/${PID[$TARGET]}/status" 2>/dev/null | grep . ||
-		echo 999999999
-}
-
 # run_case KIND CLIENT-KINDS CLIENTS-PER-KIND [LEADER]: starts the target, runs
 # clients, and checks the target.  Kills the host LEADER while the clients run.
 run_case() {
@@ -202,7 +147,7 @@
 	for name in "${CLIENT_PIDS[@]}"; do
 		wait "$name" || check "$kind: clients ran" 0 $?
 	done
-	peak=$(peak_kb)
+	peak=$(peak_kb "$TARGET")
 	kill -0 "${PID[$TARGET]}" 2>/dev/null && alive=yes
 	check "$kind: process runs" yes "$alive"
 	check_below "$kind: peak of resident memory in KB" \
--- a/tests/scripts/many-jobs.sh
+++ b/tests/scripts/many-jobs.sh
@@ -7,6 +7,7 @@
 # are stored, and a smaller host that is started later must be able to lead.
 cd "$(dirname "$0")/../.." || exit 1
 . tests/scripts/lib.sh
+. tests/scripts/entry-lib.sh
 trap stop_all EXIT
 
 WORK=$(mktemp -d)
@@ -22,33 +23,6 @@
 JOBS_MAX=600
 REFUSALS_WANTED=20
 STEPS=256 # the most that a job may have
-passed=0
-failed=0
-
-# Counts a check as passed or failed.
-# check NAME EXPECTED GOT
-check() {
-	if [ "$2" = "$3" ]; then
-		passed=$((passed + 1))
-	else
-		failed=$((failed + 1))
-		echo "$1: expected '$2', got '$3'"
-	fi
-}
-
-# check_below NAME BOUND GOT
-check_below() {
-	if [ "$3" -lt "$2" ]; then
-		passed=$((passed + 1))
-	else
-		failed=$((failed + 1))
-		echo "$1: expected less than $2, got $3"
-	fi
-}
-
-entry_callers_port() {
-	echo $((FIRST_PORT + 40 + $1))
-}
 
 # write_settings HOST MEMORY_MB
 write_settings() {
@@ -80,27 +54,6 @@
               "guaranteed": {"gpu": 16}}]}
 END
 
-declare -A PID
-start_entry() {
-	"$BUILD/programs/mimosaturn-entry" --settings "$WORK/host-$1.json" \
-		>>"$WORK/host-$1.log" 2>&1 &
-	PID[$1]=$!
-	PIDS+=($!)
-}
-
-# Waits until a host is ready.
-wait_ready() {
-	local until=$((SECONDS + WAIT_S))
-	while [ $SECONDS -lt $until ]; do
-		curl -fs -o /dev/null -m 1 \
-			"http://127.0.0.1:$((FIRST_PORT + 50 + $1))/mimosaturn/readyz" &&
-			return 0
-		sleep 0.05
-	done
-	echo "host $1 was not ready after $WAIT_S s" >&2
-	return 1
-}
-
 # post HOST PATH FILE: prints the status, and Retry-After if there is one
 post() {
 	curl -s -o /dev/null -D "$WORK/header" -X POST -m 5 \
@@ -110,14 +63,6 @@
 	sed -n 's/^[Rr]etry-[Aa]fter: *\([0-9]*\).*/ \1/p' "$WORK/header"
 }
 
-# Prints the peak of the resident memory of a host in KB; of a process that has
-# ended, more than each bound.
-peak_kb() {
-	sed -n 's/^VmHWM:[^0-9]*\([0-9]*\) kB/\1/p' \
-		"/proc/${PID[$1]}/status" 2>/dev/null | grep . ||
-		echo 999999999
-}
-
 # Waits until a host schedules; prints "yes" or "no".
 wait_leads() {
 	local until=$((SECONDS + WAIT_S))
@@ -141,6 +86,21 @@
 		>"$WORK/small.json"
 }
 
+# Cancels all jobs that were accepted, at the smaller host.
+cancel_all() {
+	local n
+	for ((n = 1; n <= accepted + refused; n++)); do
+		curl -s -o /dev/null -X DELETE -m 5 -H "Host: jobs.example" \
+			-H "Authorization: Token good" \
+			"http://127.0.0.1:$(entry_callers_port "$SMALL")/batch/$(printf 'b%015x' "$n")"
+	done
+}
+
+# Prints the resident memory of a host in KB.
+rss_kb() {
+	sed -n 's/^VmRSS:[^0-9]*\([0-9]*\) kB/\1/p' "/proc/${PID[$1]}/status"
+}
+
 "$BUILD/tests/platformd" --port "$FIRST_PORT" --config "$WORK/config.json" \
 	>"$WORK/platform.log" 2>&1 &
 PIDS+=($!)
@@ -187,20 +147,6 @@
 check_below "its peak of resident memory in KB" $((BOUND_MB * 1024)) \
 	"$(peak_kb "$SMALL")"
 
-# Ends all jobs; their memory must be given back.
-cancel_all() {
-	local n
-	for ((n = 1; n <= accepted + refused; n++)); do
-		curl -s -o /dev/null -X DELETE -m 5 -H "Host: jobs.example" \
-			-H "Authorization: Token good" \
-			"http://127.0.0.1:$(entry_callers_port "$SMALL")/batch/$(printf 'b%015x' "$n")"
-	done
-}
-
-rss_kb() {
-	sed -n 's/^VmRSS:[^0-9]*\([0-9]*\) kB/\1/p' "/proc/${PID[$1]}/status"
-}
-
 full=$(rss_kb "$SMALL")
 cancel_all
 until=$((SECONDS + WAIT_S))
--- a/tests/unit/engine_fixture.c
+++ b/tests/unit/engine_fixture.c
@@ -127,6 +127,18 @@
 	mt_timers_free(fixture->timers);
 }
 
+mt_dag_job_t *mt_make_job(const MtDag__Job *spec, mt_ms_t known_since)
+{
+	GBytes *bytes = mt_dag_pack(&spec->base);
+	mt_str_t view = mt_bytes_view(bytes);
+	mt_dag_job_t *job = mt_dag_job_new(
+		mt_dag__job__unpack(NULL, view.len, (const uint8_t *)view.data),
+		known_since);
+
+	g_bytes_unref(bytes);
+	return job;
+}
+
 MtDag__Step mt_engine_fixture_step(uint32_t count)
 {
 	MtDag__Step step = MT_DAG__STEP__INIT;
@@ -154,8 +166,6 @@
 {
 	MtDag__Job job = MT_DAG__JOB__INIT;
 	MtDag__Step *steps[] = {step};
-	GBytes *bytes;
-	mt_str_t view;
 	mt_dag_job_t *job_model;
 
 	job.id = id;
@@ -166,12 +176,7 @@
 	job.attempts_max = 3;
 	job.n_steps = 1;
 	job.steps = steps;
-	bytes = mt_dag_pack(&job.base);
-	view = mt_bytes_view(bytes);
-	job_model = mt_dag_job_new(
-		mt_dag__job__unpack(NULL, view.len, (const uint8_t *)view.data),
-		9000);
-	g_bytes_unref(bytes);
+	job_model = mt_make_job(&job, 9000);
 	job_model->queue.service = mt_name("service");
 	job_model->queue.priority = priority;
 	mt_engine_insert_job(fixture->engine, job_model);
--- a/tests/unit/engine_fixture.h
+++ b/tests/unit/engine_fixture.h
@@ -53,6 +53,12 @@
 					uint64_t id, uint32_t priority,
 					uint32_t count);
 
+/**
+ * Makes the model of a job from the record that `spec` would be stored as, as a
+ * leader does.
+ */
+mt_dag_job_t *mt_make_job(const MtDag__Job *spec, mt_ms_t known_since);
+
 /** The step of such a job. */
 MtDag__Step mt_engine_fixture_step(uint32_t count);
 
--- a/tests/unit/test_job_model.c
+++ b/tests/unit/test_job_model.c
@@ -12,8 +12,6 @@
 	MtDag__Job job = MT_DAG__JOB__INIT;
 	MtDag__Step step = MT_DAG__STEP__INIT;
 	MtDag__Step *steps[] = {&step};
-	GBytes *bytes;
-	mt_str_t view;
 	mt_dag_job_t *job_model;
 
 	step.count = count;
@@ -22,13 +20,8 @@
 	job.attempts_max = ATTEMPTS;
 	job.n_steps = 1;
 	job.steps = steps;
-	bytes = mt_dag_pack(&job.base);
-	view = mt_bytes_view(bytes);
-	job_model = mt_dag_job_new(
-		mt_dag__job__unpack(NULL, view.len, (const uint8_t *)view.data),
-		0);
+	job_model = mt_make_job(&job, 0);
 	job_model->queue.attempts_max = ATTEMPTS;
-	g_bytes_unref(bytes);
 	return job_model;
 }
 
--- a/tests/unit/test_same_plan.c
+++ b/tests/unit/test_same_plan.c
@@ -107,8 +107,6 @@
 	MtDag__Job spec = MT_DAG__JOB__INIT;
 	MtDag__Step *steps[4];
 	mt_dag_job_t *job;
-	GBytes *bytes;
-	mt_str_t view;
 
 	spec.id = ++jobs->n_jobs;
 	spec.queue = (char *)"batch";
@@ -127,13 +125,8 @@
 	spec.n_steps = 1 + below(jobs, 4);
 	for (uint32_t i = 0; i < spec.n_steps; i++)
 		steps[i] = make_step(jobs, i);
-	bytes = mt_dag_pack(&spec.base);
-	view = mt_bytes_view(bytes);
-	job = mt_dag_job_new(
-		mt_dag__job__unpack(NULL, view.len, (const uint8_t *)view.data),
-		mt_engine_now(jobs->fixture.engine));
+	job = mt_make_job(&spec, mt_engine_now(jobs->fixture.engine));
 	mt_engine_insert_job(jobs->fixture.engine, job);
-	g_bytes_unref(bytes);
 	for (uint32_t i = 0; i < spec.n_steps; i++) {
 		g_free(steps[i]->after);
 		g_free(steps[i]);
--- a/tests/unit/test_wide_jobs.c
+++ b/tests/unit/test_wide_jobs.c
@@ -161,8 +161,6 @@
 	MtDag__Step *list[] = {&steps[0], &steps[1]};
 	uint32_t after[] = {0};
 	mt_dag_job_t *job;
-	GBytes *bytes;
-	mt_str_t view;
 
 	steps[1].n_after = 1;
 	steps[1].after = after;
@@ -174,13 +172,8 @@
 	spec.repeat = repeat;
 	spec.n_steps = 2;
 	spec.steps = list;
-	bytes = mt_dag_pack(&spec.base);
-	view = mt_bytes_view(bytes);
-	job = mt_dag_job_new(
-		mt_dag__job__unpack(NULL, view.len, (const uint8_t *)view.data),
-		9000);
+	job = mt_make_job(&spec, 9000);
 	mt_engine_insert_job(fixture->engine, job);
-	g_bytes_unref(bytes);
 	return job;
 }
 
@@ -406,12 +399,8 @@
 /** Restores the job from its progress record, and compares the two. */
 static void check_restored(mt_engine_fixture_t *fixture, mt_dag_job_t *job)
 {
-	GBytes *spec = mt_dag_pack(&job->spec->base);
 	GBytes *record = mt_dag_job_pack_progress(job);
-	mt_str_t view = mt_bytes_view(spec);
-	mt_dag_job_t *restored = mt_dag_job_new(
-		mt_dag__job__unpack(NULL, view.len, (const uint8_t *)view.data),
-		9000);
+	mt_dag_job_t *restored = mt_make_job(job->spec, 9000);
 	GBytes *again;
 
 	CU_ASSERT_TRUE(mt_dag_job_unpack_progress(
@@ -432,7 +421,6 @@
 	}
 	g_bytes_unref(again);
 	g_bytes_unref(record);
-	g_bytes_unref(spec);
 	mt_dag_job_free(restored);
 }
 
@@ -453,8 +441,6 @@
 	MtDag__Step *list[5];
 	uint32_t after[5][2];
 	mt_dag_job_t *job;
-	GBytes *bytes;
-	mt_str_t view;
 
 	spec.id = 1;
 	spec.queue = (char *)"batch";
@@ -473,13 +459,8 @@
 			after[i][k] =
 				(uint32_t)g_rand_int_range(rand, 0, (gint32)i);
 	}
-	bytes = mt_dag_pack(&spec.base);
-	view = mt_bytes_view(bytes);
-	job = mt_dag_job_new(
-		mt_dag__job__unpack(NULL, view.len, (const uint8_t *)view.data),
-		9000);
+	job = mt_make_job(&spec, 9000);
 	mt_engine_insert_job(fixture->engine, job);
-	g_bytes_unref(bytes);
 	return job;
 }
 
