tests: memory that is given back is compared where the C library allocates

The check compares resident memory, but a process with sanitizers uses their allocator, on which malloc_trim() has no effect.

Change: resident memory is compared where the C library allocates, as before and with the same bound; the other check of the same (memory_given_back_total, after the jobs in the table need 4 MB less) stays in both. The script now waits for it instead of for the memory.

--- a/tests/scripts/many-jobs.sh
+++ b/tests/scripts/many-jobs.sh
@@ -101,6 +101,15 @@
 	sed -n 's/^VmRSS:[^0-9]*\([0-9]*\) kB/\1/p' "/proc/${PID[$1]}/status"
 }
 
+# Prints how often the smaller host has given memory back, as its jobs need less.
+times_given_back() {
+	local times
+	times=$(curl -s -m 2 \
+		"http://127.0.0.1:$((FIRST_PORT + 60 + SMALL))/metrics" |
+		sed -n 's/^[a-z_]*memory_given_back_total \([0-9]*\)$/\1/p')
+	echo "${times:-0}"
+}
+
 "$BUILD/tests/platformd" --port "$FIRST_PORT" --config "$WORK/config.json" \
 	>"$WORK/platform.log" 2>&1 &
 PIDS+=($!)
@@ -150,14 +159,16 @@
 full=$(rss_kb "$SMALL")
 cancel_all
 until=$((SECONDS + WAIT_S))
-while [ $SECONDS -lt $until ] && [ "$(rss_kb "$SMALL")" -ge "$full" ]; do
+while [ $SECONDS -lt $until ] && [ "$(times_given_back)" -eq 0 ]; do
 	sleep 0.2
 done
-check_below "memory after the end of all jobs in KB" "$full" \
-	"$(rss_kb "$SMALL")"
-check "memory is given back" 1 "$(curl -s -m 2 \
-	"http://127.0.0.1:$((FIRST_PORT + 60 + SMALL))/metrics" |
-	grep -c memory_given_back_total)"
+sleep 0.5
+# The allocator of the sanitizers keeps what is freed, and returns no memory.
+grep -q libasan "/proc/${PID[$SMALL]}/maps" ||
+	check_below "memory after the end of all jobs in KB" "$full" \
+		"$(rss_kb "$SMALL")"
+check "memory is given back" yes \
+	"$([ "$(times_given_back)" -gt 0 ] && echo yes || echo no)"
 echo "$accepted accepted, $refused refused, peak of the smaller host" \
 	"$(($(peak_kb "$SMALL") / 1024)) MB, afterwards" \
 	"$(($(rss_kb "$SMALL") / 1024)) MB"
