--- a/review/standin-3/deployment.sh
+++ b/review/standin-3/deployment.sh
@@ -78,6 +78,12 @@
 	"$BIN/client" call "$PORT" GET "/test/$1" >/dev/null
 }
 
+# new_config FILE: the operator writes a new desired state
+new_config() {
+	"$BIN/client" call "$PORT" POST /test/config "$(cat "$1")"
+	echo "$("$BIN/client" now) operator: $(tr -d '\n\t' <"$1")" >>"$WORK/calls"
+}
+
 is_ready() {
 	case $("$BIN/client" call $((PORT + 60 + $1)) GET /mimosaturn/readyz) in
 	*200) return 0 ;;
--- a/review/standin-3/platform.c
+++ b/review/standin-3/platform.c
@@ -710,6 +710,11 @@
 		run_ms = number_of(http->query, "ms", run_ms);
 	} else if (mt_str_equal(http->path, MT_STR("/test/store-down"))) {
 		store_down = number_of(http->query, "on", 1) != 0;
+	} else if (mt_str_equal(http->path, MT_STR("/test/config"))) {
+		append(topic_named("keyed.op"), "config", strlen("config"),
+		       http->body.data, http->body.len);
+		wake_readers(topic_named("keyed.op"));
+		note("desired state of %zu bytes", http->body.len);
 	} else if (mt_str_equal(http->path, MT_STR("/test/note"))) {
 		text = text_of(http->query, "text");
 		note("%s", text);
