review: case 13, a new leader places work on workers that still stop other work

Cause: a job that has been cancelled or has failed is not loaded by a new leader, so that its subtasks that are still being stopped count for nothing when the next ones are placed.

--- a/review/standin-3/platform.c
+++ b/review/standin-3/platform.c
@@ -7,7 +7,9 @@
  * that begins with the time since the start, in milliseconds.
  *
  * Usage: platform PORT WORKERS CONFIG_FILE
- * The store listens on PORT, worker N on PORT + 1 + N.
+ * The store listens on PORT, worker N on PORT + 1 + N. Each subtask takes one
+ * of the GPUS accelerators of its worker. With GUARDS=0 in the environment the
+ * workers start what does not fit, too; STOP_MS is how long a stop takes.
  */
 #include <stdarg.h>
 #include <stdio.h>
@@ -25,7 +27,7 @@
 #define HEARTBEAT_MS 1500
 #define PAGE_ITEMS 500
 #define APPENDS_KEPT 5
-#define STOP_MS 200
+#define STOP_DEFAULT_MS 200
 #define HOLD_MAX_MS 10000
 #define GPUS 8
 
@@ -102,6 +104,8 @@
 static worker_t workers[WORKERS_MAX];
 static int n_workers, base_port;
 static uint64_t run_ms = 1000;
+static uint64_t stop_ms = STOP_DEFAULT_MS;
+static bool guards = true;
 static bool store_down;
 
 static uint64_t now_ms(void)
@@ -587,7 +591,7 @@
 		refuse(exchange, worker, "late");
 		return;
 	}
-	if (worker->runs->len >= GPUS) {
+	if (guards && worker->runs->len >= GPUS) {
 		renew(worker, field(json, "due_ms"));
 		note("start %s %s %u refused room", worker->id, task, number);
 		refuse(exchange, worker, "room");
@@ -602,8 +606,8 @@
 	run->ends_at = now_ms() + (run->fails ? 100 : run_ms);
 	g_ptr_array_add(worker->runs, run);
 	renew(worker, field(json, "due_ms"));
-	note("start %s %s %u begun%s", worker->id, task, number,
-	     worker->draining ? " while draining" : "");
+	note("start %s %s %u begun%s, %u there", worker->id, task, number,
+	     worker->draining ? " while draining" : "", worker->runs->len);
 	accept_order(exchange, worker);
 }
 
@@ -618,7 +622,7 @@
 		g_hash_table_lookup(worker->barred, task));
 
 	if (run && run->run == number && !run->stop_at)
-		run->stop_at = now_ms() + STOP_MS;
+		run->stop_at = now_ms() + stop_ms;
 	else if (!run && number > barred)
 		g_hash_table_replace(worker->barred, g_strdup(task),
 				     GUINT_TO_POINTER(number));
@@ -773,6 +777,10 @@
 		fprintf(stderr, "usage: platform PORT WORKERS CONFIG_FILE\n");
 		return 2;
 	}
+	if (getenv("GUARDS"))
+		guards = atoi(getenv("GUARDS")) != 0;
+	if (getenv("STOP_MS"))
+		stop_ms = (uint64_t)atoi(getenv("STOP_MS"));
 	base_port = atoi(argv[1]);
 	n_workers = MIN(atoi(argv[2]), WORKERS_MAX);
 	loop = mt_loop_new();
