review: case 14, workers with long ids are never used

Cause: the id of a worker is kept in 47 bytes; a longer one is taken for an odd entry and left out, although the store's keys may have 255 bytes.

--- a/review/standin-3/deployment.sh
+++ b/review/standin-3/deployment.sh
@@ -103,7 +103,8 @@
 	return 1
 }
 
-# start_deployment HOSTS WORKERS: returns when a first job has been completed
+# start_deployment HOSTS WORKERS [SPARES [ID]]: returns when a first job has been
+# completed
 start_deployment() {
 	local i
 	[ -x "$ENTRY" ] && [ -x "$BIN/platform" ] ||
@@ -113,7 +114,8 @@
 	: >"$RECORD"
 	PORT=$("$BIN/client" free) || cannot_run "no free ports"
 	write_config "$WORK/config.json"
-	"$BIN/platform" "$PORT" "$2" "$WORK/config.json" >"$WORK/platform" 2>&1 &
+	"$BIN/platform" "$PORT" "$2" "$WORK/config.json" "${3:-0}" "${4:-i}" \
+		>"$WORK/platform" 2>&1 &
 	PIDS+=($!)
 	sleep 0.2
 	for ((i = 0; i < $1; i++)); do
--- a/review/standin-3/platform.c
+++ b/review/standin-3/platform.c
@@ -6,7 +6,9 @@
  * end of a run and change of the list is written to standard output as a line
  * that begins with the time since the start, in milliseconds.
  *
- * Usage: platform PORT WORKERS CONFIG_FILE
+ * Usage: platform PORT WORKERS CONFIG_FILE [SPARES [ID]]
+ * Spare workers have the numbers from WORKERS on, and are not listed before
+ * /test/list; their ids begin with ID.
  * The store listens on PORT, worker N on PORT + 1 + N. Each subtask takes one
  * of the GPUS accelerators of its worker. With GUARDS=0 in the environment the
  * workers start what does not fit, too; STOP_MS is how long a stop takes.
@@ -83,7 +85,7 @@
 
 typedef struct worker {
 	int index;
-	char id[32];
+	char id[128];
 	uint64_t born;	/* Unix ms */
 	uint64_t began; /* local ms */
 	uint64_t token, due, ends;
@@ -92,6 +94,7 @@
 	GHashTable *barred;	/* task to the highest run that is over */
 	GPtrArray *holds;	/* hold_t */
 	bool listed, draining;
+	bool gone;	   /* it has left: it answers nothing and runs nothing */
 	bool grey;	   /* start orders get no answer and are not done */
 	bool fails;	   /* all that it starts fails */
 	unsigned sequence;
@@ -102,7 +105,8 @@
 static uint64_t started;
 static GHashTable *topics;
 static worker_t workers[WORKERS_MAX];
-static int n_workers, base_port;
+static int n_workers, n_spares, base_port;
+static const char *spare_id = "i";
 static uint64_t run_ms = 1000;
 static uint64_t stop_ms = STOP_DEFAULT_MS;
 static bool guards = true;
@@ -508,7 +512,7 @@
 
 static void tick(void *unused)
 {
-	for (int w = 0; w < n_workers; w++) {
+	for (int w = 0; w < n_workers + n_spares; w++) {
 		worker_t *worker = &workers[w];
 
 		for (guint i = worker->runs->len; i-- > 0;) {
@@ -662,7 +666,9 @@
 	bool is_start = mt_str_equal(http->path,
 				     MT_STR("/mimosaturn/run-start"));
 
-	if (is_start && worker->grey) {
+	if (worker->gone) {
+		/* No answer. */
+	} else if (is_start && worker->grey) {
 		note("start %s %s %u left unanswered", worker->id,
 		     json_string_value(json_object_get(json, "task")),
 		     (unsigned)field(json, "run_id"));
@@ -688,7 +694,7 @@
 
 static void heartbeat(void *unused)
 {
-	for (int i = 0; i < n_workers; i++)
+	for (int i = 0; i < n_workers + n_spares; i++)
 		report(&workers[i]);
 }
 
@@ -710,6 +716,19 @@
 		worker->draining = true;
 		report(worker);
 		note("draining %s", worker->id);
+	} else if (mt_str_equal(http->path, MT_STR("/test/list"))) {
+		worker->listed = true;
+		report(worker);
+		note("listed %s", worker->id);
+	} else if (mt_str_equal(http->path, MT_STR("/test/leave"))) {
+		worker->listed = false;
+		worker->gone = true;
+		while (worker->runs->len)
+			g_ptr_array_remove_index(worker->runs, 0);
+		append(topic_named("keyed.servers"), worker->id,
+		       strlen(worker->id), "", 0);
+		wake_readers(topic_named("keyed.servers"));
+		note("left %s", worker->id);
 	} else if (mt_str_equal(http->path, MT_STR("/test/run-ms"))) {
 		run_ms = number_of(http->query, "ms", run_ms);
 	} else if (mt_str_equal(http->path, MT_STR("/test/store-down"))) {
@@ -752,10 +771,11 @@
 	mt_name_t address = mt_name("127.0.0.1");
 
 	worker->index = index;
-	g_snprintf(worker->id, sizeof(worker->id), "i-%04d", index);
+	g_snprintf(worker->id, sizeof(worker->id), "%s-%04d",
+		   index < n_workers ? "i" : spare_id, index);
 	worker->began = now_ms();
 	worker->born = (uint64_t)g_get_real_time() / 1000;
-	worker->listed = true;
+	worker->listed = index < n_workers;
 	worker->runs = g_ptr_array_new();
 	worker->finished = g_ptr_array_new();
 	worker->holds = g_ptr_array_new();
@@ -773,7 +793,7 @@
 	char *config;
 	gsize len;
 
-	if (argc != 4 || !g_file_get_contents(argv[3], &config, &len, NULL)) {
+	if (argc < 4 || !g_file_get_contents(argv[3], &config, &len, NULL)) {
 		fprintf(stderr, "usage: platform PORT WORKERS CONFIG_FILE\n");
 		return 2;
 	}
@@ -783,13 +803,17 @@
 		stop_ms = (uint64_t)atoi(getenv("STOP_MS"));
 	base_port = atoi(argv[1]);
 	n_workers = MIN(atoi(argv[2]), WORKERS_MAX);
+	if (argc > 4)
+		n_spares = MIN(atoi(argv[4]), WORKERS_MAX - n_workers);
+	if (argc > 5)
+		spare_id = argv[5];
 	loop = mt_loop_new();
 	timers = mt_loop_timers(loop);
 	started = now_ms();
 	topics = g_hash_table_new(g_str_hash, g_str_equal);
 	append(topic_named("keyed.op"), "config", strlen("config"), config,
 	       len);
-	for (int i = 0; i < n_workers; i++) {
+	for (int i = 0; i < n_workers + n_spares; i++) {
 		if (!open_worker(i))
 			return 3;
 	}
