--- a/review/standin-3/deployment.sh
+++ b/review/standin-3/deployment.sh
@@ -60,7 +60,12 @@
 }
 
 start_host() {
-	"$ENTRY" --settings "$WORK/host-$1.json" >>"$WORK/host-$1.log" 2>&1 &
+	(
+		# The platform limits each process to max_fds.
+		ulimit -Sn 4100 2>/dev/null
+		exec "$ENTRY" --settings "$WORK/host-$1.json" \
+			>>"$WORK/host-$1.log" 2>&1
+	) &
 	HOST_PID[$1]=$!
 	PIDS+=($!)
 }
--- a/review/standin-3/platform.c
+++ b/review/standin-3/platform.c
@@ -11,7 +11,9 @@
  * /test/list; their ids begin with ID.
  * The store listens on PORT, worker N on PORT + 1 + N. Each subtask takes one
  * of the GPUS accelerators of its worker. With GUARDS=0 in the environment the
- * workers start what does not fit, too; STOP_MS is how long a stop takes.
+ * workers start what does not fit, too; STOP_MS is how long a stop takes, ROOM
+ * how many subtasks fit on a worker, if they take no accelerator, and
+ * IDLE_MS when the workers close idle channels.
  */
 #include <stdarg.h>
 #include <stdio.h>
@@ -25,7 +27,7 @@
 #include "net/loop.h"
 
 #define BODY_MAX (4u * 1024u * 1024u)
-#define WORKERS_MAX 40
+#define WORKERS_MAX 48
 #define HEARTBEAT_MS 1500
 #define PAGE_ITEMS 500
 #define APPENDS_KEPT 5
@@ -109,7 +111,9 @@
 static const char *spare_id = "i";
 static uint64_t run_ms = 1000;
 static uint64_t stop_ms = STOP_DEFAULT_MS;
+static uint64_t idle_ms; /* workers close idle channels then; 0: late */
 static bool guards = true;
+static unsigned room = GPUS; /* subtasks that fit on a worker */
 static bool store_down;
 
 static uint64_t now_ms(void)
@@ -595,7 +599,7 @@
 		refuse(exchange, worker, "late");
 		return;
 	}
-	if (guards && worker->runs->len >= GPUS) {
+	if (guards && worker->runs->len >= room) {
 		renew(worker, field(json, "due_ms"));
 		note("start %s %s %u refused room", worker->id, task, number);
 		refuse(exchange, worker, "room");
@@ -769,6 +773,7 @@
 {
 	worker_t *worker = &workers[index];
 	mt_name_t address = mt_name("127.0.0.1");
+	mt_http_server_t *server;
 
 	worker->index = index;
 	g_snprintf(worker->id, sizeof(worker->id), "%s-%04d",
@@ -782,9 +787,17 @@
 	worker->barred =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	report(worker);
-	return mt_http_server_new(loop, &address,
-				  (uint16_t)(base_port + 1 + index), BODY_MAX,
-				  on_worker_call, worker) != NULL;
+	server = mt_http_server_new(loop, &address,
+				    (uint16_t)(base_port + 1 + index), BODY_MAX,
+				    on_worker_call, worker);
+	if (server && idle_ms) {
+		mt_http_limits_t limits = *mt_http_server_limits(server);
+
+		limits.idle_ms = idle_ms;
+		limits.connections_max = 10000;
+		mt_http_server_set_limits(server, &limits);
+	}
+	return server != NULL;
 }
 
 int main(int argc, char **argv)
@@ -799,6 +812,10 @@
 	}
 	if (getenv("GUARDS"))
 		guards = atoi(getenv("GUARDS")) != 0;
+	if (getenv("IDLE_MS"))
+		idle_ms = (uint64_t)atoi(getenv("IDLE_MS"));
+	if (getenv("ROOM"))
+		room = (unsigned)atoi(getenv("ROOM"));
 	if (getenv("STOP_MS"))
 		stop_ms = (uint64_t)atoi(getenv("STOP_MS"));
 	base_port = atoi(argv[1]);
