--- a/lib/dag/directory.c
+++ b/lib/dag/directory.c
@@ -2,12 +2,19 @@
 #include "dag/directory.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #include "dag/follower.h"
 
 /** Timeout of the long polls for changes of the list. */
 #define POLL_WAIT_MS 2000u
 
+/**
+ * Maximum number of entries of which it is kept why they are not usable; others
+ * are only counted.
+ */
+#define ODD_ENTRIES_MAX 4096u
+
 struct mt_directory_t {
 	mt_kernel_t *kernel;
 	const mt_store_port_t *store;
@@ -18,6 +25,12 @@
 	/** Ids read so far from the snapshot that is being read; NULL: no
 	 * snapshot is being read. */
 	GHashTable *snapshot_ids;
+	/** Entries that are not usable: hash of the id, to the reason for it
+	 * that was logged last. */
+	GHashTable *odd_entries;
+	/** Those read so far from the snapshot that is being read; NULL: none
+	 * is. */
+	GHashTable *snapshot_odd_entries;
 };
 
 mt_directory_t *mt_directory_new(mt_kernel_t *kernel,
@@ -60,19 +73,71 @@
 	return key.len && key.len <= MT_NAME_MAX_BYTES;
 }
 
+/* Odd entries. */
+
+static GHashTable *new_odd_entries(void)
+{
+	return g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+}
+
+static uint64_t hash_id(mt_str_t id)
+{
+	return XXH3_64bits(id.data, id.len);
+}
+
+static void keep_odd(GHashTable *entries, uint64_t hash, const char *problem)
+{
+	if (g_hash_table_size(entries) < ODD_ENTRIES_MAX)
+		g_hash_table_replace(entries, g_memdup2(&hash, sizeof(hash)),
+				     (gpointer)problem);
+}
+
+/**
+ * Counts an entry that is not usable. It is logged when it becomes so, and when
+ * the reason changes: its writer may repeat it at each heartbeat.
+ */
+static void note_odd(mt_directory_t *directory, mt_str_t id,
+		     const char *problem)
+{
+	uint64_t hash = hash_id(id);
+	const char *logged = g_hash_table_lookup(directory->odd_entries, &hash);
+	int shown = is_usable_id(id) ? (int)id.len : 0;
+
+	/* In the name of the counter, "reports" means list entries. */
+	mt_kernel_count(directory->kernel, "server_reports_unreadable_total");
+	if (directory->snapshot_odd_entries)
+		keep_odd(directory->snapshot_odd_entries, hash, problem);
+	keep_odd(directory->odd_entries, hash, problem);
+	if (logged && !strcmp(logged, problem))
+		return;
+	mt_log(directory->kernel, MT_LOG_WARNING, "directory",
+	       "ignoring the list entry of server \"%.*s\" (id of %zu bytes): "
+	       "%s",
+	       shown, id.data, id.len, problem);
+}
+
+static void forget_odd(mt_directory_t *directory, mt_str_t id)
+{
+	uint64_t hash = hash_id(id);
+
+	g_hash_table_remove(directory->odd_entries, &hash);
+}
+
+/* Entries. */
+
 static void on_record(void *ctx, const mt_store_record_t *record)
 {
 	mt_directory_t *directory = ctx;
 	mt_backend_info_t info = {0};
+	const char *problem;
 	mt_name_t id;
 
+	if (!record->value.len)
+		forget_odd(directory, record->key);
 	if (!is_usable_id(record->key)) {
-		mt_kernel_count(directory->kernel,
-				"server_reports_unreadable_total");
-		mt_log(directory->kernel, MT_LOG_WARNING, "directory",
-		       "ignoring a list entry whose id of %zu bytes is not "
-		       "usable",
-		       record->key.len);
+		if (record->value.len)
+			note_odd(directory, record->key,
+				 "the id cannot be sent to it");
 		return;
 	}
 	id = mt_name_from(record->key);
@@ -80,17 +145,13 @@
 		remove_server(directory, &id);
 		return;
 	}
-	if (!directory->format.decode(record, &info)) {
-		/* In the name of the counter, "reports" means list entries. */
-		mt_kernel_count(directory->kernel,
-				"server_reports_unreadable_total");
-		mt_log(directory->kernel, MT_LOG_WARNING, "directory",
-		       "list entry of server %s is not usable; "
-		       "the server is treated as not listed",
-		       id.text);
+	problem = directory->format.decode(record, &info);
+	if (problem) {
+		note_odd(directory, record->key, problem);
 		remove_server(directory, &id);
 		return;
 	}
+	forget_odd(directory, record->key);
 	info.target.id = id;
 	if (directory->snapshot_ids)
 		g_hash_table_add(directory->snapshot_ids, mt_name_dup(&id));
@@ -113,15 +174,29 @@
 	g_list_free(ids);
 }
 
+static void drop_snapshot(mt_directory_t *directory)
+{
+	g_clear_pointer(&directory->snapshot_ids, g_hash_table_destroy);
+	g_clear_pointer(&directory->snapshot_odd_entries, g_hash_table_destroy);
+}
+
 static void on_snapshot(void *ctx, bool begins)
 {
 	mt_directory_t *directory = ctx;
 
-	if (!begins)
+	if (!begins) {
 		remove_missing(directory);
-	if (directory->snapshot_ids)
-		g_hash_table_destroy(directory->snapshot_ids);
-	directory->snapshot_ids = begins ? new_id_set() : NULL;
+		if (directory->snapshot_odd_entries) {
+			g_hash_table_destroy(directory->odd_entries);
+			directory->odd_entries = g_steal_pointer(
+				&directory->snapshot_odd_entries);
+		}
+	}
+	drop_snapshot(directory);
+	if (begins) {
+		directory->snapshot_ids = new_id_set();
+		directory->snapshot_odd_entries = new_odd_entries();
+	}
 }
 
 void mt_directory_open(mt_directory_t *directory,
@@ -133,6 +208,7 @@
 	mt_directory_close(directory);
 	directory->watcher = *watcher;
 	directory->listed_ids = new_id_set();
+	directory->odd_entries = new_odd_entries();
 	directory->follower = mt_follower_new(
 		directory->kernel, directory->store, directory->format.topic,
 		POLL_WAIT_MS, &handler);
@@ -145,9 +221,8 @@
 	mt_follower_stop(directory->follower);
 	directory->follower = NULL;
 	g_hash_table_destroy(directory->listed_ids);
-	if (directory->snapshot_ids)
-		g_hash_table_destroy(directory->snapshot_ids);
-	directory->snapshot_ids = NULL;
+	g_hash_table_destroy(directory->odd_entries);
+	drop_snapshot(directory);
 }
 
 void mt_directory_free(mt_directory_t *directory)
--- a/lib/dag/directory.h
+++ b/lib/dag/directory.h
@@ -16,10 +16,14 @@
 /** Format of the platform's list; filled in by the platform adapter. */
 typedef struct mt_directory_format_t {
 	const char *topic;
-	/** Decodes one entry into `info`, which is zeroed; returns false when
-	 * the entry is not usable. The caller sets info->target.id. */
-	bool (*decode)(const mt_store_record_t *record,
-		       mt_backend_info_t *info);
+	/**
+	 * Decodes one entry into `info`, which is zeroed. The caller sets
+	 * info->target.id.
+	 * @return NULL, or why the entry is not usable: a string literal, the
+	 *         same one for the same reason
+	 */
+	const char *(*decode)(const mt_store_record_t *record,
+			      mt_backend_info_t *info);
 } mt_directory_format_t;
 
 typedef struct mt_directory_watcher_t {
--- a/lib/kernel/kernel.h
+++ b/lib/kernel/kernel.h
@@ -24,9 +24,6 @@
 
 typedef struct mt_kernel_t mt_kernel_t;
 
-/** Maximum number of event lines per second. */
-#define MT_EVENTS_PER_S 400u
-
 /**
  * @param log_name name written in each message: that of the program or, for
  *                 mimosaturnd, that of the host
@@ -77,7 +74,11 @@
 void mt_kernel_set_level(mt_kernel_t *kernel, mt_log_level_t level);
 
 /**
- * Writes a message to standard error, as one syslog-style line.
+ * Writes a message to standard error, as one syslog-style line. Messages with
+ * the same `format` at the levels err and warning that come in quick succession
+ * are summed up, and the number of lines per second is bounded, see
+ * log_limit.h. A line that standard error does not accept at once is left out.
+ * What is left out is counted in `log_lines_dropped_total`.
  * @param component the part of the program that writes the message; it need not
  *                  be the name of a registered service
  */
@@ -88,9 +89,9 @@
  * Writes an event as one line of JSON to standard output: an object with the
  * name of the event, the time of day, the time of the timer service and the
  * fields that `format` yields. Strings are not escaped: pass only names and
- * numbers, no text from clients. Lines above MT_EVENTS_PER_S, and lines that
- * standard output does not accept at once, are dropped and counted in
- * `events_dropped_total`.
+ * numbers, no text from clients. Lines above MT_LOG_EVENTS_PER_S, and lines
+ * that standard output does not accept at once, are left out and counted in
+ * `events_dropped_total`, and by reason in `log_lines_dropped_total`.
  */
 void mt_kernel_event(mt_kernel_t *kernel, const char *event, const char *format,
 		     ...) G_GNUC_PRINTF(3, 4);
--- a/programs/ctl/cmd_lists.c
+++ b/programs/ctl/cmd_lists.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "kernel/log_output.h"
 #include "ctl.h"
 #include "node/appender.h"
 #include "node/list_sync.h"
@@ -123,8 +124,8 @@
 			on_timeout, editor);
 	mt_loop_run(editor->ctl.loop);
 	if (!editor->synced)
-		fprintf(stderr, "mimosaturn: %s: the log does not answer\n",
-			log);
+		mt_log_output_printf("mimosaturn: %s: the log does not answer",
+				     log);
 	return editor->synced;
 }
 
@@ -153,10 +154,10 @@
 static int report_outcome(const mt_editor_t *editor, mt_list_t list)
 {
 	if (!editor->resolved) {
-		fprintf(stderr,
+		mt_log_output_printf(
 			"mimosaturn: the edit was not read back from the log "
 			"in time; it may still be accepted.\nRun "
-			"'mimosaturn diff' to see.\n");
+			"'mimosaturn diff' to see.");
 		return MT_EXIT_UNKNOWN;
 	}
 	if (editor->accepted) {
@@ -165,7 +166,8 @@
 		       mt_lists_version(editor->lists, list));
 		return MT_EXIT_OK;
 	}
-	fprintf(stderr, "mimosaturn: rejected: %s\n", editor->error->message);
+	mt_log_output_printf("mimosaturn: rejected: %s",
+			     editor->error->message);
 	return g_error_matches(editor->error, MT_LISTS_ERROR,
 			       MT_LISTS_ERROR_VERSION)
 		       ? MT_EXIT_CONFLICT
@@ -182,8 +184,8 @@
 {
 	if (mt_list_parse(name, list))
 		return true;
-	fprintf(stderr, "mimosaturn: %s: unknown list; use plans or usage\n",
-		name);
+	mt_log_output_printf("mimosaturn: %s: unknown list; use plans or usage",
+			     name);
 	return false;
 }
 
@@ -221,7 +223,8 @@
 	if (!editor_open(editor, log)) {
 		code = MT_EXIT_UNKNOWN;
 	} else if (!mt_lists_check(editor->lists, *list, content, &error)) {
-		fprintf(stderr, "mimosaturn: %s: %s\n", path, error->message);
+		mt_log_output_printf("mimosaturn: %s: %s", path,
+				     error->message);
 		g_error_free(error);
 		code = MT_EXIT_INVALID;
 	} else {
@@ -370,7 +373,7 @@
 	if (!contents[MT_LIST_PLANS] || !contents[MT_LIST_USAGE])
 		return MT_EXIT_USAGE;
 	if (!apply_contents(contents, &error)) {
-		fprintf(stderr, "mimosaturn: %s\n", error->message);
+		mt_log_output_printf("mimosaturn: %s", error->message);
 		return MT_EXIT_INVALID;
 	}
 	printf("both lists are valid: %zu accounts, %zu plans\n",
--- a/programs/ctl/cmd_report.c
+++ b/programs/ctl/cmd_report.c
@@ -1,7 +1,9 @@
 /** @file cmd_report.c Reports error budget burn rates over all hosts. */
 #include <stdio.h>
+#include <errno.h>
 #include <string.h>
 
+#include "kernel/log_output.h"
 #include "ctl.h"
 #include "node/slo.h"
 
@@ -188,7 +190,8 @@
 	FILE *out = fopen(path, "w");
 
 	if (!out) {
-		perror(path);
+		mt_log_output_printf("mimosaturn: %s: %s", path,
+				     g_strerror(errno));
 		return false;
 	}
 	fprintf(out,
@@ -271,7 +274,7 @@
 	if (page->count && !write_page(page->filename[0], merged))
 		return MT_EXIT_USAGE;
 	if (!have_all_answered(responses)) {
-		fprintf(stderr, "mimosaturn: a host does not answer\n");
+		mt_log_output_printf("mimosaturn: a host does not answer");
 		return MT_EXIT_FAILED;
 	}
 	return MT_EXIT_OK;
--- a/programs/ctl/ctl.c
+++ b/programs/ctl/ctl.c
@@ -1,4 +1,5 @@
 /** @file ctl.c Shared helpers of the subcommands. */
+#include "kernel/log_output.h"
 #include "ctl.h"
 
 #include <stdio.h>
@@ -30,7 +31,7 @@
 		endpoint->port = (uint16_t)port;
 		return true;
 	}
-	fprintf(stderr, "mimosaturn: %s: an address is IP:PORT\n", text);
+	mt_log_output_printf("mimosaturn: %s: an address is IP:PORT", text);
 	return false;
 }
 
@@ -58,8 +59,9 @@
 	json_t *value = json_load_file(path, JSON_REJECT_DUPLICATES, &error);
 
 	if (!value)
-		fprintf(stderr, "mimosaturn: %s: line %d, column %d: %s\n",
-			path, error.line, error.column, error.text);
+		mt_log_output_printf("mimosaturn: %s: line %d, column %d: %s",
+				     path, error.line, error.column,
+				     error.text);
 	return value;
 }
 
@@ -117,6 +119,7 @@
 		  struct arg_end *end, const char *examples, int *code)
 {
 	int errors = arg_parse(argc, argv, table);
+	mt_log_file_t out;
 
 	if (help->count) {
 		printf("Usage: mimosaturn %s", argv[0]);
@@ -127,8 +130,10 @@
 		return false;
 	}
 	if (errors) {
-		arg_print_errors(stderr, end, "mimosaturn");
-		fprintf(stderr, "Try 'mimosaturn %s --help'.\n", argv[0]);
+		mt_log_file_open(&out);
+		arg_print_errors(out.file, end, "mimosaturn");
+		mt_log_file_close(&out, MT_LOG_MESSAGES);
+		mt_log_output_printf("Try 'mimosaturn %s --help'.", argv[0]);
 		*code = MT_EXIT_USAGE;
 		return false;
 	}
--- a/programs/ctl/load_mix.c
+++ b/programs/ctl/load_mix.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "kernel/log_output.h"
 #include "load.h"
 
 #define MS_PER_S 1000.0
@@ -69,10 +70,10 @@
 	json_decref(object);
 	ok = ok && mix->accounts->len && mix->kinds->len;
 	if (!ok)
-		fprintf(stderr,
+		mt_log_output_printf(
 			"mimosaturn: %s: malformed mix; it needs accounts "
 			"{account, key} and kinds {kind, share, run_ms: [min, "
-			"max], body}\n",
+			"max], body}",
 			path);
 	return ok;
 }
--- a/programs/ctl/load_run.c
+++ b/programs/ctl/load_run.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "kernel/log_output.h"
 #include "load.h"
 
 #define REQUEST_TIMEOUT_MS 20000u
@@ -278,8 +279,9 @@
 	mt_load_t *load = ctx;
 
 	if (!load->quiet)
-		fprintf(stderr, "mimosaturn: %u of %u jobs done\n",
-			load->jobs->len - load->remaining, load->jobs->len);
+		mt_log_output_printf("mimosaturn: %u of %u jobs done",
+				     load->jobs->len - load->remaining,
+				     load->jobs->len);
 }
 
 void mt_load_run(mt_load_t *load, mt_ms_t timeout_ms)
--- a/programs/ctl/main.c
+++ b/programs/ctl/main.c
@@ -1,8 +1,8 @@
 /** @file main.c Command-line tool for operators (mimosaturn). */
-#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
+#include "kernel/log_output.h"
 #include "ctl.h"
 
 typedef struct mt_command_t {
@@ -36,7 +36,9 @@
 
 int main(int argc, char **argv)
 {
-	signal(SIGPIPE, SIG_IGN);
+	mt_log_file_t usage;
+
+	mt_log_output_open(false);
 	if (argc >= 2 &&
 	    (!strcmp(argv[1], "--help") || !strcmp(argv[1], "-h"))) {
 		print_usage(stdout);
@@ -46,6 +48,8 @@
 		if (!strcmp(argv[1], commands[i].name))
 			return commands[i].run(argc - 1, argv + 1);
 	}
-	print_usage(stderr);
+	mt_log_file_open(&usage);
+	print_usage(usage.file);
+	mt_log_file_close(&usage, MT_LOG_MESSAGES);
 	return MT_EXIT_USAGE;
 }
--- a/programs/entryd/main.c
+++ b/programs/entryd/main.c
@@ -9,11 +9,11 @@
  */
 #include <argtable2.h>
 #include <signal.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <sys/resource.h>
 
 #include "dag/host.h"
+#include "kernel/log_output.h"
 #include "net/http_client.h"
 #include "peer/peer_http.h"
 #include "platform/advice_http.h"
@@ -231,7 +231,6 @@
 
 static bool start(mt_entryd_t *entryd)
 {
-	signal(SIGPIPE, SIG_IGN);
 	entryd->loop = mt_loop_new();
 	entryd->kernel =
 		mt_kernel_new("mimosaturn-entry", mt_loop_timers(entryd->loop),
@@ -247,6 +246,16 @@
 	return listen_all(entryd);
 }
 
+static void print_usage(void **table, struct arg_end *end, const char *program)
+{
+	mt_log_file_t out;
+
+	mt_log_file_open(&out);
+	arg_print_errors(out.file, end, program);
+	arg_print_glossary(out.file, table, "  %-28s %s\n");
+	mt_log_file_close(&out, MT_LOG_MESSAGES);
+}
+
 static const char *choose_path(int argc, char **argv)
 {
 	struct arg_str *settings = arg_str0(
@@ -260,8 +269,7 @@
 	int errors = arg_parse(argc, argv, table);
 
 	if (errors || help->count) {
-		arg_print_errors(stderr, end, argv[0]);
-		arg_print_glossary(stderr, table, "  %-28s %s\n");
+		print_usage(table, end, argv[0]);
 		exit(errors ? EXIT_BAD_SETTINGS : EXIT_SUCCESS);
 	}
 	if (settings->count)
@@ -275,22 +283,24 @@
 	mt_entryd_t entryd = {0};
 	GError *error = NULL;
 
+	mt_log_output_open(true);
 	entryd.settings_path = choose_path(argc, argv);
 	if (!entryd.settings_path) {
-		fprintf(stderr, "no settings file: use --settings or set %s\n",
+		mt_log_output_printf(
+			"no settings file: use --settings or set %s",
 			SETTINGS_VARIABLE);
 		return EXIT_BAD_SETTINGS;
 	}
 	if (!mt_entry_settings_read(entryd.settings_path, &entryd.settings,
 				    &error)) {
-		fprintf(stderr, "%s\n", error->message);
+		mt_log_output_printf("%s", error->message);
 		g_error_free(error);
 		return EXIT_BAD_SETTINGS;
 	}
 	if (!start(&entryd)) {
-		fprintf(stderr,
+		mt_log_output_printf(
 			"cannot listen on the address in the setting callers, "
-			"peers, readiness or metrics\n");
+			"peers, readiness or metrics");
 		return EXIT_CANNOT_LISTEN;
 	}
 	mt_loop_run(entryd.loop);
--- a/programs/hostd/main.c
+++ b/programs/hostd/main.c
@@ -12,6 +12,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "kernel/log_output.h"
 #include "node/node.h"
 #include "net/http_ports.h"
 #include "net/peer_links.h"
@@ -196,8 +197,8 @@
 	mt_settings_t *settings = mt_settings_load(path, errors);
 
 	for (guint i = 0; i < errors->len; i++)
-		fprintf(stderr, "mimosaturnd: %s: %s\n", path,
-			(char *)errors->pdata[i]);
+		mt_log_output_printf("mimosaturnd: %s: %s", path,
+				     (char *)errors->pdata[i]);
 	g_ptr_array_unref(errors);
 	return settings;
 }
@@ -211,7 +212,6 @@
 		return EXIT_BAD_SETTINGS;
 	if (check_only)
 		return 0;
-	signal(SIGPIPE, SIG_IGN);
 	if (!start(&daemon)) {
 		mt_log(daemon.kernel, MT_LOG_ERR, "daemon",
 		       "cannot listen on %s, ports %u and %u",
@@ -224,17 +224,33 @@
 	return 0;
 }
 
-static void print_help(void **table)
+static void print_help(FILE *out, void **table)
 {
-	printf("Usage: mimosaturnd");
-	arg_print_syntax(stdout, table, "\n");
-	printf("\nServes clients on one host.\n\n");
-	arg_print_glossary(stdout, table, "  %-24s %s\n");
-	printf("\nExamples:\n"
-	       "  mimosaturnd --settings tunis-1.json\n"
-	       "  mimosaturnd --settings tunis-1.json --check\n\n"
-	       "Exit codes: 0 stopped gracefully, 2 bad settings or command "
-	       "line,\n3 cannot listen.\n");
+	fprintf(out, "Usage: mimosaturnd");
+	arg_print_syntax(out, table, "\n");
+	fprintf(out, "\nServes clients on one host.\n\n");
+	arg_print_glossary(out, table, "  %-24s %s\n");
+	fprintf(out, "\nExamples:\n"
+		     "  mimosaturnd --settings tunis-1.json\n"
+		     "  mimosaturnd --settings tunis-1.json --check\n\n"
+		     "Exit codes: 0 stopped gracefully, 2 bad settings or "
+		     "command line,\n3 cannot listen.\n");
+}
+
+/** @param end NULL: the help is asked for */
+static void print_usage(void **table, struct arg_end *end)
+{
+	mt_log_file_t out;
+
+	mt_log_file_open(&out);
+	if (end) {
+		arg_print_errors(out.file, end, "mimosaturnd");
+		fprintf(out.file, "mimosaturnd: --settings FILE is required; "
+				  "see --help\n");
+	} else {
+		print_help(out.file, table);
+	}
+	mt_log_file_close(&out, end ? MT_LOG_MESSAGES : MT_LOG_EVENTS);
 }
 
 int main(int argc, char **argv)
@@ -246,16 +262,16 @@
 	struct arg_lit *help = arg_lit0("h", "help", "print this help");
 	struct arg_end *end = arg_end(8);
 	void *table[] = {settings, check, help, end};
-	int errors = arg_parse(argc, argv, table);
+	int errors;
 
+	mt_log_output_open(true);
+	errors = arg_parse(argc, argv, table);
 	if (help->count) {
-		print_help(table);
+		print_usage(table, NULL);
 		return 0;
 	}
 	if (errors || !settings->count) {
-		arg_print_errors(stderr, end, "mimosaturnd");
-		fprintf(stderr, "mimosaturnd: --settings FILE is required; see "
-				"--help\n");
+		print_usage(table, end);
 		return EXIT_BAD_SETTINGS;
 	}
 	return run(settings->filename[0], check->count > 0);
--- a/tests/check.sh
+++ b/tests/check.sh
@@ -81,6 +81,7 @@
 suite "processes: client API" tests/scripts/callers.sh
 suite "processes: clients that exceed the limits" tests/scripts/hostile-clients.sh
 suite "processes: more jobs than the memory takes" tests/scripts/many-jobs.sh
+suite "processes: logs that nobody reads" tests/scripts/log-readers.sh
 suite "demo: Workshop" tests/check-demo.sh workshop 200
 suite "demo: Ladesaeulen" tests/check-demo.sh ladesaeulen 200
 
@@ -106,6 +107,8 @@
 	BOUND_MB=1024 tests/scripts/hostile-clients.sh
 suite "sanitized processes: more jobs than the memory takes" env BUILD=build-asan \
 	BOUND_MB=1024 tests/scripts/many-jobs.sh
+suite "sanitized processes: logs that nobody reads" env BUILD=build-asan \
+	tests/scripts/log-readers.sh
 suite "sanitized demo" env BUILD=build-asan tests/check-demo.sh
 
 [ "$known_failures" -eq 0 ] || echo "known failures, not counted: $known_failures"
--- a/tests/fleet/fake_store.c
+++ b/tests/fleet/fake_store.c
@@ -528,8 +528,8 @@
  * Decodes "STATE RACK BORN REMAINING_MS COLD_REMAINING_MS". Each rack is a data
  * centre of its own.
  */
-static bool decode_report(const mt_store_record_t *record,
-			  mt_backend_info_t *info)
+static const char *decode_report(const mt_store_record_t *record,
+				 mt_backend_info_t *info)
 {
 	char *text = g_strndup(record->value.data, record->value.len);
 	char state[16];
@@ -554,7 +554,7 @@
 	info->labels[1] = g_quark_from_string(valid ? rack : "");
 	info->rack = info->labels[1];
 	info->zone = mt_name(valid ? rack : "");
-	return valid;
+	return valid ? NULL : "it is malformed";
 }
 
 const mt_directory_format_t *mt_fake_store_server_list_format(void)
--- a/tests/unit/script_adapter.c
+++ b/tests/unit/script_adapter.c
@@ -38,7 +38,7 @@
 	mt_store_record_t record = {MT_STR("i-1"), mt_str_from(text), 0};
 	mt_backend_info_t info = {0};
 
-	if (!mt_server_list_format.decode(&record, &info)) {
+	if (mt_server_list_format.decode(&record, &info)) {
 		g_string_append(out, "no server to use\n");
 		return;
 	}
--- a/tests/unit/test_mutated_input.c
+++ b/tests/unit/test_mutated_input.c
@@ -76,7 +76,7 @@
 	mt_store_record_t record = {MT_STR("i-1"), text, 0};
 	mt_backend_info_t info = {0};
 
-	if (!mt_server_list_format.decode(&record, &info))
+	if (mt_server_list_format.decode(&record, &info))
 		return;
 	CU_ASSERT_TRUE_FATAL(info.target.port != 0);
 	CU_ASSERT_TRUE_FATAL(info.service.len <= MT_NAME_MAX_BYTES);
--- a/tests/unit/test_odd_entries.c
+++ b/tests/unit/test_odd_entries.c
@@ -175,6 +175,77 @@
 		read_list_with(keys[i], MT_STR(REPORT));
 }
 
+static void count_line(void *ctx, mt_log_level_t level, const char *service,
+		       const char *message)
+{
+	++*(unsigned *)ctx;
+}
+
+/** Answers the pending read with one entry of the server i-2. */
+static void answer_entry(mt_odd_store_t *store, mt_str_t value)
+{
+	static uint64_t offset = 10;
+	mt_store_record_t record = {MT_STR("i-2"), value, offset++};
+	mt_store_page_t page = {.result = MT_STORE_DONE,
+				.records = &record,
+				.count = 1,
+				.end = offset};
+
+	store->cb(store->ctx, &page);
+}
+
+/**
+ * Guards against a log that grows with each heartbeat of another writer: an odd
+ * entry is told when it becomes odd, and when the reason for it changes
+ * (review/12).
+ */
+static void an_odd_server_is_told_when_it_changes(void)
+{
+	mt_timers_t *timers = mt_timers_new(1000);
+	mt_kernel_t *kernel = mt_kernel_new("odd", timers, 1);
+	mt_odd_store_t store = {0};
+	mt_directory_watcher_t watcher = {&store, on_server, on_unlisted};
+	mt_store_page_t refused = {.result = MT_STORE_REFUSED};
+	mt_directory_t *directory;
+	unsigned n_lines = 0;
+	GString *body = g_string_new("{\"items\":[");
+
+	mt_kernel_set_sink(kernel, count_line, &n_lines);
+	store.port =
+		(mt_store_port_t){&store, NULL, keep_read, keep_newest, 0, 0};
+	store.servers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	directory =
+		mt_directory_new(kernel, &store.port, &mt_server_list_format);
+	mt_directory_open(directory, &watcher);
+	append_item(body, "\"i-2\"", MT_STR("{}"));
+	g_string_append(body, "],\"has_more\":false,\"end_offset\":3}");
+	answer_page(&store, body);
+	CU_ASSERT_EQUAL(n_lines, 1);
+	for (unsigned i = 0; i < 100; i++) {
+		char *text = g_strdup_printf("{\"sequence\":%u}", i);
+
+		answer_entry(&store, mt_str_from(text));
+		g_free(text);
+	}
+	CU_ASSERT_EQUAL(n_lines, 1);
+	answer_entry(&store, MT_STR("{\"service\":\"s\"}"));
+	CU_ASSERT_EQUAL(n_lines, 2);
+	answer_entry(&store, MT_STR(REPORT));
+	CU_ASSERT_TRUE(g_hash_table_contains(store.servers, "i-2"));
+	answer_entry(&store, MT_STR("{}"));
+	CU_ASSERT_EQUAL(n_lines, 3);
+	CU_ASSERT_EQUAL(
+		*mt_kernel_counter(kernel, "server_reports_unreadable_total"),
+		103);
+	mt_directory_free(directory);
+	store.cb(store.ctx, &refused);
+	g_hash_table_destroy(store.servers);
+	mt_kernel_free(kernel);
+	mt_timers_free(timers);
+	g_string_free(body, TRUE);
+}
+
 /* Lists within one message. */
 
 /** Guards against: one odd run makes a server silent, or its runs lost. */
@@ -404,6 +475,8 @@
 	{"jobs that take much memory are refused",
 	 jobs_that_take_much_memory_are_refused},
 	{"an odd server costs only itself", an_odd_server_costs_only_itself},
+	{"an odd server is told when it changes",
+	 an_odd_server_is_told_when_it_changes},
 	{"an odd key costs only itself", an_odd_key_costs_only_itself},
 	{"an odd run costs only itself", an_odd_run_costs_only_itself},
 	{"an odd queue costs only itself", an_odd_queue_costs_only_itself},
--- a/tests/unit/tests.h
+++ b/tests/unit/tests.h
@@ -9,6 +9,8 @@
 
 /** Each list ends with an entry whose name is NULL. */
 extern const mt_test_t mt_kernel_tests[];
+extern const mt_test_t mt_log_tests[];
+extern const mt_test_t mt_log_output_tests[];
 extern const mt_test_t mt_follower_tests[];
 extern const mt_test_t mt_engine_tests[];
 extern const mt_test_t mt_planner_tests[];
