--- a/lib/dag/commands.c
+++ b/lib/dag/commands.c
@@ -19,11 +19,16 @@
 #define START_RETRY_MS 250u
 
 /**
- * While a server is not responsive, the start of a task is repeated for at most
- * this long after the first attempt.
+ * The start of a task is repeated for at most this long after the first
+ * attempt. If the server is not responsive, it is then kept until the server
+ * answers again or its leases are over; if the server answers holds, but no
+ * start, the start is withdrawn.
  */
 #define START_RETRY_WINDOW_MS 2500u
 
+/** An attempt is recent for this long; longer than its time-out. */
+#define START_ATTEMPT_AGE_MAX_MS 1500u
+
 /**
  * A gang is stopped, and placed again, if the start of a member is still not
  * confirmed this long after the first start command to any of its members.
@@ -226,9 +231,20 @@
 		mt_evacuations_are_fresh(engine->deps.evacuations));
 }
 
+/** True if the server answers holds, but has answered no start of the run. */
+static bool answers_no_start(const mt_dag_task_t *task, mt_ms_t now)
+{
+	return task->start_unanswered &&
+	       now - task->first_start_sent_at > START_RETRY_WINDOW_MS &&
+	       now - task->last_start_sent_at <= START_ATTEMPT_AGE_MAX_MS &&
+	       mt_backend_is_responsive(task->server, now,
+					MT_RESPONSIVE_WINDOW_MS);
+}
+
 /**
- * Why the task must not be started on its server any more, or NULL. The server
- * may have restarted as another kind since the task was placed there.
+ * Why the task must not be started on its server any more, or NULL. Since the
+ * task was placed there, the server may have begun to drain, left the list, or
+ * restarted as another kind.
  */
 static const char *reason_to_withdraw(const mt_engine_t *engine,
 				      const mt_dag_task_t *task)
@@ -238,7 +254,9 @@
 	if (mt_engine_is_evacuated(engine, server))
 		return "data centre evacuated";
 	if (!server->listed)
-		return NULL;
+		return "its server has left";
+	if (server->info.draining)
+		return "its server leaves";
 	if (!mt_shared_name_equal(server->info.service,
 				  task->step->job->queue.service))
 		return "its server runs another service";
@@ -254,9 +272,29 @@
 			   const char *reason)
 {
 	mt_kernel_count(engine->deps.kernel, "starts_withdrawn_total");
+	mt_kernel_event(engine->deps.kernel, "start_withdrawn",
+			"\"job\":\"%016" G_GINT64_MODIFIER
+			"x\",\"step\":%u,\"task\":%u,\"run\":%u,"
+			"\"server\":\"%s\",\"may_run\":%s,\"reason\":\"%s\"",
+			task->step->job->id, task->step->index, task->index,
+			task->run, task->server->log_name,
+			task->start_unanswered ? "true" : "false", reason);
 	give_up_start(engine, task, reason);
 }
 
+/** Withdraws a start that the server does not answer, and avoids the server. */
+static void withdraw_unanswered_start(mt_engine_t *engine, mt_dag_task_t *task)
+{
+	mt_backend_t *server = task->server;
+	mt_ms_t now = mt_engine_now(engine);
+
+	/* Starts that are withdrawn together count as one failure. */
+	if (now >= server->avoid_until)
+		mt_reports_note_failure(engine, server);
+	avoid(engine, server, AVOID_REFUSING_MS);
+	withdraw_start(engine, task, "its server answers no start");
+}
+
 void mt_commands_start(mt_engine_t *engine, mt_dag_task_t *task)
 {
 	mt_backend_t *backend = task->server;
@@ -439,6 +477,10 @@
 			withdraw_start(engine, task, reason);
 			return;
 		}
+		if (answers_no_start(task, now)) {
+			withdraw_unanswered_start(engine, task);
+			return;
+		}
 		if (now - task->last_start_sent_at >= START_RETRY_MS &&
 		    may_send_start(task, now))
 			mt_commands_start(engine, task);
--- a/lib/dag/engine_internal.h
+++ b/lib/dag/engine_internal.h
@@ -211,10 +211,12 @@
  * Sends the start of a task whose placement is stored. Sends no start while the
  * server's clock is unknown or this host's copy of the records or of the
  * evacuations is too old; the start is then sent at a later tick, unless
- * mt_commands_tick() gives the run up as lost before that. If the server's data
- * centre is evacuated, or if the queue requires a ticket of the policy service
- * and there is no valid one for the server, the task is not started there and
- * waits again.
+ * mt_commands_tick() gives the run up as lost before that. If the server drains
+ * or has left the list, if its data centre is evacuated, or if the queue
+ * requires a ticket of the policy service and there is no valid one for the
+ * server, the start is withdrawn. The task then waits again as soon as it is
+ * certain that no earlier attempt takes effect any more: at once if all were
+ * answered.
  */
 void mt_commands_start(mt_engine_t *engine, mt_dag_task_t *task);
 
@@ -364,6 +366,12 @@
 
 /* reports.c */
 
+/**
+ * Counts a failed run on the server, or starts that it does not answer. After
+ * several in a row it is suspect.
+ */
+void mt_reports_note_failure(mt_engine_t *engine, mt_backend_t *backend);
+
 /**
  * Applies the report in the answer to a hold.
  * @param sent_at local time at which the hold was sent
--- a/lib/dag/holds.c
+++ b/lib/dag/holds.c
@@ -25,6 +25,13 @@
 #define HOLD_RETRY_MS 150u
 #define HOLD_RETRY_MAX_MS 700u
 
+/**
+ * Timeout of the long poll while a start is being withdrawn, see
+ * hold_wait(): the task waits for a report that is later than the
+ * answer to its stop.
+ */
+#define WITHDRAWN_HOLD_WAIT_MS 200u
+
 /**
  * A hold is overdue when its answer has not come this long after the time at
  * which the server should have answered. Another hold is then sent. The overdue
@@ -182,11 +189,29 @@
 }
 
 /**
- * True if the next hold may renew the leases of the runs on the server. Always
- * false for the first hold to a server since this host began to lead, as the
- * server is responsive only once it has answered a hold.
+ * True if a task on the server is to go on there. The leases of others are left
+ * to end: a start that was withdrawn without an answer, and whose stop gets no
+ * answer either, can take effect until then.
+ */
+static bool has_run_to_keep(const mt_backend_t *backend)
+{
+	for (guint i = 0; i < backend->tasks->len; i++) {
+		const mt_dag_task_t *task = backend->tasks->pdata[i];
+
+		if (!task->stop_wanted)
+			return true;
+	}
+	return false;
+}
+
+/**
+ * True if the next hold may wait for the end of a run, and renew the leases of
+ * the runs on the server. Always false for the first hold to a server since
+ * this host began to lead, as the server is responsive only once it has
+ * answered a hold.
  */
-static bool may_renew(const mt_engine_t *engine, const mt_backend_t *backend)
+static bool is_in_contact(const mt_engine_t *engine,
+			  const mt_backend_t *backend)
 {
 	return backend->clock_known && backend->tasks->len &&
 	       mt_engine_records_age(engine) <= RENEW_STALENESS_MAX_MS &&
@@ -218,12 +243,35 @@
 	return backend->n_failed_holds ? 0 : backend->last_end_stored;
 }
 
+/**
+ * How long the next hold waits for the end of a run: shortly while a start is
+ * being withdrawn, and not at all in the first hold after its stop was
+ * confirmed, as no run ends if the start had no effect.
+ */
+static mt_ms_t hold_wait(const mt_backend_t *backend)
+{
+	mt_ms_t wait_ms = HOLD_WAIT_MS;
+
+	for (guint i = 0; i < backend->tasks->len; i++) {
+		const mt_dag_task_t *task = backend->tasks->pdata[i];
+
+		if (task->phase != MT_TASK_PHASE_STARTING || !task->stop_wanted)
+			continue;
+		if (task->stop_confirmed_at &&
+		    task->stop_confirmed_at >= backend->hold_sent_at)
+			return 0;
+		wait_ms = WITHDRAWN_HOLD_WAIT_MS;
+	}
+	return wait_ms;
+}
+
 void mt_commands_hold(mt_engine_t *engine, mt_backend_t *backend)
 {
 	mt_ms_t now = mt_engine_now(engine);
 	mt_hold_command_t command = {engine->term, deletable_end(backend), 0,
 				     0};
 	mt_sent_hold_t *hold;
+	bool in_contact;
 
 	/* Port 0: the address is not known, see mt_commands_stop(). */
 	if (backend->hold_in_flight || backend->hold_delayed ||
@@ -235,14 +283,15 @@
 	if (backend->last_end_handled > backend->last_end_stored &&
 	    now - backend->hold_sent_at < UNSTORED_ENDS_HOLD_INTERVAL_MS)
 		return;
-	if (may_renew(engine, backend)) {
+	in_contact = is_in_contact(engine, backend);
+	if (in_contact && has_run_to_keep(backend)) {
 		mt_ms_t lease = engine->deps.timings.lease_ms;
 
 		command.due_ms = mt_backend_clock(backend, now) + lease;
 		mt_backend_note_lease(backend, now, lease);
-		if (backend->last_end_handled == backend->last_end_stored)
-			command.wait_ms = HOLD_WAIT_MS;
 	}
+	if (in_contact && backend->last_end_handled == backend->last_end_stored)
+		command.wait_ms = hold_wait(backend);
 	hold = g_new0(mt_sent_hold_t, 1);
 	hold->engine = engine;
 	hold->generation = engine->generation;
--- a/lib/dag/reports.c
+++ b/lib/dag/reports.c
@@ -17,8 +17,7 @@
 #define AVOID_FAILING_MIN_MS 4000u
 #define AVOID_FAILING_MAX_MS 32000u
 
-/** Counts a failed run on the server. */
-static void record_failure(mt_engine_t *engine, mt_backend_t *backend)
+void mt_reports_note_failure(mt_engine_t *engine, mt_backend_t *backend)
 {
 	mt_ms_t avoid_ms = AVOID_FAILING_MIN_MS;
 
@@ -167,7 +166,7 @@
 		mt_step_times_note_end(engine, task);
 		finish_task(engine, task);
 	} else if (reason == MT_END_FAILED) {
-		record_failure(engine, backend);
+		mt_reports_note_failure(engine, backend);
 		if (!mt_dag_task_fail(task))
 			fail_job(engine, job);
 		else
@@ -302,6 +301,9 @@
  * task's run, as active or as ended. If the report does not list it, the run is
  * lost: it never began and will not begin any more, or the server has lost it,
  * for example in a restart. The first case that applies decides:
+ * - All leases on the server were over when the hold was sent, and the start
+ * was sent before: true. A start that is carried out only now is refused, as
+ * its lease is over.
  * - The server has confirmed the stop of the run: true if it did so before the
  *   hold was sent, as the report may otherwise be older than the stop.
  * - The start is settled, see mt_dag_task_t.start_settled_at: true if it was
@@ -313,6 +315,9 @@
  */
 static bool report_must_list(const mt_dag_task_t *task, mt_ms_t sent_at)
 {
+	if (task->first_start_sent_at && !task->start_in_flight &&
+	    sent_at >= task->server->leases_expire_at)
+		return true;
 	if (task->stop_confirmed_at)
 		return sent_at > task->stop_confirmed_at;
 	if (task->start_settled_at)
--- a/tests/fleet/speed_audit.c
+++ b/tests/fleet/speed_audit.c
@@ -3,6 +3,7 @@
 
 #include <math.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "fleet/fake_store.h"
 
@@ -19,10 +20,12 @@
 static const MtDag__ServerSpeed *find_entry(const MtDag__Speeds *record,
 					    const mt_true_speed_t *server)
 {
+	uint64_t id_hash = XXH3_64bits(server->server, strlen(server->server));
+
 	for (size_t i = 0; record && i < record->n_servers; i++) {
 		const MtDag__ServerSpeed *entry = record->servers[i];
 
-		if (!strcmp(entry->server, server->server) &&
+		if (entry->server_hash == id_hash &&
 		    entry->born_ms == server->born)
 			return entry;
 	}
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -71,6 +71,7 @@
 		CU_add_test(scripts, script_paths->pdata[i], run_next_script);
 	add_suite("kernel", mt_kernel_tests);
 	add_suite("log", mt_log_tests);
+	add_suite("leaving servers", mt_leaving_servers_tests);
 	add_suite("long names", mt_long_names_tests);
 	add_suite("log output", mt_log_output_tests);
 	add_suite("follower", mt_follower_tests);
--- a/tests/unit/test_long_names.c
+++ b/tests/unit/test_long_names.c
@@ -255,11 +255,9 @@
 	const mt_client_account_t *account =
 		mt_catalog_account_of_key(catalog, mt_str_from(key));
 
-	CU_ASSERT_PTR_NOT_NULL_FATAL(queue);
-	CU_ASSERT_STRING_EQUAL(mt_shared_name_text(queue->name), name);
-	CU_ASSERT_STRING_EQUAL(mt_shared_name_text(queue->service), name);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(account);
-	CU_ASSERT_STRING_EQUAL(mt_shared_name_text(account->name), name);
+	CU_ASSERT_TRUE(queue && !strcmp(queue->name.text, name));
+	CU_ASSERT_TRUE(queue && !strcmp(queue->service.text, name));
+	CU_ASSERT_TRUE(account && !strcmp(account->name.text, name));
 	CU_ASSERT_EQUAL(catalog->problems->len, 0);
 	mt_catalog_free(catalog);
 	CU_ASSERT_EQUAL(mt_shared_names_n_refs(), n_refs);
@@ -274,10 +272,9 @@
 {
 	mt_catalog_t *catalog = decode_config(name, host, service, tenant, key);
 
-	CU_ASSERT_PTR_NOT_NULL_FATAL(catalog);
-	CU_ASSERT_EQUAL(catalog->queues->len, n_queues);
-	CU_ASSERT_EQUAL(catalog->accounts->len, n_accounts);
-	CU_ASSERT_EQUAL(catalog->problems->len, 1);
+	CU_ASSERT_TRUE(catalog && catalog->queues->len == n_queues);
+	CU_ASSERT_TRUE(catalog && catalog->accounts->len == n_accounts);
+	CU_ASSERT_TRUE(catalog && catalog->problems->len == 1);
 	mt_catalog_free(catalog);
 }
 
@@ -299,8 +296,8 @@
 {
 	mt_catalog_t *catalog = decode_config("n", "h", "s", "t", "k\\u0000x");
 
-	CU_ASSERT_PTR_NOT_NULL_FATAL(catalog);
-	CU_ASSERT_PTR_NULL(mt_catalog_account_of_key(catalog, MT_STR("k")));
+	CU_ASSERT_TRUE(catalog &&
+		       !mt_catalog_account_of_key(catalog, MT_STR("k")));
 	mt_catalog_free(catalog);
 }
 
--- a/tests/unit/tests.h
+++ b/tests/unit/tests.h
@@ -10,6 +10,7 @@
 /** Each list ends with an entry whose name is NULL. */
 extern const mt_test_t mt_kernel_tests[];
 extern const mt_test_t mt_log_tests[];
+extern const mt_test_t mt_leaving_servers_tests[];
 extern const mt_test_t mt_long_names_tests[];
 extern const mt_test_t mt_log_output_tests[];
 extern const mt_test_t mt_follower_tests[];
