--- a/lib/dag/advice_requests.c
+++ b/lib/dag/advice_requests.c
@@ -155,7 +155,8 @@
 	pending->engine = engine;
 	pending->generation = engine->generation;
 	pending->step = (mt_task_key_t){step->job->id, step->occurrence->number,
-					step->index, 0};
+					step->index, 0,
+					mt_record_spelling(step->job->spec)};
 	add_servers(pending, step, backends, MT_ADVICE_EXPIRED);
 	add_servers(pending, step, backends, MT_ADVICE_UNASKED);
 	if (pending->n_servers)
--- a/lib/dag/backend_port.h
+++ b/lib/dag/backend_port.h
@@ -12,12 +12,22 @@
 #include "kernel/shared_name.h"
 #include "kernel/timers.h"
 
+/** How a client writes a job id that has capital letters. */
+typedef struct mt_job_spelling_t {
+	uint64_t digits; /**< value of the hexadecimal digits */
+	/** Bit i is set if digit i, counted from the left, is a capital letter.
+	 * 0: the id has none, and is its own value. */
+	uint16_t capitals;
+} mt_job_spelling_t;
+
 /** Identifies one task of one occurrence (repetition) of a job. */
 typedef struct mt_task_key_t {
 	uint64_t job;
 	uint32_t occurrence;
 	uint32_t step;	/**< index of the step in the job */
 	uint32_t index; /**< index of the task in the step */
+	/** For messages to servers; follows from `job`, and is not compared. */
+	mt_job_spelling_t spelling;
 } mt_task_key_t;
 
 /**
--- a/lib/dag/dag.pb-c.c
+++ b/lib/dag/dag.pb-c.c
@@ -1031,7 +1031,7 @@
   (ProtobufCMessageInit) mt_dag__step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mt_dag__job__field_descriptors[16] =
+static const ProtobufCFieldDescriptor mt_dag__job__field_descriptors[18] =
 {
   {
     "id",
@@ -1225,6 +1225,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "id_digits",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__Job, id_digits),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id_capitals",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(MtDag__Job, id_capitals),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mt_dag__job__field_indices_by_name[] = {
   2,   /* field[2] = account */
@@ -1232,6 +1256,8 @@
   10,   /* field[10] = attempts_max */
   14,   /* field[14] = decision_ms */
   0,   /* field[0] = id */
+  17,   /* field[17] = id_capitals */
+  16,   /* field[16] = id_digits */
   6,   /* field[6] = interval_ms */
   3,   /* field[3] = payload */
   15,   /* field[15] = per_server_ms */
@@ -1247,7 +1273,7 @@
 static const ProtobufCIntRange mt_dag__job__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor mt_dag__job__descriptor =
 {
@@ -1257,7 +1283,7 @@
   "MtDag__Job",
   "mt_dag",
   sizeof(MtDag__Job),
-  16,
+  18,
   mt_dag__job__field_descriptors,
   mt_dag__job__field_indices_by_name,
   1,  mt_dag__job__number_ranges,
--- a/lib/dag/dag.pb-c.h
+++ b/lib/dag/dag.pb-c.h
@@ -175,10 +175,16 @@
   protobuf_c_boolean advised;
   uint32_t decision_ms;
   uint32_t per_server_ms;
+  /*
+   * How the client writes an id that has capital letters, see
+   * mt_job_spelling_t.
+   */
+  uint64_t id_digits;
+  uint32_t id_capitals;
 };
 #define MT_DAG__JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mt_dag__job__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/lib/dag/front.c
+++ b/lib/dag/front.c
@@ -196,6 +196,7 @@
 	mt_front_outcome_t outcome;
 	mt_str_t id_text;
 	uint64_t id;
+	mt_job_spelling_t spelling;
 
 	if (!authorize(front, call, &queue, &account, &outcome)) {
 		mt_front_reply_now(cb, ctx, outcome);
@@ -207,13 +208,14 @@
 		ask_about(front, call, 0, queue, cb, ctx);
 	else if (call->verb == MT_VERB_OTHER || !id_text.len)
 		mt_front_reply_now(cb, ctx, MT_FRONT_OUTCOME_BAD_METHOD);
-	else if (!mt_record_parse_job_id(id_text, &id))
+	else if (!mt_record_parse_client_id(id_text, &id, &spelling))
 		mt_front_reply_now(cb, ctx,
 				   call->verb == MT_VERB_SUBMIT
 					   ? MT_FRONT_OUTCOME_BAD_REQUEST
 					   : MT_FRONT_OUTCOME_NO_JOB);
 	else if (call->verb == MT_VERB_SUBMIT)
-		mt_front_submit(front, call, id, queue, account, cb, ctx);
+		mt_front_submit(front, call, id, &spelling, queue, account, cb,
+				ctx);
 	else
 		ask_about(front, call, id, NULL, cb, ctx);
 }
--- a/lib/dag/front_internal.h
+++ b/lib/dag/front_internal.h
@@ -106,7 +106,8 @@
  * not read, but a second record of the same job has no effect.
  */
 void mt_front_submit(mt_dag_front_t *front, const mt_front_call_t *call,
-		     uint64_t id, const mt_queue_t *queue,
+		     uint64_t id, const mt_job_spelling_t *spelling,
+		     const mt_queue_t *queue,
 		     const mt_client_account_t *account, mt_front_cb cb,
 		     void *ctx);
 
--- a/lib/dag/front_submit.c
+++ b/lib/dag/front_submit.c
@@ -205,10 +205,13 @@
 
 /** Sets the job's id, the settings of its queue and the account's name. */
 static void copy_queue_settings(MtDag__Job *job, uint64_t id,
+				const mt_job_spelling_t *spelling,
 				const mt_queue_t *queue,
 				const mt_client_account_t *account)
 {
 	job->id = id;
+	job->id_digits = spelling->digits;
+	job->id_capitals = spelling->capitals;
 	set_text(&job->queue, mt_shared_name_text(queue->name));
 	set_text(&job->service, mt_shared_name_text(queue->service));
 	set_text(&job->account,
@@ -250,7 +253,8 @@
 }
 
 void mt_front_submit(mt_dag_front_t *front, const mt_front_call_t *call,
-		     uint64_t id, const mt_queue_t *queue,
+		     uint64_t id, const mt_job_spelling_t *spelling,
+		     const mt_queue_t *queue,
 		     const mt_client_account_t *account, mt_front_cb cb,
 		     void *ctx)
 {
@@ -277,7 +281,7 @@
 		mt_front_reply_now(cb, ctx, MT_FRONT_OUTCOME_BAD_REQUEST);
 		return;
 	}
-	copy_queue_settings(job, id, queue, account);
+	copy_queue_settings(job, id, spelling, queue, account);
 	bytes = mt_dag_pack(&job->base);
 	admission = mt_load_shedding_decide(front->load_shedding, job, account);
 	job_bytes = mt_memory_budget_job_bytes(job, g_bytes_get_size(bytes));
--- a/lib/dag/job_tasks.c
+++ b/lib/dag/job_tasks.c
@@ -60,7 +60,8 @@
 {
 	return (mt_task_key_t){task->step->job->id,
 			       task->step->occurrence->number,
-			       task->step->index, task->index};
+			       task->step->index, task->index,
+			       mt_record_spelling(task->step->job->spec)};
 }
 
 /** Counts a task of the step that was placed (1) or removed (-1). */
--- a/lib/dag/records.c
+++ b/lib/dag/records.c
@@ -2,6 +2,7 @@
 #include "dag/records.h"
 
 #include <stdio.h>
+#include <xxhash.h>
 
 mt_record_key_t mt_record_key(mt_record_kind_t kind, uint64_t job)
 {
@@ -36,6 +37,48 @@
 	return true;
 }
 
+bool mt_record_parse_client_id(mt_str_t text, uint64_t *id,
+			       mt_job_spelling_t *spelling)
+{
+	char lower[MT_JOB_ID_DIGITS];
+	mt_job_spelling_t found = {0};
+
+	if (text.len != MT_JOB_ID_DIGITS)
+		return false;
+	for (size_t i = 0; i < text.len; i++) {
+		lower[i] = g_ascii_tolower(text.data[i]);
+		if (g_ascii_isupper(text.data[i]))
+			found.capitals |= (uint16_t)(1u << i);
+	}
+	if (!mt_record_parse_job_id((mt_str_t){lower, text.len}, id))
+		return false;
+	if (found.capitals) {
+		found.digits = *id;
+		*id = XXH3_64bits(text.data, text.len);
+	}
+	*spelling = found;
+	return true;
+}
+
+mt_job_id_text_t mt_record_client_id(uint64_t id,
+				     const mt_job_spelling_t *spelling)
+{
+	mt_job_id_text_t text;
+
+	snprintf(text.text, sizeof(text.text), "%016" G_GINT64_MODIFIER "x",
+		 spelling->capitals ? spelling->digits : id);
+	for (unsigned i = 0; i < MT_JOB_ID_DIGITS; i++) {
+		if (spelling->capitals >> i & 1u)
+			text.text[i] = g_ascii_toupper(text.text[i]);
+	}
+	return text;
+}
+
+mt_job_spelling_t mt_record_spelling(const MtDag__Job *job)
+{
+	return (mt_job_spelling_t){job->id_digits, (uint16_t)job->id_capitals};
+}
+
 bool mt_record_parse_key(mt_str_t key, mt_record_kind_t *kind, uint64_t *job)
 {
 	if (key.len != MT_JOB_ID_DIGITS + 1)
--- a/lib/dag/records.h
+++ b/lib/dag/records.h
@@ -8,6 +8,7 @@
 #ifndef MT_DAG_RECORDS_H
 #define MT_DAG_RECORDS_H
 
+#include "dag/backend_port.h"
 #include "dag/dag.pb-c.h"
 #include "kernel/shared_name.h"
 
@@ -77,6 +78,26 @@
 /** Parses an id of exactly MT_JOB_ID_DIGITS lower-case hexadecimal digits. */
 bool mt_record_parse_job_id(mt_str_t text, uint64_t *id);
 
+/**
+ * Parses the id of a job as a client writes it: MT_JOB_ID_DIGITS hexadecimal
+ * digits. Texts that differ are different ids, also where only the case of
+ * their letters differs: the id of a text with capital letters is a hash of it.
+ */
+bool mt_record_parse_client_id(mt_str_t text, uint64_t *id,
+			       mt_job_spelling_t *spelling);
+
+/** An id as text, with a terminating zero. */
+typedef struct mt_job_id_text_t {
+	char text[MT_JOB_ID_DIGITS + 1];
+} mt_job_id_text_t;
+
+/** The id as the client writes it. */
+mt_job_id_text_t mt_record_client_id(uint64_t id,
+				     const mt_job_spelling_t *spelling);
+
+/** The spelling of a job's id, from its record. */
+mt_job_spelling_t mt_record_spelling(const MtDag__Job *job);
+
 /** True for a record of a job, its cancellation or its progress. */
 bool mt_record_is_of_job(mt_record_kind_t kind);
 
--- a/tests/platformd/main.c
+++ b/tests/platformd/main.c
@@ -426,8 +426,10 @@
 {
 	char text[80];
 
-	snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x.%u.%u.%u",
-		 key->job, key->occurrence, key->step, key->index);
+	mt_job_id_text_t job = mt_record_client_id(key->job, &key->spelling);
+
+	snprintf(text, sizeof(text), "%s.%u.%u.%u", job.text, key->occurrence,
+		 key->step, key->index);
 	return json_string(text);
 }
 
@@ -516,9 +518,12 @@
 	mt_task_key_t key = {0};
 	const char *text = json_string_value(json_object_get(json, "task"));
 
-	if (text)
-		sscanf(text, "%16" G_GINT64_MODIFIER "x.%u.%u.%u", &key.job,
-		       &key.occurrence, &key.step, &key.index);
+	mt_str_t id = {text, MT_JOB_ID_DIGITS};
+
+	if (text && strlen(text) > MT_JOB_ID_DIGITS &&
+	    mt_record_parse_client_id(id, &key.job, &key.spelling))
+		sscanf(text + MT_JOB_ID_DIGITS, ".%u.%u.%u", &key.occurrence,
+		       &key.step, &key.index);
 	return key;
 }
 
--- a/tests/scripts/entry-hosts.sh
+++ b/tests/scripts/entry-hosts.sh
@@ -156,6 +156,13 @@
 check "job of a long host name" completed \
 	"$(URL_HOST=$LONG_HOST wait_state 2 /batch/00000000000000a7 completed)"
 
+# Ids of jobs with capital letters, which others that differ in case do not share.
+check "id with capitals" "{} 200" \
+	"$(call 1 POST /batch/00000000000000FF "$(job 1 100)")"
+check "job with capitals in its id" completed \
+	"$(wait_state 2 /batch/00000000000000FF completed)"
+check "the same id in small letters" "{} 410" "$(call 0 GET /batch/00000000000000ff)"
+
 # Invalid requests are refused with the right status.
 check "unknown route" "{} 404" "$(call 0 POST /other/00000000000000a2 "$(job 1 1)")"
 check "unknown job" "{} 410" "$(call 0 GET /urgent/00000000000000ff)"
--- a/tests/unit/test_long_names.c
+++ b/tests/unit/test_long_names.c
@@ -301,6 +301,51 @@
 	mt_catalog_free(catalog);
 }
 
+/* Ids of jobs. */
+
+static void check_client_id(const char *text)
+{
+	uint64_t id = 0;
+	mt_job_spelling_t spelling;
+
+	CU_ASSERT_TRUE(
+		mt_record_parse_client_id(mt_str_from(text), &id, &spelling));
+	CU_ASSERT_STRING_EQUAL(mt_record_client_id(id, &spelling).text, text);
+}
+
+/**
+ * Ids of jobs with capital letters were refused with 400. Servers get them as
+ * the client writes them, and ids that differ in the case only are different.
+ */
+static void ids_of_jobs_keep_their_capitals(void)
+{
+	MtDag__Job job = MT_DAG__JOB__INIT;
+	mt_job_spelling_t spelling;
+	mt_job_spelling_t stored;
+	uint64_t mixed;
+	uint64_t lower;
+
+	check_client_id("00000000000000a1");
+	check_client_id("ABCDEFABCDEFABCD");
+	check_client_id("0aB0000000000F0f");
+	CU_ASSERT_TRUE(mt_record_parse_client_id(MT_STR("0aB0000000000F0f"),
+						 &mixed, &spelling));
+	job.id_digits = spelling.digits;
+	job.id_capitals = spelling.capitals;
+	stored = mt_record_spelling(&job);
+	CU_ASSERT_STRING_EQUAL(mt_record_client_id(mixed, &stored).text,
+			       "0aB0000000000F0f");
+	CU_ASSERT_TRUE(mt_record_parse_client_id(MT_STR("0ab0000000000f0f"),
+						 &lower, &spelling));
+	CU_ASSERT_EQUAL(lower, 0x0ab0000000000f0f);
+	CU_ASSERT_EQUAL(spelling.capitals, 0);
+	CU_ASSERT_NOT_EQUAL(mixed, lower);
+	CU_ASSERT_FALSE(mt_record_parse_client_id(MT_STR("0aB0000000000G0f"),
+						  &mixed, &spelling));
+	CU_ASSERT_FALSE(
+		mt_record_parse_client_id(MT_STR("0aB"), &mixed, &spelling));
+}
+
 /* Records. */
 
 /** Adds servers whose ids have so many bytes. */
@@ -520,6 +565,7 @@
 	{"names beyond the limit are told", names_beyond_the_limit_are_told},
 	{"a key with a zero byte is not cut",
 	 a_key_with_a_zero_byte_is_not_cut},
+	{"ids of jobs keep their capitals", ids_of_jobs_keep_their_capitals},
 	{"a record of tasks on servers with long ids fits",
 	 a_record_of_tasks_on_servers_with_long_ids_fits},
 	{"earlier records are read", earlier_records_are_read},
