--- a/tests/scripts/entry-hosts.sh
+++ b/tests/scripts/entry-hosts.sh
@@ -17,20 +17,8 @@
 LONG_HOST=jobs-of-a-customer-with-a-long-name-and-several-labels.in.example
 
 write_settings() {
-	cat >"$WORK/host-$1.json" <<-EOF
-	{
-		"host": "host-$1", "data_centre": "here", "cores": 0.25,
-		"callers": "127.0.0.1:$(entry_callers_port "$1")",
-		"readiness": "127.0.0.1:$((FIRST_PORT + 50 + $1))",
-		"metrics": "127.0.0.1:$((FIRST_PORT + 60 + $1))",
-		"peers": "127.0.0.1:$((FIRST_PORT + 70 + $1))",
-		"store": "127.0.0.1:$FIRST_PORT",
-		"lease_max_ms": 10000, "stop_task_ms": 400, "restore_ms": 100,
-		"admission_control": "$ADMISSION",
-		"keep_ended_s": 120, "stop_grace_s": 6, "revoke_key_ms": 5000,
-		"evacuation_ms": 5000
-	}
-	EOF
+	write_entry_settings "$1" \
+		", \"admission_control\": \"$ADMISSION\", \"evacuation_ms\": 5000"
 }
 
 cat >"$WORK/config.json" <<-EOF
--- a/tests/scripts/entry-lib.sh
+++ b/tests/scripts/entry-lib.sh
@@ -33,6 +33,39 @@
 	echo $((FIRST_PORT + 40 + $1))
 }
 
+# write_entry_settings HOST [MORE]: MORE is text that follows the last field
+write_entry_settings() {
+	cat >"$WORK/host-$1.json" <<-END
+	{
+		"host": "host-$1", "data_centre": "here", "cores": 0.25,
+		"callers": "127.0.0.1:$(entry_callers_port "$1")",
+		"readiness": "127.0.0.1:$((FIRST_PORT + 50 + $1))",
+		"metrics": "127.0.0.1:$((FIRST_PORT + 60 + $1))",
+		"peers": "127.0.0.1:$((FIRST_PORT + 70 + $1))",
+		"store": "127.0.0.1:$FIRST_PORT",
+		"lease_max_ms": 10000, "stop_task_ms": 400, "restore_ms": 100,
+		"keep_ended_s": 120, "stop_grace_s": 6, "revoke_key_ms": 5000${2:-}
+	}
+	END
+}
+
+SMALL_JOB='{"spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":10,"estimate_ms":10}]}'
+
+# submit_small_job HOST ID: submits a job to the queue "batch" until it is accepted;
+# prints the answer, or the last one after WAIT_S
+submit_small_job() {
+	local answer until=$((SECONDS + WAIT_S))
+	while [ $SECONDS -lt $until ]; do
+		answer=$(curl -s -X POST -H "Host: jobs.example" \
+			-H "Authorization: Token good" -w ' %{http_code}' -m 4 \
+			-d "$SMALL_JOB" \
+			"http://127.0.0.1:$(entry_callers_port "$1")/batch/$2")
+		[ "$answer" = "{} 200" ] && break
+		sleep 0.2
+	done
+	echo "$answer"
+}
+
 declare -A PID
 start_entry() {
 	"$BUILD/programs/mimosaturn-entry" --settings "$WORK/host-$1.json" \
--- a/tests/scripts/hostile-clients.sh
+++ b/tests/scripts/hostile-clients.sh
@@ -29,22 +29,10 @@
 ATTACK_S=4
 CLIENT_KINDS="announced chunked whole piecewise headers one-header silent
 	pipelined malformed keys"
-JOB='{"spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":10,"estimate_ms":10}]}'
 
 write_settings() {
-	cat >"$WORK/host-$1.json" <<-END
-	{
-		"host": "host-$1", "data_centre": "here", "cores": 0.25,
-		"callers": "127.0.0.1:$(entry_callers_port "$1")",
-		"readiness": "127.0.0.1:$((FIRST_PORT + 50 + $1))",
-		"metrics": "127.0.0.1:$((FIRST_PORT + 60 + $1))",
-		"peers": "127.0.0.1:$((FIRST_PORT + 70 + $1))",
-		"store": "127.0.0.1:$FIRST_PORT",
-		"lease_max_ms": 10000, "stop_task_ms": 400, "restore_ms": 100,
-		"keep_ended_s": 120, "stop_grace_s": 6, "revoke_key_ms": 5000,
-		"memory_mb": $MEMORY_MB, "max_fds": $MAX_FDS
-	}
-	END
+	write_entry_settings "$1" \
+		", \"memory_mb\": $MEMORY_MB, \"max_fds\": $MAX_FDS"
 }
 
 cat >"$WORK/config.json" <<-END
@@ -63,19 +51,9 @@
 	wait "${PID[$1]}" 2>/dev/null
 }
 
-# submit ID: submits a job to the target until it is accepted; prints the answer,
-# or the last one after WAIT_S
+# submit ID: see submit_small_job, at the target
 submit() {
-	local answer until=$((SECONDS + WAIT_S))
-	while [ $SECONDS -lt $until ]; do
-		answer=$(curl -s -X POST -H "Host: jobs.example" \
-			-H "Authorization: Token good" -w ' %{http_code}' -m 4 \
-			-d "$JOB" \
-			"http://127.0.0.1:$(entry_callers_port "$TARGET")/batch/$1")
-		[ "$answer" = "{} 200" ] && break
-		sleep 0.2
-	done
-	echo "$answer"
+	submit_small_job "$TARGET" "$1"
 }
 
 # Prints the index of the leader among hosts 0 and 1; nothing if it is the target.
@@ -193,7 +171,7 @@
 		-H "Host: jobs.example" -H "Authorization: Token good" \
 		-w ' %{http_code}' \
 		"http://127.0.0.1:$(entry_callers_port "$TARGET")/batch/00000000000000e2")"
-	printf '%s%*s' "$JOB" $((BODY_BYTES - ${#JOB})) "" >"$WORK/body"
+	printf '%s%*s' "$SMALL_JOB" $((BODY_BYTES - ${#SMALL_JOB})) "" >"$WORK/body"
 	check "largest request" "{} 200" "$(curl -s -m 4 \
 		-H "Host: jobs.example" -H "Authorization: Token good" \
 		-H "X-Filler: $(printf 'x%.0s' {1..16000})" -H "Expect:" \
--- a/tests/scripts/log-readers.sh
+++ b/tests/scripts/log-readers.sh
@@ -16,21 +16,6 @@
 GUARD_S=20
 PIPE_BYTES=65536
 
-write_settings() {
-	cat >"$WORK/host-$1.json" <<-END
-	{
-		"host": "host-$1", "data_centre": "here", "cores": 0.25,
-		"callers": "127.0.0.1:$(entry_callers_port "$1")",
-		"readiness": "127.0.0.1:$((FIRST_PORT + 50 + $1))",
-		"metrics": "127.0.0.1:$((FIRST_PORT + 60 + $1))",
-		"peers": "127.0.0.1:$((FIRST_PORT + 70 + $1))",
-		"store": "127.0.0.1:$FIRST_PORT",
-		"lease_max_ms": 10000, "stop_task_ms": 400, "restore_ms": 100,
-		"keep_ended_s": 120, "stop_grace_s": 6, "revoke_key_ms": 5000
-	}
-	END
-}
-
 cat >"$WORK/config.json" <<-END
 {"version": 3,
  "routes": [
@@ -49,20 +34,6 @@
 	PIDS+=($!)
 }
 
-# Prints the answer to a job that is submitted until it is accepted.
-submit() {
-	local answer until=$((SECONDS + WAIT_S))
-	while [ $SECONDS -lt $until ]; do
-		answer=$(curl -s -X POST -H "Host: jobs.example" \
-			-H "Authorization: Token good" -w ' %{http_code}' -m 4 \
-			-d '{"spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":10,"estimate_ms":10}]}' \
-			"http://127.0.0.1:$(entry_callers_port "$1")/batch/$2")
-		[ "$answer" = "{} 200" ] && break
-		sleep 0.2
-	done
-	echo "$answer"
-}
-
 # An error that the host logs: the settings file that SIGHUP names is invalid.
 make_errors() {
 	local i
@@ -86,7 +57,7 @@
 check_host() {
 	wait_ready "$2" || return
 	make_errors "$2"
-	check "$1: answers" "{} 200" "$(submit "$2" "$3")"
+	check "$1: answers" "{} 200" "$(submit_small_job "$2" "$3")"
 	check "$1: is alive" yes "$(kill -0 "${PID[$2]}" 2>/dev/null && echo yes)"
 }
 
@@ -99,7 +70,7 @@
 PIDS+=($!)
 sleep 0.3
 for ((i = 0; i < 6; i++)); do
-	write_settings "$i"
+	write_entry_settings "$i"
 done
 
 # A pipe that nobody reads, which is full from the start and which three hosts
--- a/tests/scripts/many-jobs.sh
+++ b/tests/scripts/many-jobs.sh
@@ -26,19 +26,8 @@
 
 # write_settings HOST MEMORY_MB
 write_settings() {
-	cat >"$WORK/host-$1.json" <<-END
-	{
-		"host": "host-$1", "data_centre": "here", "cores": 0.25,
-		"callers": "127.0.0.1:$(entry_callers_port "$1")",
-		"readiness": "127.0.0.1:$((FIRST_PORT + 50 + $1))",
-		"metrics": "127.0.0.1:$((FIRST_PORT + 60 + $1))",
-		"peers": "127.0.0.1:$((FIRST_PORT + 70 + $1))",
-		"store": "127.0.0.1:$FIRST_PORT", "store_record_bytes": 262144,
-		"lease_max_ms": 10000, "stop_task_ms": 400, "restore_ms": 100,
-		"keep_ended_s": 120, "stop_grace_s": 6, "revoke_key_ms": 5000,
-		"memory_mb": $2
-	}
-	END
+	write_entry_settings "$1" \
+		", \"store_record_bytes\": 262144, \"memory_mb\": $2"
 }
 
 cat >"$WORK/config.json" <<-END
--- a/tests/unit/test_long_names.c
+++ b/tests/unit/test_long_names.c
@@ -13,6 +13,7 @@
 #include "platform/backend_json.h"
 #include "platform/config_json.h"
 #include "unit/engine_fixture.h"
+#include "unit/list_store.h"
 #include "unit/tests.h"
 
 /** Largest record that the store takes, see record_bytes of the platform. */
@@ -72,38 +73,20 @@
 
 /* The platform's list of servers. */
 
-/** A store that keeps the callback of the reader. */
-typedef struct mt_list_store_t {
-	mt_store_port_t port;
-	mt_store_page_cb cb;
-	void *ctx;
+/** A list of one server, and what became of it. */
+typedef struct mt_list_t {
+	mt_list_store_t store;
 	GPtrArray *listed; /**< ids, char * */
 	mt_backend_info_t last;
 	unsigned n_messages;
-} mt_list_store_t;
-
-static void keep_newest(void *self, const char *topic, mt_str_t after_key,
-			mt_ms_t timeout_ms, mt_store_page_cb cb, void *ctx)
-{
-	mt_list_store_t *store = self;
-
-	store->cb = cb;
-	store->ctx = ctx;
-}
-
-static void keep_read(void *self, const char *topic, uint64_t from,
-		      mt_ms_t wait_ms, mt_ms_t timeout_ms, mt_store_page_cb cb,
-		      void *ctx)
-{
-	keep_newest(self, topic, (mt_str_t){0}, timeout_ms, cb, ctx);
-}
+} mt_list_t;
 
 static void on_server(void *ctx, const mt_backend_info_t *info)
 {
-	mt_list_store_t *store = ctx;
+	mt_list_t *list = ctx;
 
-	g_ptr_array_add(store->listed, g_strdup(info->target.id.text));
-	mt_backend_info_assign(&store->last, info);
+	g_ptr_array_add(list->listed, g_strdup(info->target.id.text));
+	mt_backend_info_assign(&list->last, info);
 }
 
 static void on_unlisted(void *ctx, mt_shared_name_t id)
@@ -122,51 +105,49 @@
 	"\"gpu\":2},\"labels\":[%s],\"born\":17}"
 
 /** Reads a list with one server. */
-static void read_list(mt_list_store_t *store, mt_str_t id, const char *service,
+static void read_list(mt_list_t *list, mt_str_t id, const char *service,
 		      const char *zone, const char *labels)
 {
 	mt_timers_t *timers = mt_timers_new(1000);
 	mt_kernel_t *kernel = mt_kernel_new("names", timers, 1);
-	mt_directory_watcher_t watcher = {store, on_server, on_unlisted};
+	mt_directory_watcher_t watcher = {list, on_server, on_unlisted};
 	char *text = g_strdup_printf(REPORT, service, zone, labels);
 	mt_store_record_t record = {id, mt_str_from(text), 1};
 	mt_store_page_t page = {
 		.result = MT_STORE_DONE, .records = &record, .count = 1};
-	mt_store_page_t refused = {.result = MT_STORE_REFUSED};
 	mt_directory_t *directory;
 
-	*store = (mt_list_store_t){0};
-	mt_kernel_set_sink(kernel, count_message, &store->n_messages);
-	store->port =
-		(mt_store_port_t){store, NULL, keep_read, keep_newest, 0, 0};
-	store->listed = g_ptr_array_new_with_free_func(g_free);
-	directory =
-		mt_directory_new(kernel, &store->port, &mt_server_list_format);
+	*list = (mt_list_t){0};
+	mt_kernel_set_sink(kernel, count_message, &list->n_messages);
+	mt_list_store_init(&list->store);
+	list->listed = g_ptr_array_new_with_free_func(g_free);
+	directory = mt_directory_new(kernel, &list->store.port,
+				     &mt_server_list_format);
 	mt_directory_open(directory, &watcher);
-	store->cb(store->ctx, &page);
+	mt_list_store_answer(&list->store, &page);
 	mt_directory_free(directory);
-	store->cb(store->ctx, &refused);
+	mt_list_store_close(&list->store);
 	mt_kernel_free(kernel);
 	mt_timers_free(timers);
 	g_free(text);
 }
 
-static void close_list(mt_list_store_t *store)
+static void close_list(mt_list_t *list)
 {
-	g_ptr_array_unref(store->listed);
-	mt_backend_info_clear(&store->last);
+	g_ptr_array_unref(list->listed);
+	mt_backend_info_clear(&list->last);
 }
 
 static void check_id(mt_str_t id, bool is_used)
 {
-	mt_list_store_t store;
-
-	read_list(&store, id, "service", "zone", "\"kind\",\"rack\"");
-	CU_ASSERT_EQUAL(store.listed->len, is_used ? 1 : 0);
-	CU_ASSERT_EQUAL(store.n_messages, is_used ? 0 : 1);
-	if (store.listed->len)
-		CU_ASSERT_EQUAL(strlen(store.listed->pdata[0]), id.len);
-	close_list(&store);
+	mt_list_t list;
+
+	read_list(&list, id, "service", "zone", "\"kind\",\"rack\"");
+	CU_ASSERT_EQUAL(list.listed->len, is_used ? 1 : 0);
+	CU_ASSERT_EQUAL(list.n_messages, is_used ? 0 : 1);
+	if (list.listed->len)
+		CU_ASSERT_EQUAL(strlen(list.listed->pdata[0]), id.len);
+	close_list(&list);
 }
 
 /** What a key of the store allows is used; what cannot be sent is told. */
@@ -188,35 +169,35 @@
 	g_free(longest);
 }
 
-static bool has_label(const mt_list_store_t *store, const char *label)
+static bool has_label(const mt_list_t *list, const char *label)
 {
 	GQuark quark = g_quark_try_string(label);
 
-	return quark && mt_plan_labels_contain(store->last.labels, quark);
+	return quark && mt_plan_labels_contain(list->last.labels, quark);
 }
 
 /** Of a server, all labels count, and long names of service, zone and rack. */
 static void all_labels_of_a_server_count(void)
 {
-	mt_list_store_t store;
+	mt_list_t list;
 	char *name = make_name('s', 300);
 	char *labels = g_strdup_printf(
 		"\"kind\",\"%s\",\"c\",\"d\",\"e\",\"f\"", name);
 
-	read_list(&store, MT_STR("i-1"), name, name, labels);
-	CU_ASSERT_EQUAL(store.listed->len, 1);
-	CU_ASSERT_STRING_EQUAL(mt_shared_name_text(store.last.service), name);
-	CU_ASSERT_STRING_EQUAL(mt_shared_name_text(store.last.zone), name);
-	CU_ASSERT_STRING_EQUAL(g_quark_to_string(store.last.rack), name);
-	CU_ASSERT_TRUE(has_label(&store, "kind"));
-	CU_ASSERT_TRUE(has_label(&store, "f"));
-	close_list(&store);
+	read_list(&list, MT_STR("i-1"), name, name, labels);
+	CU_ASSERT_EQUAL(list.listed->len, 1);
+	CU_ASSERT_STRING_EQUAL(mt_shared_name_text(list.last.service), name);
+	CU_ASSERT_STRING_EQUAL(mt_shared_name_text(list.last.zone), name);
+	CU_ASSERT_STRING_EQUAL(g_quark_to_string(list.last.rack), name);
+	CU_ASSERT_TRUE(has_label(&list, "kind"));
+	CU_ASSERT_TRUE(has_label(&list, "f"));
+	close_list(&list);
 	g_free(name);
 	name = make_name('s', MT_SHARED_NAME_MAX_BYTES + 1);
-	read_list(&store, MT_STR("i-1"), "service", name, "\"kind\"");
-	CU_ASSERT_EQUAL(store.listed->len, 0);
-	CU_ASSERT_EQUAL(store.n_messages, 1);
-	close_list(&store);
+	read_list(&list, MT_STR("i-1"), "service", name, "\"kind\"");
+	CU_ASSERT_EQUAL(list.listed->len, 0);
+	CU_ASSERT_EQUAL(list.n_messages, 1);
+	close_list(&list);
 	g_free(labels);
 	g_free(name);
 }
--- a/tests/unit/test_odd_entries.c
+++ b/tests/unit/test_odd_entries.c
@@ -13,6 +13,7 @@
 #include "platform/backend_json.h"
 #include "platform/config_json.h"
 #include "platform/store_http.h"
+#include "unit/list_store.h"
 #include "unit/odd_json.h"
 #include "unit/engine_fixture.h"
 #include "unit/tests.h"
@@ -40,28 +41,10 @@
 
 /** A store that answers with one snapshot. */
 typedef struct mt_odd_store_t {
-	mt_store_port_t port;
-	mt_store_page_cb cb;
-	void *ctx;
+	mt_list_store_t store;
 	GHashTable *servers; /**< ids of the servers that are listed */
 } mt_odd_store_t;
 
-static void keep_newest(void *self, const char *topic, mt_str_t after_key,
-			mt_ms_t timeout_ms, mt_store_page_cb cb, void *ctx)
-{
-	mt_odd_store_t *store = self;
-
-	store->cb = cb;
-	store->ctx = ctx;
-}
-
-static void keep_read(void *self, const char *topic, uint64_t from,
-		      mt_ms_t wait_ms, mt_ms_t timeout_ms, mt_store_page_cb cb,
-		      void *ctx)
-{
-	keep_newest(self, topic, (mt_str_t){0}, timeout_ms, cb, ctx);
-}
-
 static void on_server(void *ctx, const mt_backend_info_t *info)
 {
 	mt_odd_store_t *store = ctx;
@@ -100,7 +83,7 @@
 					     (mt_str_t){body->str, body->len});
 
 	snapshot.page.result = valid ? MT_STORE_DONE : MT_STORE_UNKNOWN;
-	store->cb(store->ctx, &snapshot.page);
+	mt_list_store_answer(&store->store, &snapshot.page);
 	mt_store_snapshot_clear(&snapshot);
 }
 
@@ -111,23 +94,21 @@
 	mt_kernel_t *kernel = mt_kernel_new("odd", timers, 1);
 	mt_odd_store_t store = {0};
 	mt_directory_watcher_t watcher = {&store, on_server, on_unlisted};
-	mt_store_page_t refused = {.result = MT_STORE_REFUSED};
 	mt_directory_t *directory;
 
 	mt_kernel_set_sink(kernel, ignore_line, NULL);
-	store.port =
-		(mt_store_port_t){&store, NULL, keep_read, keep_newest, 0, 0};
+	mt_list_store_init(&store.store);
 	store.servers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	directory =
-		mt_directory_new(kernel, &store.port, &mt_server_list_format);
+	directory = mt_directory_new(kernel, &store.store.port,
+				     &mt_server_list_format);
 	mt_directory_open(directory, &watcher);
 	answer_page(&store, body);
 	CU_ASSERT_TRUE_FATAL(mt_directory_is_complete(directory));
 	CU_ASSERT_TRUE_FATAL(g_hash_table_contains(store.servers, "i-1"));
 	CU_ASSERT_TRUE_FATAL(g_hash_table_contains(store.servers, "i-3"));
 	mt_directory_free(directory);
-	store.cb(store.ctx, &refused);
+	mt_list_store_close(&store.store);
 	g_hash_table_destroy(store.servers);
 	mt_kernel_free(kernel);
 	mt_timers_free(timers);
@@ -191,7 +172,7 @@
 				.count = 1,
 				.end = offset};
 
-	store->cb(store->ctx, &page);
+	mt_list_store_answer(&store->store, &page);
 }
 
 /**
@@ -205,18 +186,16 @@
 	mt_kernel_t *kernel = mt_kernel_new("odd", timers, 1);
 	mt_odd_store_t store = {0};
 	mt_directory_watcher_t watcher = {&store, on_server, on_unlisted};
-	mt_store_page_t refused = {.result = MT_STORE_REFUSED};
 	mt_directory_t *directory;
 	unsigned n_lines = 0;
 	GString *body = g_string_new("{\"items\":[");
 
 	mt_kernel_set_sink(kernel, count_line, &n_lines);
-	store.port =
-		(mt_store_port_t){&store, NULL, keep_read, keep_newest, 0, 0};
+	mt_list_store_init(&store.store);
 	store.servers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	directory =
-		mt_directory_new(kernel, &store.port, &mt_server_list_format);
+	directory = mt_directory_new(kernel, &store.store.port,
+				     &mt_server_list_format);
 	mt_directory_open(directory, &watcher);
 	append_item(body, "\"i-2\"", MT_STR("{}"));
 	g_string_append(body, "],\"has_more\":false,\"end_offset\":3}");
@@ -239,7 +218,7 @@
 		*mt_kernel_counter(kernel, "server_reports_unreadable_total"),
 		103);
 	mt_directory_free(directory);
-	store.cb(store.ctx, &refused);
+	mt_list_store_close(&store.store);
 	g_hash_table_destroy(store.servers);
 	mt_kernel_free(kernel);
 	mt_timers_free(timers);
