Accounts of clients are found by their shared names

Callers of a sanitized host saw it end when a request came in parts: the table of accounts in http_guard.c was still keyed as by short names, so that a look-up read beyond the text of a shared name (heap-buffer-overflow in mt_name_equal). Without a sanitizer it compared what lies there, so that accounts could be taken for others or not be found again: their budgets would have been wrong.

Ruled out: other tables of this kind (a search for mt_name_hash in lib/dag, lib/net, lib/peer, platform and mimosaturn-entry finds only that of peer_links.c, whose keys are short names).

Test: accounts are told apart by their whole names.

--- a/lib/net/http_guard.c
+++ b/lib/net/http_guard.c
@@ -107,8 +107,7 @@
 	mt_http_guard_t *guard = g_new0(mt_http_guard_t, 1);
 
 	g_queue_init(&guard->connections);
-	guard->accounts = g_hash_table_new_full(mt_name_hash, mt_name_key_equal,
-						NULL, g_free);
+	guard->accounts = mt_shared_name_table_new(g_free);
 	mt_http_guard_set_limits(guard, limits);
 	return guard;
 }
--- a/tests/unit/test_http_guard.c
+++ b/tests/unit/test_http_guard.c
@@ -304,6 +304,42 @@
 	CU_ASSERT_EQUAL(clients.connections_max, defaults.connections_max);
 }
 
+/**
+ * Guards against: accounts are found by their text as if it were a short name.
+ * Two of which the names begin alike must not share a budget, and one must be
+ * found again.
+ */
+static void accounts_are_told_apart_by_their_whole_names(void)
+{
+	size_t n_refs = mt_shared_names_n_refs();
+	mt_http_limits_t limits = mt_http_limits_default(1024);
+	mt_http_guard_t *guard = mt_http_guard_new(&limits);
+	mt_guarded_t connections[4] = {0};
+	char *text = g_strnfill(240, 'n');
+	mt_shared_name_t names[2];
+
+	names[0] = mt_shared_name(text);
+	text[239] = 'o';
+	names[1] = mt_shared_name(text);
+	for (unsigned i = 0; i < G_N_ELEMENTS(connections); i++) {
+		mt_http_guard_add(guard, &connections[i], 1000);
+		mt_http_guard_set_phase(guard, &connections[i],
+					MT_HTTP_PHASE_BODY, 1000);
+		mt_http_guard_set_account(guard, &connections[i], names[i % 2]);
+	}
+	CU_ASSERT_PTR_EQUAL(connections[0].account, connections[2].account);
+	CU_ASSERT_PTR_EQUAL(connections[1].account, connections[3].account);
+	CU_ASSERT_PTR_NOT_EQUAL(connections[0].account, connections[1].account);
+	for (unsigned i = 0; i < G_N_ELEMENTS(connections); i++)
+		mt_http_guard_set_account(guard, &connections[i],
+					  (mt_shared_name_t){0});
+	mt_shared_name_clear(&names[0]);
+	mt_shared_name_clear(&names[1]);
+	CU_ASSERT_EQUAL(mt_shared_names_n_refs(), n_refs);
+	mt_http_guard_free(guard);
+	g_free(text);
+}
+
 const mt_test_t mt_http_guard_tests[] = {
 	{"stalled bodies are closed first", stalled_bodies_are_closed_first},
 	{"requests of the handler are not closed",
@@ -321,5 +357,7 @@
 	 the_smallest_host_is_not_exceeded},
 	{"unknown resources leave the defaults",
 	 unknown_resources_leave_the_defaults},
+	{"accounts are told apart by their whole names",
+	 accounts_are_told_apart_by_their_whole_names},
 	{NULL, NULL},
 };
