Tests: two tests of the front answer the append that they cause

The sanitized unit tests reported 288 bytes as leaked: the operations of these calls, as their fixture closes the writer before the store has answered. They now answer it and check that the client is told so.

--- a/tests/unit/test_front.c
+++ b/tests/unit/test_front.c
@@ -663,6 +663,8 @@
 	CU_ASSERT_EQUAL(job->queue.decision_ms, 70);
 	CU_ASSERT_EQUAL(job->queue.per_server_ms, 3);
 	mt_dag_job_free(job);
+	answer_append(&fixture.store, MT_STORE_DONE);
+	CU_ASSERT_EQUAL(fixture.reply.outcome, MT_FRONT_OUTCOME_ACCEPTED);
 	tear_down(&fixture);
 }
 
@@ -689,6 +691,8 @@
 	send_call(&fixture, MT_VERB_SUBMIT);
 	CU_ASSERT_EQUAL(fixture.store.n_appends, 1);
 	CU_ASSERT_TRUE(budget.accepted_bytes > 0);
+	answer_append(&fixture.store, MT_STORE_DONE);
+	CU_ASSERT_EQUAL(fixture.reply.outcome, MT_FRONT_OUTCOME_ACCEPTED);
 	tear_down(&fixture);
 }
 
