A server that drains when a leader first sees it has a deadline

Users would have seen runs end with their server: a leader that first read a server's entry when it was draining already, after each change of leader for example, did not know when the server leaves, logged no server_draining, and never moved the runs there.

Change: only the id is set before.

--- a/lib/dag/backend.c
+++ b/lib/dag/backend.c
@@ -75,19 +75,16 @@
 	g_free(backend);
 }
 
-void mt_backend_set_info(mt_backend_t *backend, const mt_backend_info_t *info)
+void mt_backend_set_id(mt_backend_t *backend, mt_shared_name_t id)
 {
-	mt_shared_name_t id = info->target.id;
+	char *printable = mt_text_printable(mt_shared_name_text(id));
 
-	if (!backend->info.target.id.len) {
-		free_log_name(backend);
-		backend->log_name = mt_text_printable(mt_shared_name_text(id));
-	}
-	mt_backend_info_assign(&backend->info, info);
+	free_log_name(backend);
+	mt_shared_name_assign(&backend->info.target.id, id);
+	backend->log_name = printable;
 	/* The usual id is logged as it is. */
-	if (backend->log_name != id.text &&
-	    !strcmp(backend->log_name, mt_shared_name_text(id))) {
-		g_free(backend->log_name);
+	if (!strcmp(printable, mt_shared_name_text(id))) {
+		g_free(printable);
 		backend->log_name = (char *)id.text;
 	}
 }
--- a/lib/dag/backend.h
+++ b/lib/dag/backend.h
@@ -43,7 +43,7 @@
 	 * place of the id, which is not known (info.target.id is empty) until
 	 * the platform's list has shown it. */
 	uint64_t id_hash;
-	/** Its id as it is logged, or the hash; see mt_backend_set_info(). */
+	/** Its id as it is logged, or the hash; see mt_backend_set_id(). */
 	char *log_name;
 	mt_backend_info_t info;
 	bool listed; /**< the platform's list has a valid entry for it */
@@ -131,8 +131,8 @@
 mt_backend_t *mt_backend_new(uint64_t id_hash);
 void mt_backend_free(mt_backend_t *backend);
 
-/** Replaces `backend->info`. */
-void mt_backend_set_info(mt_backend_t *backend, const mt_backend_info_t *info);
+/** Sets the id, which is not known before, and the name for the log. */
+void mt_backend_set_id(mt_backend_t *backend, mt_shared_name_t id);
 
 /**
  * Applies mt_backend_info_t.cold_remaining_ms of an entry that is about to
--- a/lib/dag/engine.c
+++ b/lib/dag/engine.c
@@ -219,7 +219,7 @@
 	}
 	note_cold(engine, backend, info);
 	if (!known_id.len)
-		mt_backend_set_info(backend, info);
+		mt_backend_set_id(backend, info->target.id);
 	if (info->draining && !backend->info.draining) {
 		backend->drain_deadline =
 			mt_engine_now(engine) + info->remaining_ms;
@@ -231,7 +231,7 @@
 	}
 	if (!info->draining)
 		backend->drain_deadline = 0;
-	mt_backend_set_info(backend, info);
+	mt_backend_info_assign(&backend->info, info);
 	backend->listed = true;
 	if (!backend->born_ms)
 		backend->born_ms = info->born_ms;
--- a/tests/unit/engine_fixture.c
+++ b/tests/unit/engine_fixture.c
@@ -61,7 +61,8 @@
 	mt_backend_t *server =
 		mt_backend_new(mt_shared_name_hash(info.target.id));
 
-	mt_backend_set_info(server, &info);
+	mt_backend_set_id(server, info.target.id);
+	mt_backend_info_assign(&server->info, &info);
 	mt_backend_info_clear(&info);
 	server->info.capacity =
 		(mt_dag_resources_t){64000, 64000, MT_ENGINE_FIXTURE_GPU};
--- a/tests/unit/test_leaving_servers.c
+++ b/tests/unit/test_leaving_servers.c
@@ -6,7 +6,9 @@
  */
 #include <CUnit/Basic.h>
 
+#include "platform/backend_json.h"
 #include "unit/engine_fixture.h"
+#include "unit/fake_topic.h"
 #include "unit/tests.h"
 
 #define TICK_MS 100u
@@ -338,6 +340,73 @@
 	close_fixture(&fixture);
 }
 
+static void ignore_append(void *self, const mt_store_append_t *append,
+			  mt_store_append_cb cb, void *ctx)
+{
+}
+
+/** The entry of a server; it stays for `remaining_ms` if it drains. */
+static char *list_entry(const char *state, unsigned remaining_ms)
+{
+	return g_strdup_printf(
+		"{\"service\":\"service\",\"address\":\"10.0.0.1:80\","
+		"\"state\":\"%s\",\"remaining_ms\":%u,"
+		"\"capacity\":{\"cpu\":1000,\"mem_mb\":10,\"gpu\":0}}",
+		state, remaining_ms);
+}
+
+/** Lets the engine lead, and read a list with one entry. */
+static mt_backend_t *read_first_entry(mt_engine_fixture_t *fixture,
+				      mt_fake_topic_t *topic, const char *entry)
+{
+	mt_engine_t *engine = fixture->engine;
+	mt_shared_name_t id = mt_shared_name("listed");
+	mt_backend_t *server;
+
+	mt_fake_topic_open(topic);
+	topic->port.append = ignore_append;
+	mt_fake_topic_put(topic, "listed", entry);
+	engine->deps.store = &topic->port;
+	engine->deps.table = mt_table_new(fixture->kernel);
+	engine->deps.directory = mt_directory_new(fixture->kernel, &topic->port,
+						  &mt_server_list_format);
+	mt_engine_become_leader(engine, 7);
+	mt_fake_topic_answer(topic);
+	server = mt_engine_backend(engine, id);
+	mt_shared_name_clear(&id);
+	return server;
+}
+
+static void stop_leading(mt_engine_fixture_t *fixture, mt_fake_topic_t *topic)
+{
+	mt_engine_step_down(fixture->engine);
+	mt_table_free(fixture->engine->deps.table);
+	mt_directory_free(fixture->engine->deps.directory);
+	mt_fake_topic_close(topic);
+}
+
+/**
+ * Guards against: a leader that first sees a server when it drains already does
+ * not know when it leaves, and never moves the runs there.
+ */
+static void a_server_that_drains_when_first_seen_has_a_deadline(void)
+{
+	mt_engine_fixture_t fixture;
+	mt_fake_topic_t topic;
+	char *entry = list_entry("draining", 2500);
+	mt_backend_t *server;
+
+	open_fixture(&fixture);
+	server = read_first_entry(&fixture, &topic, entry);
+	CU_ASSERT_PTR_NOT_NULL(server);
+	CU_ASSERT_TRUE(server && server->info.draining);
+	CU_ASSERT_TRUE(server && server->drain_deadline ==
+					 mt_timers_now(fixture.timers) + 2500);
+	stop_leading(&fixture, &topic);
+	g_free(entry);
+	close_fixture(&fixture);
+}
+
 const mt_test_t mt_leaving_servers_tests[] = {
 	{"a first start is not sent to a server that leaves",
 	 a_first_start_is_not_sent_to_a_server_that_leaves},
@@ -353,5 +422,7 @@
 	{"a withdrawn start ends with its lease",
 	 a_withdrawn_start_ends_with_its_lease},
 	{"other runs keep their leases", other_runs_keep_their_leases},
+	{"a server that drains when first seen has a deadline",
+	 a_server_that_drains_when_first_seen_has_a_deadline},
 	{NULL, NULL},
 };
--- a/tests/unit/test_speed_records.c
+++ b/tests/unit/test_speed_records.c
@@ -65,7 +65,8 @@
 	g_snprintf(id, sizeof(id), "server-%u", index);
 	info.target.id = mt_shared_name(id);
 	server = mt_backend_new(mt_shared_name_hash(info.target.id));
-	mt_backend_set_info(server, &info);
+	mt_backend_set_id(server, info.target.id);
+	mt_backend_info_assign(&server->info, &info);
 	mt_backend_info_clear(&info);
 	server->born_ms = 1700000000000 + index;
 	server->listed = true;
