What the log left out is told within a second

A reader was told of lines left out only after up to 10 s, if repeated messages were being counted meanwhile: both waited for one timer. Each has its own now.

--- a/lib/kernel/log.c
+++ b/lib/kernel/log.c
@@ -23,9 +23,9 @@
 	void *sink_ctx;
 	bool events_enabled;
 	mt_log_limit_t *limit;
-	/** Sums up repeated messages, and tells the output what was left out;
-	 * 0: there is nothing of this to do. */
-	uint64_t timer;
+	uint64_t summary_timer; /**< sums up repeated messages; 0: none has */
+	/** Tells the outputs what they have left out; 0: nothing. */
+	uint64_t settle_timer;
 };
 
 mt_kernel_log_t *mt_kernel_log_new(const char *name, mt_timers_t *timers)
@@ -69,38 +69,51 @@
 	g_free(text);
 }
 
-static void on_timer(void *ctx);
+static void sum_up(void *ctx);
 
-static void set_timer(mt_kernel_log_t *log, mt_ms_t delay)
+static void sum_up_after(mt_kernel_log_t *log, mt_ms_t delay)
 {
-	if (!log->timer)
-		log->timer = mt_timers_after(log->timers, delay, on_timer, log);
+	if (!log->summary_timer)
+		log->summary_timer =
+			mt_timers_after(log->timers, delay, sum_up, log);
 }
 
-/** Sums up what is due at `now`, and tells the outputs what they left out. */
-static void catch_up(mt_kernel_log_t *log, mt_ms_t now)
+static void sum_up(void *ctx)
 {
-	mt_ms_t next = mt_log_limit_sum_up(log->limit, now, write_summary, log);
+	mt_kernel_log_t *log = ctx;
+	mt_ms_t now = mt_timers_now(log->timers);
+	mt_ms_t next;
 
-	if (!mt_log_output_settle())
-		set_timer(log, SETTLE_INTERVAL_MS);
-	else if (next != MT_NEVER_MS)
-		set_timer(log, next - now);
+	log->summary_timer = 0;
+	next = mt_log_limit_sum_up(log->limit, now, write_summary, log);
+	if (next != MT_NEVER_MS)
+		sum_up_after(log, next - now);
+}
+
+static void settle(void *ctx);
+
+static void settle_later(mt_kernel_log_t *log)
+{
+	if (!log->settle_timer)
+		log->settle_timer = mt_timers_after(
+			log->timers, SETTLE_INTERVAL_MS, settle, log);
 }
 
-static void on_timer(void *ctx)
+static void settle(void *ctx)
 {
 	mt_kernel_log_t *log = ctx;
 
-	log->timer = 0;
-	catch_up(log, mt_timers_now(log->timers));
+	log->settle_timer = 0;
+	if (!mt_log_output_settle())
+		settle_later(log);
 }
 
 void mt_kernel_log_free(mt_kernel_log_t *log)
 {
 	mt_log_limit_sum_up(log->limit, MT_NEVER_MS, write_summary, log);
 	mt_log_output_settle();
-	mt_timers_cancel(log->timers, log->timer);
+	mt_timers_cancel(log->timers, log->summary_timer);
+	mt_timers_cancel(log->timers, log->settle_timer);
 	mt_log_limit_free(log->limit);
 	g_free(log->name);
 	g_free(log);
@@ -119,7 +132,7 @@
 		mt_log_output_note_drop(stream, dropped);
 	}
 	if (dropped != MT_LOG_DROP_NONE)
-		set_timer(log, SETTLE_INTERVAL_MS);
+		settle_later(log);
 	return dropped;
 }
 
@@ -173,7 +186,7 @@
 		write_message(log, level, component, message);
 	} else {
 		mt_log_output_note_repeat();
-		set_timer(log, MT_LOG_REPEAT_WINDOW_MS);
+		sum_up_after(log, MT_LOG_REPEAT_WINDOW_MS);
 	}
 }
 
--- a/tests/unit/test_log_output.c
+++ b/tests/unit/test_log_output.c
@@ -231,6 +231,39 @@
 	fclose(file);
 }
 
+/** Ends as a process does that is killed: nothing is told at its end. */
+static int flood_for_a_second(void)
+{
+	mt_timers_t *timers = mt_timers_new(1000);
+	mt_kernel_t *kernel = mt_kernel_new("test", timers, 1);
+
+	mt_log_output_open(true);
+	for (unsigned i = 0; i < 100; i++)
+		mt_log(kernel, MT_LOG_WARNING, "list", "entry %u is odd", i);
+	for (unsigned i = 0; i < 1000; i++)
+		mt_log(kernel, MT_LOG_NOTICE, "list", "entry %u was read", i);
+	mt_timers_advance(timers, 2500);
+	return CHILD_DONE;
+}
+
+/** Guards against: the log tells it only when repeated messages are summed up.
+ */
+static void what_was_left_out_is_told_soon(void)
+{
+	FILE *file = tmpfile();
+	char text[65536] = "";
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(file);
+	CU_ASSERT_EQUAL(
+		run_child(fileno(file), fileno(file), flood_for_a_second),
+		CHILD_DONE);
+	rewind(file);
+	CU_ASSERT_TRUE(fread(text, 1, sizeof(text) - 1, file) > 0);
+	CU_ASSERT_PTR_NOT_NULL(strstr(text, "left out lines: rate "));
+	CU_ASSERT_PTR_NULL(strstr(text, "more messages like this"));
+	fclose(file);
+}
+
 const mt_test_t mt_log_output_tests[] = {
 	{"a pipe that nobody reads delays nothing",
 	 a_pipe_that_nobody_reads_delays_nothing},
@@ -242,5 +275,6 @@
 	 closed_streams_are_not_taken_by_files},
 	{"a reader that comes back is told", a_reader_that_comes_back_is_told},
 	{"floods are bounded and summed up", floods_are_bounded_and_summed_up},
+	{"what was left out is told soon", what_was_left_out_is_told_soon},
 	{NULL, NULL},
 };
