Names that cannot work are refused where they enter: addresses, labels, checks

- An address of more than 47 bytes was cut to its beginning; it is refused.
- Of several required labels all but the first were dropped, so that tasks could run on servers without the others; a label of more than 1,024 bytes was accepted and could never be met.
- "mimosaturn check" finds names beyond the limit, which hosts leave out.

Found by going through the names that cross the edge once more.

--- a/lib/dag/reports.c
+++ b/lib/dag/reports.c
@@ -301,9 +301,9 @@
  * task's run, as active or as ended. If the report does not list it, the run is
  * lost: it never began and will not begin any more, or the server has lost it,
  * for example in a restart. The first case that applies decides:
- * - All leases on the server were over when the hold was sent, and the start
- * was sent before: true. A start that is carried out only now is refused, as
- * its lease is over.
+ * - All leases on the server were over when the hold was sent, and this leader
+ *   sent the start before that: true. If it is carried out only now, it is
+ *   refused, as its lease is over.
  * - The server has confirmed the stop of the run: true if it did so before the
  *   hold was sent, as the report may otherwise be older than the stop.
  * - The start is settled, see mt_dag_task_t.start_settled_at: true if it was
--- a/lib/net/json_util.c
+++ b/lib/net/json_util.c
@@ -92,8 +92,9 @@
 	const char *colon = text ? strrchr(text, ':') : NULL;
 	uint64_t number;
 
-	if (!colon || !mt_str_to_u64(mt_str_from(colon + 1), &number) ||
-	    !number || number > UINT16_MAX)
+	if (!colon || colon - text > MT_NAME_MAX_BYTES ||
+	    !mt_str_to_u64(mt_str_from(colon + 1), &number) || !number ||
+	    number > UINT16_MAX)
 		return false;
 	*address = mt_name_from((mt_str_t){text, (size_t)(colon - text)});
 	*port = (uint16_t)number;
--- a/lib/net/json_util.h
+++ b/lib/net/json_util.h
@@ -30,7 +30,10 @@
 bool mt_json_get_u32(const json_t *object, const char *key, uint32_t *value);
 bool mt_json_get_bool(const json_t *object, const char *key, bool *value);
 
-/** Reads a string of the form `address:port`, with a port above 0. */
+/**
+ * Reads a string of the form `address:port`, with a port above 0 and an address
+ * of at most MT_NAME_MAX_BYTES.
+ */
 bool mt_json_get_address(const json_t *object, const char *key,
 			 mt_name_t *address, uint16_t *port);
 
--- a/programs/ctl/cmd_report.c
+++ b/programs/ctl/cmd_report.c
@@ -1,6 +1,6 @@
 /** @file cmd_report.c Reports error budget burn rates over all hosts. */
-#include <stdio.h>
 #include <errno.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "kernel/log_output.h"
--- a/programs/ctl/ctl.c
+++ b/programs/ctl/ctl.c
@@ -1,10 +1,11 @@
 /** @file ctl.c Shared helpers of the subcommands. */
-#include "kernel/log_output.h"
 #include "ctl.h"
 
 #include <stdio.h>
 #include <string.h>
 
+#include "kernel/log_output.h"
+
 #define FETCH_TIMEOUT_MS 3000u
 
 mt_ctl_t mt_ctl_new(guint32 seed)
--- a/tests/unit/test_long_names.c
+++ b/tests/unit/test_long_names.c
@@ -10,7 +10,9 @@
 
 #include "dag/directory.h"
 #include "dag/table.h"
+#include "net/json_util.h"
 #include "platform/backend_json.h"
+#include "platform/config_check.h"
 #include "platform/config_json.h"
 #include "unit/engine_fixture.h"
 #include "unit/list_store.h"
@@ -282,7 +284,92 @@
 	mt_catalog_free(catalog);
 }
 
-/* Ids of jobs. */
+/** Guards against an address of which only the beginning is used. */
+static void an_address_is_not_cut(void)
+{
+	json_t *entry = json_object();
+	char *digits = make_name('1', 60);
+	char *text = g_strdup_printf("%s:80", digits);
+	mt_name_t address = mt_name("unchanged");
+	uint16_t port = 1;
+
+	json_object_set_new(entry, "address", json_string(text));
+	CU_ASSERT_FALSE(mt_json_get_address(entry, "address", &address, &port));
+	CU_ASSERT_STRING_EQUAL(address.text, "unchanged");
+	json_object_set_new(entry, "address", json_string("10.0.0.1:80"));
+	CU_ASSERT_TRUE(mt_json_get_address(entry, "address", &address, &port));
+	json_decref(entry);
+	g_free(digits);
+	g_free(text);
+}
+
+/** The check of a configuration finds what the hosts would leave out. */
+static void a_check_finds_names_beyond_the_limit(void)
+{
+	char *name = make_name('r', MT_SHARED_NAME_MAX_BYTES + 1);
+	char *text = g_strdup_printf("{\"version\":7,\"routes\":[" ROUTE
+				     "],\"services\":[{\"name\":"
+				     "\"s\"}],\"tenants\":[{\"name\":\"%s\"}]}",
+				     "route", name, "s", name);
+	json_t *config = mt_json_parse(mt_str_from(text));
+	mt_check_capacity_t capacity = {0};
+	GArray *findings = mt_config_check(config, NULL, &capacity);
+	unsigned n_errors = 0;
+
+	for (guint i = 0; i < findings->len; i++) {
+		const mt_finding_t *finding =
+			&g_array_index(findings, mt_finding_t, i);
+
+		n_errors += finding->kind == MT_FINDING_ERROR &&
+			    strstr(finding->text, "of at most 1024 bytes");
+	}
+	CU_ASSERT_EQUAL(n_errors, 2);
+	g_array_unref(findings);
+	json_decref(config);
+	g_free(name);
+	g_free(text);
+}
+
+/* Jobs. */
+
+static bool takes_label(const char *json)
+{
+	char *text = g_strdup_printf(
+		"{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":1,"
+		"\"requirements\":%s}]}",
+		json);
+	MtDag__Job *job = mt_job_decode(mt_str_from(text));
+
+	g_free(text);
+	if (!job)
+		return false;
+	mt_dag__job__free_unpacked(job, NULL);
+	return true;
+}
+
+/**
+ * Guards against jobs that are accepted and can never run, or run on servers
+ * without what they require: of several labels all but the first were dropped.
+ */
+static void labels_that_cannot_be_required_are_refused(void)
+{
+	char *longest = make_name('l', MT_SHARED_NAME_MAX_BYTES);
+	char *too_long = make_name('l', MT_SHARED_NAME_MAX_BYTES + 1);
+	char *json = g_strdup_printf("\"%s\"", longest);
+
+	CU_ASSERT_TRUE(takes_label("\"kind\""));
+	CU_ASSERT_TRUE(takes_label("[\"kind\"]"));
+	CU_ASSERT_TRUE(takes_label("[]"));
+	CU_ASSERT_TRUE(takes_label("\"\""));
+	CU_ASSERT_TRUE(takes_label(json));
+	CU_ASSERT_FALSE(takes_label("[\"kind\",\"other\"]"));
+	g_free(json);
+	json = g_strdup_printf("\"%s\"", too_long);
+	CU_ASSERT_FALSE(takes_label(json));
+	g_free(json);
+	g_free(longest);
+	g_free(too_long);
+}
 
 static void check_client_id(const char *text)
 {
@@ -546,6 +633,11 @@
 	{"names beyond the limit are told", names_beyond_the_limit_are_told},
 	{"a key with a zero byte is not cut",
 	 a_key_with_a_zero_byte_is_not_cut},
+	{"an address is not cut", an_address_is_not_cut},
+	{"a check finds names beyond the limit",
+	 a_check_finds_names_beyond_the_limit},
+	{"labels that cannot be required are refused",
+	 labels_that_cannot_be_required_are_refused},
 	{"ids of jobs keep their capitals", ids_of_jobs_keep_their_capitals},
 	{"a record of tasks on servers with long ids fits",
 	 a_record_of_tasks_on_servers_with_long_ids_fits},
