--- a/tests/check.sh
+++ b/tests/check.sh
@@ -69,6 +69,8 @@
 	--overload
 suite "simulated servers of unequal speed" build/tests/fleet --speeds --seed 1 --seeds 6
 suite "simulated servers that are cold" build/tests/fleet --cold --seed 1 --seeds 12
+suite "simulated servers that answer no starts, and leave" build/tests/fleet --leaving \
+	--seed 1 --seeds 20
 suite "simulated hosts with all of these" build/tests/fleet --evacuations --overload \
 	--speeds --cold --seed 1 --seeds 4
 suite "fleet seeds that failed before" tests/scripts/fleet-seeds.sh build
--- a/tests/fleet/fake_servers.c
+++ b/tests/fleet/fake_servers.c
@@ -106,8 +106,10 @@
 	bool up;
 	bool unreachable;
 	bool draining;
-	bool stalled;	     /**< its runs make no progress */
-	mt_ms_t shutdown_at; /**< 0: not draining */
+	bool startless;		/**< it answers no start */
+	bool stalled;		/**< its runs make no progress */
+	mt_ms_t draining_since; /**< 0: not draining */
+	mt_ms_t shutdown_at;	/**< 0: not draining */
 	int64_t born; /**< same as `started_at`; identifies the instance */
 	mt_ms_t started_at;	 /**< time of the last start */
 	mt_ms_t last_contact_at; /**< when it could last renew its report */
@@ -547,6 +549,27 @@
 			      server->rack);
 }
 
+/**
+ * Reports a start on a server that has drained for longer than SIM_DRAIN_MS,
+ * unless the network has delayed the command. Only audited where hosts and
+ * store have no faults, so that the leader knows the list.
+ */
+static void audit_leaving_start(const mt_fake_server_t *server,
+				const mt_fake_command_t *command)
+{
+	mt_fake_fleet_t *fleet = server->fleet;
+	mt_ms_t since = server->draining_since;
+	char name[64];
+
+	format_task_name(name, sizeof(name), &command->key);
+	if (fleet->sim->options.leaving && since && !command->late &&
+	    fleet_now(fleet) > since + SIM_DRAIN_MS)
+		mt_sim_breach(fleet->sim,
+			      "%s started %u ms after %s reported to drain",
+			      name, (unsigned)(fleet_now(fleet) - since),
+			      server->id);
+}
+
 /**
  * Reports more starts on a cold server than the platform allows, which is
  * SIM_COLD_OVERRUN times its limit and SIM_COLD_SLACK tasks. Those that the
@@ -801,6 +824,7 @@
 	audit_step_order(fleet, run, job);
 	audit_forbidden_start(fleet, run);
 	audit_evacuated_start(server, command);
+	audit_leaving_start(server, command);
 	audit_cold_start(server, command);
 	g_ptr_array_add(server->runs, run);
 	if (run->gang)
@@ -1092,6 +1116,10 @@
 		return;
 	}
 	command->born = server->born;
+	if (server->startless && command->kind == MT_FAKE_COMMAND_START) {
+		fail_command(command, MT_COMMAND_UNKNOWN, time_left);
+		return;
+	}
 	if (lose_answer(command)) {
 		fail_command(command, MT_COMMAND_UNKNOWN, time_left);
 		return;
@@ -1219,6 +1247,7 @@
 		begin_cold_time(server);
 	server->up = true;
 	server->draining = false;
+	server->draining_since = 0;
 	server->shutdown_at = 0;
 	server->started_at = fleet_now(server->fleet);
 	server->born = (int64_t)server->started_at;
@@ -1264,6 +1293,12 @@
 	fleet->servers[server_index].unreachable = unreachable;
 }
 
+void mt_fake_fleet_set_startless(mt_fake_fleet_t *fleet, unsigned server_index,
+				 bool startless)
+{
+	fleet->servers[server_index].startless = startless;
+}
+
 void mt_fake_fleet_set_stalled(mt_fake_fleet_t *fleet, unsigned server_index,
 			       bool stalled)
 {
@@ -1274,6 +1309,7 @@
 {
 	for (unsigned i = 0; i < fleet->count; i++) {
 		fleet->servers[i].stalled = false;
+		fleet->servers[i].startless = false;
 		reset_observed_runs(&fleet->servers[i]);
 		if (fleet->servers[i].up)
 			fleet->servers[i].unreachable = false;
@@ -1305,6 +1341,7 @@
 		return;
 	}
 	fleet->servers[server_index].draining = true;
+	fleet->servers[server_index].draining_since = fleet_now(fleet);
 	fleet->servers[server_index].shutdown_at =
 		fleet_now(fleet) + shutdown_after_ms;
 	publish_report(&fleet->servers[server_index]);
--- a/tests/fleet/fake_servers.h
+++ b/tests/fleet/fake_servers.h
@@ -4,7 +4,8 @@
  * has two runs at once and does not run again after its success was
  * acknowledged, steps run in the order of their dependencies, tasks of
  * cancelled or refused jobs do not start, none start in an evacuated data
- * centre, and few on a cold server. A start beyond a server's capacity is no
+ * centre, few on a cold server, and none on one that leaves, if that is audited
+ * (mt_sim_options_t.leaving). A start beyond a server's capacity is no
  * breach; the server refuses it.
  */
 #ifndef MT_FLEET_FAKE_SERVERS_H
@@ -54,6 +55,10 @@
 void mt_fake_fleet_set_unreachable(mt_fake_fleet_t *fleet,
 				   unsigned server_index, bool unreachable);
 
+/** The server answers holds and stops, but no start. */
+void mt_fake_fleet_set_startless(mt_fake_fleet_t *fleet, unsigned server_index,
+				 bool startless);
+
 /** A stalled server answers commands, but its runs make no progress. */
 void mt_fake_fleet_set_stalled(mt_fake_fleet_t *fleet, unsigned server_index,
 			       bool stalled);
--- a/tests/fleet/main.c
+++ b/tests/fleet/main.c
@@ -6,7 +6,9 @@
  * can be run, and no job may run that was refused for lack of capacity. With
  * --speeds, servers run at unequal speeds, and the leader must learn these.
  * With
- * --cold, servers that have restarted are slow for some time.
+ * --cold, servers that have restarted are slow for some time. With --leaving,
+ * the only faults are servers that answer no starts, and leave meanwhile: none
+ * may get a start then.
  */
 #include <argtable2.h>
 #include <stdio.h>
@@ -62,6 +64,16 @@
 /** Mean time between two changes of the evacuations, approximately. */
 #define EVACUATION_INTERVAL_MS 2500
 
+/** Mean time between two servers that leave, approximately. */
+#define LEAVING_INTERVAL_MS 2500
+
+/** Time for which a server answers no starts. */
+#define STARTLESS_MS 5500u
+
+/** Time from then on until it reports that it drains, and until it is gone. */
+#define DRAIN_AFTER_MS 500u
+#define GONE_AFTER_DRAIN_MS 9000u
+
 /** Time for which a server is down that restarts at another speed. */
 #define RESTART_MS 1000u
 
@@ -575,6 +587,54 @@
 			inject_fault, workload);
 }
 
+/* Servers that leave. */
+
+typedef struct mt_leaving_t {
+	mt_sim_t *sim;
+	unsigned server; /**< its index */
+} mt_leaving_t;
+
+static void begin_to_drain(void *ctx)
+{
+	const mt_leaving_t *leaving = ctx;
+
+	mt_fake_fleet_drain(leaving->sim->fleet, leaving->server,
+			    GONE_AFTER_DRAIN_MS);
+}
+
+static void end_startless(void *ctx)
+{
+	mt_leaving_t *leaving = ctx;
+
+	mt_fake_fleet_set_startless(leaving->sim->fleet, leaving->server,
+				    false);
+	g_free(leaving);
+}
+
+/** Lets a server answer no starts, and often leave, and schedules the next. */
+static void let_server_leave(void *ctx)
+{
+	mt_workload_t *workload = ctx;
+	mt_sim_t *sim = workload->sim;
+	mt_leaving_t *leaving;
+
+	if (workload->faultless)
+		return;
+	leaving = g_new0(mt_leaving_t, 1);
+	leaving->sim = sim;
+	leaving->server =
+		(unsigned)g_rand_int_range(sim->rand, 0, (int)sim->n_servers);
+	mt_fake_fleet_set_startless(sim->fleet, leaving->server, true);
+	if (mt_sim_chance(sim, 0.7))
+		mt_timers_after(sim->timers, DRAIN_AFTER_MS, begin_to_drain,
+				leaving);
+	mt_timers_after(sim->timers, STARTLESS_MS, end_startless, leaving);
+	mt_timers_after(sim->timers,
+			(mt_ms_t)g_rand_int_range(sim->rand, 200,
+						  2 * LEAVING_INTERVAL_MS),
+			let_server_leave, workload);
+}
+
 /* Evacuations. */
 
 static void set_evacuated(mt_workload_t *workload, unsigned zone,
@@ -752,7 +812,10 @@
 	put_config(sim, 1);
 	mt_sim_run(sim, started_at + WARM_UP_MS);
 	submit_next_job(&workload);
-	inject_fault(&workload);
+	if (options->leaving)
+		let_server_leave(&workload);
+	else
+		inject_fault(&workload);
 	if (options->evacuations)
 		change_evacuations(&workload);
 	mt_timers_after(sim->timers, REVOCATION_AT_MS, revoke_key, &workload);
@@ -801,9 +864,12 @@
 		arg_lit0(NULL, "speeds", "servers run at unequal speeds");
 	struct arg_lit *cold =
 		arg_lit0(NULL, "cold", "servers are cold after a restart");
+	struct arg_lit *leaving =
+		arg_lit0(NULL, "leaving",
+			 "only faults: servers answer no starts, leave");
 	struct arg_end *end = arg_end(5);
-	void *table[] = {seed,	   seeds,  verbose, evacuations,
-			 overload, speeds, cold,    end};
+	void *table[] = {seed,	 seeds, verbose, evacuations, overload,
+			 speeds, cold,	leaving, end};
 	mt_sim_options_t options = {.admission_mode = MT_ADMISSION_OFF};
 	int first;
 	int count;
@@ -819,6 +885,7 @@
 	options.evacuations = evacuations->count > 0;
 	options.speeds = speeds->count > 0;
 	options.cold = cold->count > 0;
+	options.leaving = leaving->count > 0;
 	if (overload->count)
 		options.admission_mode = MT_ADMISSION_REFUSES;
 	for (int i = 0; i < count; i++)
--- a/tests/fleet/sim.h
+++ b/tests/fleet/sim.h
@@ -24,6 +24,11 @@
 /** Data centres with servers. */
 #define SIM_ZONES 3u
 
+/** No task may start on a server that has reported this long ago that it
+ * drains.
+ */
+#define SIM_DRAIN_MS 2500u
+
 /** Bound of an evacuation, see mt_evacuations_new(). */
 #define SIM_EVACUATION_MS 5000u
 
@@ -59,6 +64,8 @@
 	bool evacuations; /**< data centres can be evacuated */
 	bool speeds;	  /**< servers run at unequal speeds */
 	bool cold;	  /**< servers are cold after a restart */
+	bool leaving; /**< the only faults: servers answer no starts, and leave
+		       */
 	mt_admission_mode_t admission_mode;
 } mt_sim_options_t;
 
